--- /dev/null
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -0,0 +1,32 @@
+package cottonlock.decision;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A backend as this balancer knows it: its line of the list and what hand-offs to it have shown. */
+final class Backend {
+    final String id;
+    Member member;
+    /** When this balancer learned that it drains or is gone; -1 while it is ready. */
+    long leavingSince = -1;
+    int out;
+    /** Failures in a row. */
+    int streak;
+    /** When it last gave a sign of life, or last went from nothing out to something out. */
+    long quietSince;
+    /** Answers and failures of the last two seconds: older ones say little of how it is now. */
+    final Ring answers = new Ring(20_000, 8);
+    final Ring failures = new Ring(20_000, 8);
+    /** Gaps between signs of life while something was out: their number and sum, over half a minute. */
+    final Ring gapCount = new Ring(300_000, 10);
+    final Ring gapSum = new Ring(300_000, 10);
+    final Ring sent;
+    /** The work items handed to it and still out, in the order of sending. */
+    final Map<Long, WorkItem> held = new LinkedHashMap<>();
+
+    Backend(Member member, long sentSpan) {
+        this.id = member.id();
+        this.member = member;
+        this.sent = new Ring(sentSpan, 10);
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -0,0 +1,813 @@
+package cottonlock.decision;
+
+import cottonlock.decision.Category.Repeat;
+import cottonlock.decision.WorkItem.HandOff;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * The decision module: everything that one balancer decides, and nothing else.
+ *
+ * <p>How it is called: one thread tells it what happened through the public methods of this class, each
+ * with the time in whole tenths of a millisecond, never going back. It answers during the call through
+ * {@link Outlet}, where its interface to the outside is defined; it does no input or output and reads no
+ * clock. A work item passes the stages Intake, Line, Lane, Pick and HandOffs in this order. Each passes it
+ * on, keeps it, or ends it by sending it back; what comes back passes the same stages the other way. Fleet
+ * stands beside them: it knows the backends. docs/design.md tells which decision comes from where.
+ */
+public final class Balancer {
+    /** How often silence, waiting and the list are looked at: well under any due time, cheap in CPU. */
+    private static final long TICK = 250;
+
+    private final Outlet outlet;
+    private final Intake intake;
+    private final Line line;
+    private final HandOffs handOffs;
+    private final Fleet fleet;
+
+    /** Joins the stages to a chain; each has been given its own settings. */
+    public Balancer(Outlet outlet, Intake intake, Line line, Lane lane, Pick pick, HandOffs handOffs,
+                    Fleet fleet) {
+        this.outlet = outlet;
+        this.intake = intake;
+        this.line = line;
+        this.handOffs = handOffs;
+        this.fleet = fleet;
+        intake.join(null, line);
+        line.join(intake, lane);
+        lane.join(line, pick);
+        pick.join(lane, handOffs);
+        handOffs.join(pick, null);
+    }
+
+    /** The balancer starts; the list that it last held follows through {@link #list}. */
+    public void start(long now) {
+        outlet.wakeMe(now + TICK);
+    }
+
+    /** A work item has come; its client waits for {@code patience}. */
+    public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated) {
+        intake.arrive(now, id, category, tenant, patience, repeated);
+    }
+
+    /** A hand-off has ended; {@code over} tells that the work item has had its final answer. */
+    public void settled(long now, long id, int handOff, Outcome outcome, boolean over) {
+        handOffs.settled(now, id, handOff, outcome, over);
+    }
+
+    /** The answer to a streamed work item has begun: it belongs to the client from now on. */
+    public void underWay(long now, long id, int handOff) {
+        handOffs.underWay(now, id, handOff);
+    }
+
+    /** The client of a work item has left, so nothing more is owed. */
+    public void left(long now, long id) {
+        handOffs.left(now, id);
+    }
+
+    /** News of the list of backends: all of it, or only what changed; cached: as this balancer last held it. */
+    public void list(long now, List<Member> members, boolean whole, boolean cached) {
+        fleet.list(now, members, whole, cached);
+    }
+
+    /** A call for the list failed, or its changes no longer come. */
+    public void listFailed(long now) {
+        fleet.listFailed(now);
+    }
+
+    /** The time asked for by {@link Outlet#wakeMe} has come. */
+    public void wake(long now) {
+        fleet.keepList(now);
+        handOffs.rescue(now);
+        line.tidy(now);
+        outlet.wakeMe(now + TICK);
+    }
+
+    /** One link of the chain. */
+    private abstract static class Stage {
+        Stage before;
+        Stage after;
+
+        void join(Stage before, Stage after) {
+            this.before = before;
+            this.after = after;
+        }
+
+        /** Takes a work item on its way to a backend. */
+        abstract void take(WorkItem wi, long now);
+
+        /** Takes back a work item that has ended, or for which no more can be done. */
+        void back(WorkItem wi, long now) {
+            before.back(wi, now);
+        }
+    }
+
+    /** Knows each category and quota; gives the final answer when a work item comes back unfinished. */
+    public static final class Intake extends Stage {
+        private final Outlet outlet;
+        private final List<Category> categories;
+        private final boolean first;
+        private final long longestComeBack;
+        private final double[] tokens;
+        private final double[] refill;
+        private long refilledAt = -1;
+
+        /**
+         * @param first           whether work items come from clients, not from the tier before
+         * @param balancers       how many balancers share each quota
+         * @param longestComeBack the longest come-back time that clients follow; 0 for none
+         */
+        public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
+                      int balancers, long longestComeBack) {
+            this.outlet = outlet;
+            this.categories = categories;
+            this.first = first;
+            this.longestComeBack = longestComeBack;
+            this.tokens = new double[tenants.size()];
+            this.refill = new double[tenants.size()];
+            for (int t = 0; t < refill.length; t++) {
+                refill[t] = tenants.get(t).quota() / Math.max(1, balancers) / 10_000;
+            }
+        }
+
+        void arrive(long now, long id, int category, int tenant, long patience, boolean repeated) {
+            WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now, now + patience);
+            wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, now);
+            take(wi, now);
+        }
+
+        @Override
+        void take(WorkItem wi, long now) {
+            if (wi.expiry <= now) {
+                back(wi, now);
+            } else {
+                after.take(wi, now);
+            }
+        }
+
+        @Override
+        void back(WorkItem wi, long now) {
+            if (wi.ended) {
+                return;
+            }
+            wi.ended = true;
+            if (mayDefer(wi)) {
+                outlet.defer(wi.id, Math.min(longestComeBack, wi.category.dueTime() / 2));
+            } else {
+                outlet.writeOff(wi.id);
+            }
+        }
+
+        /** A deferral says that trying again does no harm: of a work item that may have run, only if so. */
+        private static boolean mayDefer(WorkItem wi) {
+            return wi.category.repeat() == Repeat.RERUNNABLE || wi.mayHaveRun() == null
+                || wi.category.repeat() == Repeat.TICKETED && wi.category.scope() == Category.Scope.ALL;
+        }
+
+        private boolean withinQuota(int tenant, long now) {
+            for (int t = 0; t < tokens.length; t++) {
+                // Half a second's worth may come at once: shorter, and the unevenness of arrivals counts as excess.
+                double full = Math.max(1, refill[t] * 5_000);
+                tokens[t] = refilledAt < 0 ? full : Math.min(full, tokens[t] + refill[t] * (now - refilledAt));
+            }
+            refilledAt = now;
+            if (tokens[tenant] < 1) {
+                return false;
+            }
+            tokens[tenant]--;
+            return true;
+        }
+    }
+
+    /** Lets no more into a tenant's lane than can be answered in time; a short wait at most. */
+    public static final class Line extends Stage {
+        /** Two seconds: long enough for a steady rate, short enough to follow a lane that slows down. */
+        private static final long SPAN = 20_000;
+        /** Parts of the due time that the time in the lane may take, within and over the quota. */
+        private static final double WITHIN = 0.5;
+        private static final double OVER = 0.3;
+        /** Part of the due time that a work item may wait for its lane. */
+        private static final double WAIT = 0.15;
+
+        private final Fleet fleet;
+        private final boolean bounded;
+        private final Room[] rooms;
+
+        /** What is in one tenant's lane and waits for it. */
+        private static final class Room {
+            final Ring finished = new Ring(SPAN, 20);
+            final Deque<WorkItem> waiting = new ArrayDeque<>();
+            long firstAt = -1;
+            int inLane;
+
+            /** The time that one more would spend in the lane, as the lane goes now. */
+            double expected(long now) {
+                double span = Math.min(SPAN, Math.max(1, now - firstAt));
+                return (inLane + 1) * span / Math.max(1, finished.sum(now));
+            }
+        }
+
+        /** @param bounded whether this balancer may turn work away: not where others have worked on it. */
+        public Line(Fleet fleet, int tenants, boolean bounded) {
+            this.fleet = fleet;
+            this.bounded = bounded;
+            this.rooms = new Room[Math.max(1, tenants) + 1];
+            for (int t = 0; t < rooms.length; t++) {
+                rooms[t] = new Room();
+            }
+        }
+
+        private Room room(WorkItem wi) {
+            return rooms[Math.min(wi.tenant, rooms.length - 1)];
+        }
+
+        @Override
+        void take(WorkItem wi, long now) {
+            Room room = room(wi);
+            if (room.firstAt < 0) {
+                room.firstAt = now;
+            }
+            if (!bounded || room.waiting.isEmpty() && fits(room, wi, now)) {
+                enter(room, wi, now);
+            } else if (wi.overQuota || !worthWaiting(room, wi, now)) {
+                before.back(wi, now);
+            } else {
+                wi.inLineSince = now;
+                room.waiting.add(wi);
+            }
+        }
+
+        private boolean fits(Room room, WorkItem wi, long now) {
+            int floor = Math.max(2, fleet.laneSize(wi.tenant));
+            double part = wi.overQuota ? OVER : WITHIN;
+            return room.inLane < (wi.overQuota ? floor / 2 : floor)
+                || room.expected(now) <= part * wi.category.dueTime();
+        }
+
+        private boolean worthWaiting(Room room, WorkItem wi, long now) {
+            double perItem = room.expected(now) / (room.inLane + 1);
+            return (room.waiting.size() + 1) * perItem <= WAIT * wi.category.dueTime();
+        }
+
+        private void enter(Room room, WorkItem wi, long now) {
+            wi.inLineSince = -1;
+            wi.inLane = true;
+            room.inLane++;
+            after.take(wi, now);
+        }
+
+        @Override
+        void back(WorkItem wi, long now) {
+            Room room = room(wi);
+            if (wi.inLane) {
+                wi.inLane = false;
+                room.inLane--;
+                if (wi.ended) {
+                    room.finished.add(now, 1);
+                }
+            }
+            before.back(wi, now);
+            advance(room, now);
+        }
+
+        private void advance(Room room, long now) {
+            while (!room.waiting.isEmpty() && fits(room, room.waiting.peek(), now)) {
+                enter(room, room.waiting.poll(), now);
+            }
+        }
+
+        /** Ends early what has waited long enough. */
+        void tidy(long now) {
+            for (Room room : rooms) {
+                int n = room.waiting.size();
+                for (int i = 0; i < n; i++) {
+                    WorkItem wi = room.waiting.poll();
+                    if (wi.ended) {
+                        continue;
+                    }
+                    if (now - wi.inLineSince > 2 * WAIT * wi.category.dueTime() || now + 2 * TICK >= wi.expiry) {
+                        wi.inLineSince = -1;
+                        before.back(wi, now);
+                    } else {
+                        room.waiting.add(wi);
+                    }
+                }
+                advance(room, now);
+            }
+        }
+    }
+
+    /** The design: the tenant's own lane; the public part or all backends when none of it is usable. */
+    public static final class Lane extends Stage {
+        private final Fleet fleet;
+
+        public Lane(Fleet fleet) {
+            this.fleet = fleet;
+        }
+
+        @Override
+        void take(WorkItem wi, long now) {
+            wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, now);
+            if (wi.candidates.isEmpty()) {
+                wi.candidates = fleet.usable(fleet.open(), wi, now);
+            }
+            if (wi.candidates.isEmpty()) {
+                wi.candidates = fleet.usable(fleet.ready(), wi, now);
+            }
+            if (wi.candidates.isEmpty()) {
+                before.back(wi, now);
+            } else {
+                after.take(wi, now);
+            }
+        }
+    }
+
+    /** A random pick among the candidates, passing over those far above the mean in flight. */
+    public static final class Pick extends Stage {
+        /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
+        private static final double FAR = 1.5;
+
+        private final Fleet fleet;
+        private final SplittableRandom random;
+
+        public Pick(Fleet fleet, SplittableRandom random) {
+            this.fleet = fleet;
+            this.random = random;
+        }
+
+        @Override
+        void take(WorkItem wi, long now) {
+            double out = 0;
+            double size = 0;
+            for (Backend b : wi.candidates) {
+                out += b.out + 1;
+                size += fleet.size(b, now);
+            }
+            double far = FAR * out / size;
+            double sum = 0;
+            Backend choice = null;
+            for (Backend b : wi.candidates) {
+                double weight = fleet.size(b, now);
+                if (b.out + 1 <= far * weight) {
+                    sum += weight;
+                    if (random.nextDouble() * sum < weight) {
+                        choice = b;
+                    }
+                }
+            }
+            wi.candidates = List.of(choice);
+            after.take(wi, now);
+        }
+    }
+
+    /** Sends, and decides whether what failed may and should be sent again. */
+    public static final class HandOffs extends Stage {
+        /** Repeats of work that may have run, per hand-off: more would feed an overload. */
+        private static final double REPEATS = 0.1;
+        /** A backend is silent when its silence has a chance of e^-8 given the gaps before. */
+        private static final double SILENT = 8;
+
+        private final Outlet outlet;
+        private final Fleet fleet;
+        private final int most;
+        private final boolean mayRecall;
+        private final Map<Long, WorkItem> open = new HashMap<>();
+        private double repeats;
+
+        /**
+         * @param most      the most hand-offs that a work item may have
+         * @param mayRecall whether a hand-off may be recalled
+         */
+        public HandOffs(Outlet outlet, Fleet fleet, int most, boolean mayRecall) {
+            this.outlet = outlet;
+            this.fleet = fleet;
+            this.most = most;
+            this.mayRecall = mayRecall;
+        }
+
+        @Override
+        void take(WorkItem wi, long now) {
+            Backend b = wi.candidates.get(0);
+            repeats = Math.min(5, repeats + REPEATS);
+            open.put(wi.id, wi);
+            wi.handOffs.add(new HandOff(b, now));
+            fleet.sent(b, wi, now);
+            outlet.handOff(wi.id, b.id, 0);
+        }
+
+        void settled(long now, long id, int number, Outcome outcome, boolean over) {
+            WorkItem wi = open.get(id);
+            if (wi == null || number >= wi.handOffs.size() || !wi.handOffs.get(number).out) {
+                return;
+            }
+            HandOff ho = wi.handOffs.get(number);
+            ho.out = false;
+            ho.neverRan = outcome.neverRan();
+            fleet.settled(ho, wi, outcome, now);
+            boolean wasEnded = wi.ended;
+            wi.ended |= over;
+            if (!wi.anyOut()) {
+                open.remove(id);
+            }
+            if (wi.ended) {
+                if (!wasEnded) {
+                    before.back(wi, now);
+                }
+            } else if (!wi.anyOut()) {
+                if (mayRepeat(wi, outcome, now)) {
+                    before.before.take(wi, now);
+                } else {
+                    before.back(wi, now);
+                }
+            }
+        }
+
+        private boolean mayRepeat(WorkItem wi, Outcome outcome, long now) {
+            if (wi.handOffs.size() >= most || now >= wi.due) {
+                return false;
+            }
+            HandOff ran = wi.mayHaveRun();
+            if (ran == null) {
+                return true;
+            }
+            if (wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
+                return false;
+            }
+            repeats--;
+            return true;
+        }
+
+        void underWay(long now, long id, int number) {
+            WorkItem wi = open.get(id);
+            if (wi != null && number < wi.handOffs.size()) {
+                wi.handOffs.get(number).recalled = true;
+            }
+        }
+
+        void left(long now, long id) {
+            WorkItem wi = open.get(id);
+            if (wi != null && !wi.ended) {
+                wi.ended = true;
+                before.back(wi, now);
+            }
+        }
+
+        /** Calls work back from backends that have gone silent, to send it elsewhere. */
+        void rescue(long now) {
+            if (!mayRecall) {
+                return;
+            }
+            for (Backend b : fleet.all()) {
+                if (b.out == 0 || fleet.silence(b, now) < SILENT) {
+                    continue;
+                }
+                for (WorkItem wi : b.held.values()) {
+                    HandOff ho = wi.handOffs.get(wi.handOffs.size() - 1);
+                    if (!wi.ended && !ho.recalled && ho.out && wi.category.repeat() == Repeat.RERUNNABLE
+                        && wi.handOffs.size() < most && now < wi.due && repeats >= 1) {
+                        ho.recalled = true;
+                        outlet.recall(wi.id, wi.handOffs.size() - 1);
+                    }
+                }
+            }
+        }
+    }
+
+    /** The backends: the list and its upkeep, the lanes, and how each backend is judged. */
+    public static final class Fleet {
+        private final Outlet outlet;
+        private final SplittableRandom random;
+        private final List<Tenant> tenants;
+        private final boolean mustAsk;
+        private final long askWithin;
+        private final double coldShare;
+        private final long coldTime;
+        private final double fallMultiple;
+        private final Map<String, Backend> known = new TreeMap<>();
+        private final List<List<Backend>> lanes = new ArrayList<>();
+        private final List<Backend> open = new ArrayList<>();
+        private final List<Backend> ready = new ArrayList<>();
+        private final long fall;
+        private final Ring warmSent;
+        private double warmSize;
+        private double sentPerSize;
+        private long askAt = Long.MAX_VALUE;
+        private int failedAsks;
+        private long latencySum = 500;
+        private long latencyCount = 1;
+
+        /**
+         * @param mustAsk      whether changes of the list come only when asked for
+         * @param askWithin    what has been in the list for so long counts as told
+         * @param coldShare    the part of its capacity that a backend starts with
+         * @param coldTime     the time after which it is warm
+         * @param fallMultiple how many times its present capacity makes it fall
+         * @param fall         within which time
+         */
+        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, boolean mustAsk,
+                     long askWithin, double coldShare, long coldTime, double fallMultiple, long fall) {
+            this.outlet = outlet;
+            this.random = random;
+            this.tenants = tenants;
+            this.mustAsk = mustAsk;
+            this.askWithin = askWithin;
+            this.coldShare = coldShare;
+            this.coldTime = coldTime;
+            this.fallMultiple = fallMultiple;
+            this.fall = fall;
+            this.warmSent = new Ring(fall, 10);
+        }
+
+        void list(long now, List<Member> members, boolean whole, boolean cached) {
+            if (whole) {
+                for (Backend b : known.values()) {
+                    if (members.stream().noneMatch(m -> m.id().equals(b.id))) {
+                        leave(b, now);
+                    }
+                }
+            }
+            for (Member m : members) {
+                Backend b = known.get(m.id());
+                if (b == null) {
+                    b = new Backend(m, fall);
+                    known.put(m.id(), b);
+                } else if (m.startedAt() > b.member.startedAt()) {
+                    // A new process: what the old one did says nothing about it.
+                    b.streak = 0;
+                    b.failures.clear();
+                    b.answers.clear();
+                }
+                b.member = m;
+                if (m.state() == Member.State.READY) {
+                    b.leavingSince = -1;
+                } else {
+                    leave(b, now);
+                }
+            }
+            layLanes();
+            if (mustAsk) {
+                failedAsks = 0;
+                askAt = Long.MAX_VALUE;
+                if (cached) {
+                    ask(now);
+                }
+            }
+        }
+
+        private void leave(Backend b, long now) {
+            if (b.leavingSince < 0) {
+                b.leavingSince = now;
+            }
+        }
+
+        void listFailed(long now) {
+            failedAsks++;
+            // Twice as long after each failure, spread at random: all balancers ask after the same trouble,
+            // and calls that wait in turn behind each other fail again. A quarter of the time allowed at most.
+            long wait = Math.min(askWithin / 4, 1_000L << Math.min(8, failedAsks));
+            askAt = now + wait / 2 + random.nextLong(Math.max(1, wait / 2));
+        }
+
+        void keepList(long now) {
+            if (now >= askAt) {
+                ask(now);
+            }
+            double size = 0;
+            for (Backend b : ready) {
+                size += warmth(b, now) < 1 ? 0 : b.member.size();
+            }
+            warmSize = size;
+            if (size > 0) {
+                sentPerSize = warmSent.sum(now) / size;
+            }
+        }
+
+        private void ask(long now) {
+            askAt = Long.MAX_VALUE;
+            outlet.askList();
+        }
+
+        /** Lays out the lanes: in order of the tenants, each takes the untaken backends of highest hash. */
+        private void layLanes() {
+            ready.clear();
+            open.clear();
+            lanes.clear();
+            for (Backend b : known.values()) {
+                if (b.leavingSince < 0) {
+                    ready.add(b);
+                }
+            }
+            int[] sizes = laneSizes(tenants, ready.size());
+            List<Backend> untaken = new ArrayList<>(ready);
+            for (int t = 0; t < tenants.size(); t++) {
+                int tenant = t;
+                untaken.sort(Comparator.comparingLong((Backend b) -> hash(tenant, b.id)).reversed());
+                List<Backend> lane = new ArrayList<>(untaken.subList(0, sizes[t]));
+                lane.sort(Comparator.comparing(b -> b.id));
+                untaken.subList(0, sizes[t]).clear();
+                lanes.add(lane);
+            }
+            open.addAll(untaken);
+            open.sort(Comparator.comparing(b -> b.id));
+        }
+
+        /** Each tenant's share of the ready backends, rounded, but one backend as long as there are any. */
+        static int[] laneSizes(List<Tenant> tenants, int backends) {
+            int[] sizes = new int[tenants.size()];
+            int left = backends;
+            for (int t = 0; t < sizes.length && left > 0; t++, left--) {
+                sizes[t] = 1;
+            }
+            while (left > 0) {
+                int neediest = -1;
+                double most = 0;
+                for (int t = 0; t < sizes.length; t++) {
+                    double lack = tenants.get(t).share() * backends - sizes[t];
+                    if (lack > most + 1e-9) {
+                        most = lack;
+                        neediest = t;
+                    }
+                }
+                if (neediest < 0) {
+                    break;
+                }
+                sizes[neediest]++;
+                left--;
+            }
+            return sizes;
+        }
+
+        static long hash(int tenant, String id) {
+            long h = 0xcbf29ce484222325L ^ tenant;
+            for (int i = 0; i < id.length(); i++) {
+                h = (h ^ id.charAt(i)) * 0x100000001b3L;
+            }
+            h = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
+            h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
+            return h ^ (h >>> 31);
+        }
+
+        List<Backend> lane(int tenant) {
+            return tenant < lanes.size() ? lanes.get(tenant) : open;
+        }
+
+        int laneSize(int tenant) {
+            return lane(tenant).size();
+        }
+
+        List<Backend> open() {
+            return open;
+        }
+
+        List<Backend> ready() {
+            return ready;
+        }
+
+        Iterable<Backend> all() {
+            return known.values();
+        }
+
+        /** Those of the given backends that this work item may go to now. */
+        List<Backend> usable(List<Backend> part, WorkItem wi, long now) {
+            HandOff ran = wi.mayHaveRun();
+            List<Backend> usable = new ArrayList<>(part.size());
+            for (Backend b : part) {
+                if (b.leavingSince < 0 && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
+                    && trusted(b, now)) {
+                    usable.add(b);
+                }
+            }
+            return usable;
+        }
+
+        private static boolean tried(Backend b, WorkItem wi) {
+            for (HandOff ho : wi.handOffs) {
+                if (ho.backend == b) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        private static boolean sameGroup(Backend b, WorkItem wi, HandOff ran, long now) {
+            if (ran == null || wi.category.repeat() == Repeat.RERUNNABLE) {
+                return true;
+            }
+            if (wi.category.repeat() == Repeat.EXCLUSIVE || now - ran.sentAt >= wi.category.repeatWindow()) {
+                return false;
+            }
+            return switch (wi.category.scope()) {
+                case ALL -> true;
+                case ZONE -> b.member.zone() == ran.backend.member.zone();
+                case CELL -> b.member.cell() == ran.backend.member.cell();
+            };
+        }
+
+        /** The part of its capacity that a backend has at least: it grows evenly while cold. */
+        private double warmth(Backend b, long now) {
+            long age = now - b.member.startedAt();
+            if (b.member.startedAt() <= 0 || age >= coldTime) {
+                return 1;
+            }
+            return coldShare + (1 - coldShare) * Math.max(0, age) / coldTime;
+        }
+
+        /** The listed size, less while cold. */
+        double size(Backend b, long now) {
+            return Math.max(1e-3, b.member.size() * warmth(b, now));
+        }
+
+        /** Keeps a cold backend within this balancer's part of what may be sent to it in any window. */
+        private boolean warmEnough(Backend b, long now) {
+            double warmth = warmth(b, now);
+            if (warmth >= 1) {
+                return true;
+            }
+            // Half the multiple: what warm backends are sent is at times more than they can do.
+            double part = fallMultiple / 2 * warmth * sentPerSize * b.member.size();
+            return b.sent.sum(now) + 1 <= Math.max(1, part);
+        }
+
+        /** Draws from the posterior of its chance of success whether a doubtful backend gets work. */
+        private boolean trusted(Backend b, long now) {
+            long failures = Math.max(b.failures.sum(now), Math.min(4, b.streak));
+            long doubts = failures + (long) Math.max(0, silence(b, now) - 4);
+            if (doubts == 0) {
+                return true;
+            }
+            // Answers from before a row of failures count less with each failure.
+            long answers = b.answers.sum(now) >> Math.min(20, 2 * b.streak);
+            return beta(1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
+        }
+
+        private double beta(int a, int b) {
+            double x = gamma(a);
+            return x / (x + gamma(b));
+        }
+
+        private double gamma(int shape) {
+            double product = 1;
+            for (int i = 0; i < shape; i++) {
+                product *= 1 - random.nextDouble();
+            }
+            return -Math.log(product);
+        }
+
+        /** How unusual the backend's present silence is: minus the logarithm of its chance. */
+        double silence(Backend b, long now) {
+            if (b.out == 0) {
+                return 0;
+            }
+            // One imagined gap of the usual latency stands in until the backend has shown its own.
+            double usual = (double) latencySum / latencyCount;
+            double gap = (b.gapSum.sum(now) + usual) / (b.gapCount.sum(now) + 1);
+            return (now - b.quietSince) * b.out / Math.max(1, gap);
+        }
+
+        void sent(Backend b, WorkItem wi, long now) {
+            if (b.out == 0) {
+                b.quietSince = now;
+            }
+            b.out++;
+            b.held.put(wi.id, wi);
+            b.sent.add(now, 1);
+            if (warmth(b, now) >= 1) {
+                warmSent.add(now, 1);
+            }
+        }
+
+        void settled(HandOff ho, WorkItem wi, Outcome outcome, long now) {
+            Backend b = ho.backend;
+            switch (outcome) {
+                case FINISHED, ERROR, TURNED_AWAY -> {
+                    b.gapCount.add(now, 1);
+                    b.gapSum.add(now, (now - b.quietSince) * b.out);
+                    b.quietSince = now;
+                }
+                default -> { }
+            }
+            switch (outcome) {
+                case FINISHED -> {
+                    b.answers.add(now, 1);
+                    b.streak = 0;
+                    latencySum += now - ho.sentAt;
+                    latencyCount++;
+                }
+                case ERROR, TURNED_AWAY, NO_CONNECTION, BROKEN_OFF, TIMED_OUT -> {
+                    b.failures.add(now, 1);
+                    b.streak++;
+                }
+                default -> { }
+            }
+            b.out--;
+            b.held.remove(wi.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/decision/Member.java
@@ -0,0 +1,12 @@
+package cottonlock.decision;
+
+/**
+ * One line of the list of backends.
+ *
+ * @param startedAt when it last started; 0 for long ago
+ */
+public record Member(String id, int zone, int cell, State state, double size, long startedAt) {
+
+    /** What the list says of a backend's process. */
+    public enum State { READY, DRAINING, GONE }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/decision/Outcome.java
@@ -0,0 +1,11 @@
+package cottonlock.decision;
+
+/** How a hand-off or a probe ended. */
+public enum Outcome {
+    FINISHED, ERROR, TURNED_AWAY, TIMED_OUT, NO_CONNECTION, BROKEN_OFF, RECALLED, NOT_SENT;
+
+    /** Whether the outcome proves that the work item never ran on that backend. */
+    public boolean neverRan() {
+        return this == TURNED_AWAY || this == NO_CONNECTION || this == NOT_SENT;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -0,0 +1,32 @@
+package cottonlock.decision;
+
+/** What the balancer answers through; each call is carried out at the time of the call that led to it. */
+public interface Outlet {
+
+    /** Hands a work item to a backend; with no time-out (0) the hand-off ends with the work item's expiry. */
+    void handOff(long wi, String backend, long timeOut);
+
+    /** Stops waiting for one hand-off; what came of it is still reported. */
+    void recall(long wi, int handOff);
+
+    /** Ends a work item: turned away unharmed, with the time after which to come back (0: no advice). */
+    void defer(long wi, long comeBack);
+
+    /** Ends a work item without promising anything about its effect. */
+    void writeOff(long wi);
+
+    /** Calls {@link Balancer#wake} back at the given time or soon after. */
+    void wakeMe(long at);
+
+    /** Asks for the list of backends and for its changes from now on. */
+    void askList();
+
+    /** Asks a backend for its load report. */
+    void probe(String backend);
+
+    /** Sends a few bytes to every other balancer of the tier. */
+    void tellPeers(byte[] message);
+
+    /** Writes a line for whoever is on call. */
+    void note(String line);
+}
--- /dev/null
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -0,0 +1,69 @@
+package cottonlock.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A work item while the balancer holds it, and the hand-offs made for it. */
+final class WorkItem {
+    final long id;
+    final Category category;
+    final int tenant;
+    final boolean repeated;
+    final long arrived;
+    final long expiry;
+    /** An answer after this earns the late credit at most. */
+    final long due;
+    final List<HandOff> handOffs = new ArrayList<>(1);
+    boolean overQuota;
+    /** Whether it takes up room in its lane. */
+    boolean inLane;
+    /** Whether it has had its final answer. */
+    boolean ended;
+    /** When it entered the line, while it waits there. */
+    long inLineSince = -1;
+    /** The backends that the lane stage leaves to the pick stage. */
+    List<Backend> candidates = List.of();
+
+    WorkItem(long id, Category category, int tenant, boolean repeated, long arrived, long expiry) {
+        this.id = id;
+        this.category = category;
+        this.tenant = tenant;
+        this.repeated = repeated;
+        this.arrived = arrived;
+        this.expiry = expiry;
+        this.due = Math.min(expiry, arrived + category.dueTime());
+    }
+
+    /** One hand-off of the work item. */
+    static final class HandOff {
+        final Backend backend;
+        final long sentAt;
+        boolean out = true;
+        boolean recalled;
+        boolean neverRan;
+
+        HandOff(Backend backend, long sentAt) {
+            this.backend = backend;
+            this.sentAt = sentAt;
+        }
+    }
+
+    boolean anyOut() {
+        for (HandOff ho : handOffs) {
+            if (ho.out) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The first hand-off that may have run, or null; one that is still out counts. */
+    HandOff mayHaveRun() {
+        for (HandOff ho : handOffs) {
+            if (!ho.neverRan) {
+                return ho;
+            }
+        }
+        return null;
+    }
+}
