--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -69,6 +69,7 @@
 
     /** The client of a work item has left, so nothing more is owed. */
     public void left(long now, long id) {
+        line.left(id);
         handOffs.left(now, id);
     }
 
@@ -139,7 +140,7 @@
 
         void arrive(long now, long id, int category, int tenant, long patience, boolean repeated) {
             WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now, now + patience);
-            wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, now);
+            wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, repeated, now);
             take(wi, now);
         }
 
@@ -171,14 +172,16 @@
                 || wi.category.repeat() == Repeat.TICKETED && wi.category.scope() == Category.Scope.ALL;
         }
 
-        private boolean withinQuota(int tenant, long now) {
+        private boolean withinQuota(int tenant, boolean repeated, long now) {
             for (int t = 0; t < tokens.length; t++) {
                 // Half a second's worth may come at once: shorter, and the unevenness of arrivals counts as excess.
                 double full = Math.max(1, refill[t] * 5_000);
                 tokens[t] = refilledAt < 0 ? full : Math.min(full, tokens[t] + refill[t] * (now - refilledAt));
             }
             refilledAt = now;
-            if (tokens[tenant] < 1) {
+            // Who sends beyond a quota sees most of the excess deferred, so what comes again is mostly excess:
+            // it must not use up the quota of what comes for the first time.
+            if (tokens[tenant] < (repeated ? Math.max(1, refill[tenant] * 2_500) : 1)) {
                 return false;
             }
             tokens[tenant]--;
@@ -283,15 +286,19 @@
             }
         }
 
+        /** Drops a waiting work item whose client has left: sent on later, it would run for nobody. */
+        void left(long id) {
+            for (Room room : rooms) {
+                room.waiting.removeIf(wi -> wi.id == id);
+            }
+        }
+
         /** Ends early what has waited long enough. */
         void tidy(long now) {
             for (Room room : rooms) {
                 int n = room.waiting.size();
                 for (int i = 0; i < n; i++) {
                     WorkItem wi = room.waiting.poll();
-                    if (wi.ended) {
-                        continue;
-                    }
                     if (now - wi.inLineSince > 2 * WAIT * wi.category.dueTime() || now + 2 * TICK >= wi.expiry) {
                         wi.inLineSince = -1;
                         before.back(wi, now);
