--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -189,124 +189,125 @@
         }
     }
 
-    /** Lets no more into a tenant's lane than can be answered in time; a short wait at most. */
+    /** Lets no more in than can be answered in time; what is within its quota may wait a little. */
     public static final class Line extends Stage {
-        /** Two seconds: long enough for a steady rate, short enough to follow a lane that slows down. */
+        /** Two seconds: long enough for a steady rate, short enough to follow a fleet that slows down. */
         private static final long SPAN = 20_000;
-        /** Parts of the due time that the time in the lane may take, within and over the quota. */
+        /** Parts of the due time that the time at the backends may take, within and over the quota. */
         private static final double WITHIN = 0.5;
         private static final double OVER = 0.3;
-        /** Part of the due time that a work item may wait for its lane. */
+        /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
         private final Fleet fleet;
         private final boolean bounded;
-        private final Room[] rooms;
-
-        /** What is in one tenant's lane and waits for it. */
-        private static final class Room {
-            final Ring finished = new Ring(SPAN, 20);
-            final Deque<WorkItem> waiting = new ArrayDeque<>();
-            long firstAt = -1;
-            int inLane;
-
-            /** Work items finished in a tenth of a millisecond. */
-            double rate(long now) {
-                return finished.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt));
-            }
-        }
+        private final Ring finished = new Ring(SPAN, 20);
+        private final Ring finishedDue = new Ring(SPAN, 20);
+        /** What waits, by tenant; the tenants take turns. */
+        private final List<Deque<WorkItem>> waiting = new ArrayList<>();
+        private int turn;
+        private int inside;
+        private long firstAt = -1;
 
         /** @param bounded whether this balancer may turn work away: not where others have worked on it. */
         public Line(Fleet fleet, int tenants, boolean bounded) {
             this.fleet = fleet;
             this.bounded = bounded;
-            this.rooms = new Room[Math.max(1, tenants) + 1];
-            for (int t = 0; t < rooms.length; t++) {
-                rooms[t] = new Room();
+            for (int t = 0; t < Math.max(1, tenants); t++) {
+                waiting.add(new ArrayDeque<>());
             }
         }
 
-        private Room room(WorkItem wi) {
-            return rooms[Math.min(wi.tenant, rooms.length - 1)];
-        }
-
         @Override
         void take(WorkItem wi, long now) {
-            Room room = room(wi);
-            if (room.firstAt < 0) {
-                room.firstAt = now;
+            if (firstAt < 0) {
+                firstAt = now;
             }
-            if (!bounded || room.waiting.isEmpty() && fits(room, wi, now)) {
-                enter(room, wi, now);
-            } else if (wi.overQuota || !worthWaiting(room, wi, now)) {
+            Deque<WorkItem> own = waiting.get(wi.tenant);
+            if (!bounded || own.isEmpty() && fits(wi.overQuota, now)) {
+                enter(wi, now);
+            } else if (wi.overQuota || !worthWaiting(wi, own.size() + 1, now)) {
                 before.back(wi, now);
             } else {
                 wi.inLineSince = now;
-                room.waiting.add(wi);
+                own.add(wi);
             }
         }
 
-        private boolean fits(Room room, WorkItem wi, long now) {
-            int floor = Math.max(2, fleet.laneSize(wi.tenant));
-            double part = wi.overQuota ? OVER : WITHIN;
-            double steady = room.rate(now) * part * wi.category.dueTime();
+        private double perTime(Ring ring, long now) {
+            return ring.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt));
+        }
+
+        private boolean fits(boolean overQuota, long now) {
+            int floor = Math.max(2, fleet.ready().size());
+            double steady = perTime(finishedDue, now) * (overQuota ? OVER : WITHIN);
             // Arrivals are uneven: twice their usual spread above the steady number is still no excess.
-            return room.inLane < Math.max(floor, steady + (wi.overQuota ? 1 : 2) * Math.sqrt(steady));
+            return inside < (overQuota ? Math.max(floor / 2, steady) : Math.max(floor, steady + 2 * Math.sqrt(steady)));
         }
 
-        private boolean worthWaiting(Room room, WorkItem wi, long now) {
-            return room.waiting.size() + 1 <= room.rate(now) * WAIT * wi.category.dueTime();
+        private boolean worthWaiting(WorkItem wi, int place, long now) {
+            int lines = 0;
+            for (Deque<WorkItem> line : waiting) {
+                lines += line.isEmpty() ? 0 : 1;
+            }
+            return place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
         }
 
-        private void enter(Room room, WorkItem wi, long now) {
+        private void enter(WorkItem wi, long now) {
             wi.inLineSince = -1;
             wi.inLane = true;
-            room.inLane++;
+            inside++;
             after.take(wi, now);
         }
 
         @Override
         void back(WorkItem wi, long now) {
-            Room room = room(wi);
             if (wi.inLane) {
                 wi.inLane = false;
-                room.inLane--;
+                inside--;
                 if (wi.ended) {
-                    room.finished.add(now, 1);
+                    finished.add(now, 1);
+                    finishedDue.add(now, wi.category.dueTime());
                 }
             }
             before.back(wi, now);
-            advance(room, now);
+            advance(now);
         }
 
-        private void advance(Room room, long now) {
-            while (!room.waiting.isEmpty() && fits(room, room.waiting.peek(), now)) {
-                enter(room, room.waiting.poll(), now);
+        private void advance(long now) {
+            for (int empty = 0; empty < waiting.size() && fits(false, now); turn++) {
+                WorkItem wi = waiting.get(turn % waiting.size()).poll();
+                if (wi == null) {
+                    empty++;
+                } else {
+                    empty = 0;
+                    enter(wi, now);
+                }
             }
         }
 
         /** Drops a waiting work item whose client has left: sent on later, it would run for nobody. */
         void left(long id) {
-            for (Room room : rooms) {
-                room.waiting.removeIf(wi -> wi.id == id);
+            for (Deque<WorkItem> line : waiting) {
+                line.removeIf(wi -> wi.id == id);
             }
         }
 
         /** Ends early what has waited long enough. */
         void tidy(long now) {
-            for (Room room : rooms) {
-                int n = room.waiting.size();
+            for (Deque<WorkItem> line : waiting) {
+                int n = line.size();
                 for (int i = 0; i < n; i++) {
-                    WorkItem wi = room.waiting.poll();
+                    WorkItem wi = line.poll();
                     if (now - wi.inLineSince > 2 * WAIT * wi.category.dueTime() || now + 2 * TICK >= wi.expiry) {
                         wi.inLineSince = -1;
                         before.back(wi, now);
                     } else {
-                        room.waiting.add(wi);
+                        line.add(wi);
                     }
                 }
-                advance(room, now);
             }
+            advance(now);
         }
     }
 
@@ -318,14 +319,24 @@
             this.fleet = fleet;
         }
 
+        /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
+        private static final double FAR = 2;
+
         @Override
         void take(WorkItem wi, long now) {
-            wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, now);
+            double out = 0;
+            double size = 0;
+            for (Backend b : fleet.ready()) {
+                out += b.out + 1;
+                size += fleet.size(b, now);
+            }
+            double far = FAR * out / size;
+            wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, far, now);
             if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.usable(fleet.open(), wi, now);
+                wi.candidates = fleet.usable(fleet.open(), wi, far, now);
             }
             if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.usable(fleet.ready(), wi, now);
+                wi.candidates = fleet.usable(fleet.ready(), wi, far, now);
             }
             if (wi.candidates.isEmpty()) {
                 before.back(wi, now);
@@ -335,11 +346,8 @@
         }
     }
 
-    /** A random pick among the candidates, passing over those far above the mean in flight. */
+    /** A random pick among the candidates, the larger the likelier. */
     public static final class Pick extends Stage {
-        /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
-        private static final double FAR = 1.5;
-
         private final Fleet fleet;
         private final SplittableRandom random;
 
@@ -350,22 +358,13 @@
 
         @Override
         void take(WorkItem wi, long now) {
-            double out = 0;
-            double size = 0;
-            for (Backend b : wi.candidates) {
-                out += b.out + 1;
-                size += fleet.size(b, now);
-            }
-            double far = FAR * out / size;
             double sum = 0;
             Backend choice = null;
             for (Backend b : wi.candidates) {
-                double weight = fleet.size(b, now);
-                if (b.out + 1 <= far * weight) {
-                    sum += weight;
-                    if (random.nextDouble() * sum < weight) {
-                        choice = b;
-                    }
+                double size = fleet.size(b, now);
+                sum += size;
+                if (random.nextDouble() * sum < size) {
+                    choice = b;
                 }
             }
             wi.candidates = List.of(choice);
@@ -681,11 +680,11 @@
         }
 
         /** Those of the given backends that this work item may go to now. */
-        List<Backend> usable(List<Backend> part, WorkItem wi, long now) {
+        List<Backend> usable(List<Backend> part, WorkItem wi, double far, long now) {
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (b.leavingSince < 0 && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
+                if (b.leavingSince < 0 && b.out + 1 <= far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
                     && trusted(b, now)) {
                     usable.add(b);
                 }
