--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -196,6 +196,9 @@
         /** Parts of the due time that the time at the backends may take, within and over the quota. */
         private static final double WITHIN = 0.5;
         private static final double OVER = 0.3;
+        /** The same as multiples of the time that the fleet needs when calm. */
+        private static final double WITHIN_CALM = 1.6;
+        private static final double OVER_CALM = 1.2;
         /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
@@ -203,6 +206,9 @@
         private final boolean bounded;
         private final Ring finished = new Ring(SPAN, 20);
         private final Ring finishedDue = new Ring(SPAN, 20);
+        private final Ring latency = new Ring(SPAN, 20);
+        /** The lowest mean latency over the span that the last minute has seen. */
+        private final Lowest calm = new Lowest(600_000, 6);
         /** What waits, by tenant; the tenants take turns. */
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
         private int turn;
@@ -241,6 +247,11 @@
         private boolean fits(boolean overQuota, long now) {
             int floor = Math.max(2, fleet.ready().size());
             double steady = perTime(finishedDue, now) * (overQuota ? OVER : WITHIN);
+            double usual = calm.value();
+            if (usual < Double.POSITIVE_INFINITY) {
+                double multiple = overQuota ? OVER_CALM : WITHIN_CALM;
+                steady = Math.min(steady, perTime(finished, now) * usual * multiple);
+            }
             // Arrivals are uneven: twice their usual spread above the steady number is still no excess.
             return inside < (overQuota ? Math.max(floor / 2, steady) : Math.max(floor, steady + 2 * Math.sqrt(steady)));
         }
@@ -256,6 +267,7 @@
         private void enter(WorkItem wi, long now) {
             wi.inLineSince = -1;
             wi.inLane = true;
+            wi.enteredAt = now;
             inside++;
             after.take(wi, now);
         }
@@ -266,6 +278,7 @@
                 wi.inLane = false;
                 inside--;
                 if (wi.ended) {
+                    latency.add(now, now - wi.enteredAt);
                     finished.add(now, 1);
                     finishedDue.add(now, wi.category.dueTime());
                 }
@@ -308,6 +321,10 @@
                 }
             }
             advance(now);
+            // A mean over fewer than 20 is chance: it would set the calm latency too low for a minute.
+            if (finished.sum(now) >= 20) {
+                calm.add(now, latency.sum(now) / (double) finished.sum(now));
+            }
         }
     }
 
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -17,6 +17,8 @@
     boolean overQuota;
     /** Whether it takes up room in its lane. */
     boolean inLane;
+    /** When it was let in. */
+    long enteredAt;
     /** Whether it has had its final answer. */
     boolean ended;
     /** When it entered the line, while it waits there. */
