--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -29,6 +29,7 @@
         this.telemetryFields = fields.isEmpty() ? 0 : fields.split(",").length;
 
         SplittableRandom random = new SplittableRandom(seed);
+        int balancers = s.count("FleetSize", 1);
         boolean first = s.count("Stage", 0) == 0;
         long longestComeBack = s.flag("Limits.RetryAfter", false) ? s.timeDown("Limits.MaxRetryAfter") : 0;
         Balancer.Fleet fleet = new Balancer.Fleet(this, random.split(), tenantList,
@@ -36,8 +37,8 @@
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
             s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
         this.balancer = new Balancer(this,
-            new Balancer.Intake(this, categoryList, tenantList, first, s.count("FleetSize", 1), longestComeBack),
-            new Balancer.Line(fleet, tenants, first),
+            new Balancer.Intake(this, categoryList, tenantList, first, balancers, longestComeBack),
+            new Balancer.Line(fleet, tenants, balancers, first),
             new Balancer.Lane(fleet),
             new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, fleet, s.count("Limits.MaxHandOffs", 1),
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -203,6 +203,7 @@
         private static final double WAIT = 0.15;
 
         private final Fleet fleet;
+        private final int balancers;
         private final boolean bounded;
         private final Ring finished = new Ring(SPAN, 20);
         private final Ring finishedDue = new Ring(SPAN, 20);
@@ -215,9 +216,13 @@
         private int inside;
         private long firstAt = -1;
 
-        /** @param bounded whether this balancer may turn work away: not where others have worked on it. */
-        public Line(Fleet fleet, int tenants, boolean bounded) {
+        /**
+         * @param balancers how many balancers hand work to the same backends
+         * @param bounded whether this balancer may turn work away: not where others have worked on it
+         */
+        public Line(Fleet fleet, int tenants, int balancers, boolean bounded) {
             this.fleet = fleet;
+            this.balancers = Math.max(1, balancers);
             this.bounded = bounded;
             for (int t = 0; t < Math.max(1, tenants); t++) {
                 waiting.add(new ArrayDeque<>());
@@ -245,7 +250,8 @@
         }
 
         private boolean fits(boolean overQuota, long now) {
-            int floor = Math.max(2, fleet.ready().size());
+            // One for each backend is never too many; all balancers together must not make it one for each of them.
+            int floor = Math.max(2, fleet.ready().size() / balancers);
             double steady = perTime(finishedDue, now) * (overQuota ? OVER : WITHIN);
             double usual = calm.value();
             if (usual < Double.POSITIVE_INFINITY) {
