Room follows what is usually inside, and typical against calm latency

Cause: rate times calm latency shrank to the floor when all work took longer for a reason of its own (a zone lost, costly work items).

--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -196,7 +196,7 @@
         /** Parts of the due time that the time at the backends may take, within and over the quota. */
         private static final double WITHIN = 0.5;
         private static final double OVER = 0.3;
-        /** The same as multiples of the time that the fleet needs when calm. */
+        /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.6;
         private static final double OVER_CALM = 1.2;
         /** Part of the due time that a work item may wait. */
@@ -208,7 +208,8 @@
         private final Ring finished = new Ring(SPAN, 20);
         private final Ring finishedDue = new Ring(SPAN, 20);
         private final Ring latency = new Ring(SPAN, 20);
-        /** The lowest mean latency over the span that the last minute has seen. */
+        private final Ring latencyLog = new Ring(SPAN, 20);
+        /** The lowest typical latency over the span that the last minute has seen. */
         private final Lowest calm = new Lowest(600_000, 6);
         /** What waits, by tenant; the tenants take turns. */
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
@@ -252,14 +253,19 @@
         private boolean fits(boolean overQuota, long now) {
             // One for each backend is never too many; all balancers together must not make it one for each of them.
             int floor = Math.max(2, fleet.ready().size() / balancers);
-            double steady = perTime(finishedDue, now) * (overQuota ? OVER : WITHIN);
-            double usual = calm.value();
-            if (usual < Double.POSITIVE_INFINITY) {
-                double multiple = overQuota ? OVER_CALM : WITHIN_CALM;
-                steady = Math.min(steady, perTime(finished, now) * usual * multiple);
-            }
+            double usual = perTime(latency, now);
+            double multiple = overQuota ? OVER_CALM : WITHIN_CALM;
+            // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
+            // rate alone shrank to nothing when all work took longer for a reason of its own.
+            double steady = Math.min(perTime(finishedDue, now) * (overQuota ? OVER : WITHIN),
+                usual * Math.min(2, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
             // Arrivals are uneven: twice their usual spread above the steady number is still no excess.
-            return inside < (overQuota ? Math.max(floor / 2, steady) : Math.max(floor, steady + 2 * Math.sqrt(steady)));
+            return inside < Math.max(floor, steady + 2 * Math.sqrt(steady));
+        }
+
+        /** The mean logarithm of the latency: a few costly work items hardly move it. */
+        private double typical(long now) {
+            return latencyLog.sum(now) / (double) Math.max(1, finished.sum(now));
         }
 
         private boolean worthWaiting(WorkItem wi, int place, long now) {
@@ -285,6 +291,7 @@
                 inside--;
                 if (wi.ended) {
                     latency.add(now, now - wi.enteredAt);
+                    latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
                     finished.add(now, 1);
                     finishedDue.add(now, wi.category.dueTime());
                 }
@@ -329,7 +336,7 @@
             advance(now);
             // A mean over fewer than 20 is chance: it would set the calm latency too low for a minute.
             if (finished.sum(now) >= 20) {
-                calm.add(now, latency.sum(now) / (double) finished.sum(now));
+                calm.add(now, typical(now));
             }
         }
     }
