--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -51,7 +51,7 @@
         int n = s.count("Categories.count", 0);
         for (int i = 0; i < n; i++) {
             String at = "Categories." + i + ".";
-            list.add(new Category(s.timeDown(at + "DueTime"), s.number(at + "Credit", 1),
+            list.add(new Category(i, s.timeDown(at + "DueTime"), s.number(at + "Credit", 1),
                 s.number(at + "LateCredit", 0),
                 Category.Repeat.values()[s.choice(at + "Repeat", "safe", "keyed", "unsafe")],
                 Category.Scope.values()[s.choice(at + "KeyScope", "all", "zone", "cell")],
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -517,6 +517,11 @@
 
     /** The backends: the list and its upkeep, the lanes, and how each backend is judged. */
     public static final class Fleet {
+        /** Ten seconds of answers make a usual time even where few come. */
+        private static final long USUAL_SPAN = 100_000;
+        /** Three times the usual: work of uneven cost stays under it nine times in ten. */
+        private static final double SLOW = 3;
+
         private final Outlet outlet;
         private final SplittableRandom random;
         private final List<Tenant> tenants;
@@ -535,6 +540,8 @@
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
+        private final List<Ring> times = new ArrayList<>();
+        private final List<Ring> timeCounts = new ArrayList<>();
         private long latencySum = 500;
         private long latencyCount = 1;
 
@@ -782,6 +789,22 @@
             return beta(1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
         }
 
+        /** Whether an answer took far longer than this category's answers usually do, and keeps account of it. */
+        private boolean slow(WorkItem wi, long time, long now) {
+            while (times.size() <= wi.category.number()) {
+                times.add(new Ring(USUAL_SPAN, 10));
+                timeCounts.add(new Ring(USUAL_SPAN, 10));
+            }
+            Ring sum = times.get(wi.category.number());
+            Ring count = timeCounts.get(wi.category.number());
+            double log = Math.log(1 + time);
+            long n = count.sum(now);
+            boolean slow = n >= 10 && log > sum.sum(now) / 1000.0 / n + Math.log(SLOW);
+            sum.add(now, Math.round(1000 * log));
+            count.add(now, 1);
+            return slow;
+        }
+
         private double beta(int a, int b) {
             double x = gamma(a);
             return x / (x + gamma(b));
@@ -830,7 +853,13 @@
             }
             switch (outcome) {
                 case FINISHED -> {
-                    b.answers.add(now, 1);
+                    if (slow(wi, now - ho.sentAt, now)) {
+                        // A backend that has slowed down still answers, and would draw work for as long as it
+                        // does: an answer far later than usual counts against it.
+                        b.failures.add(now, 1);
+                    } else {
+                        b.answers.add(now, 1);
+                    }
                     b.streak = 0;
                     latencySum += now - ho.sentAt;
                     latencyCount++;
--- a/src/main/java/cottonlock/decision/Category.java
+++ b/src/main/java/cottonlock/decision/Category.java
@@ -3,13 +3,14 @@
 /**
  * A category of work items. Times are in tenths of a millisecond.
  *
+ * @param number       its place among the categories
  * @param dueTime      an answer within this time earns the full credit
  * @param lateCredit   the part of the credit that an answer after the due time earns
  * @param repeat       whether a work item may run again
  * @param scope        for ticketed ones: the backends that drop each other's repeats
  * @param repeatWindow for ticketed ones: how long they do
  */
-public record Category(long dueTime, double credit, double lateCredit,
+public record Category(int number, long dueTime, double credit, double lateCredit,
                        Repeat repeat, Scope scope, long repeatWindow) {
 
     /** Whether a work item may run again. */
