--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -197,8 +197,8 @@
         private static final double WITHIN = 0.5;
         private static final double OVER = 0.3;
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
-        private static final double WITHIN_CALM = 1.6;
-        private static final double OVER_CALM = 1.2;
+        private static final double WITHIN_CALM = 1.3;
+        private static final double OVER_CALM = 0.9;
         /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
