--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -86,7 +86,7 @@
     /** The time asked for by {@link Outlet#wakeMe} has come. */
     public void wake(long now) {
         fleet.keepList(now);
-        handOffs.rescue(now);
+        handOffs.rescue(line, now);
         line.tidy(now);
         outlet.wakeMe(now + TICK);
     }
@@ -284,11 +284,18 @@
             after.take(wi, now);
         }
 
-        @Override
-        void back(WorkItem wi, long now) {
+        /** A work item stops counting as inside though it is not back yet. */
+        void release(WorkItem wi) {
             if (wi.inLane) {
                 wi.inLane = false;
                 inside--;
+            }
+        }
+
+        @Override
+        void back(WorkItem wi, long now) {
+            if (wi.inLane) {
+                release(wi);
                 if (wi.ended) {
                     latency.add(now, now - wi.enteredAt);
                     latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
@@ -494,20 +501,33 @@
             }
         }
 
-        /** Calls work back from backends that have gone silent, to send it elsewhere. */
-        void rescue(long now) {
-            if (!mayRecall) {
+        /** Frees the room of what is held by backends gone silent, and sends again elsewhere what may be. */
+        void rescue(Line line, long now) {
+            int silent = 0;
+            for (Backend b : fleet.all()) {
+                silent += b.out > 0 && fleet.silence(b, now) >= SILENT ? 1 : 0;
+            }
+            if (silent == 0) {
                 return;
             }
+            // Where most are silent the fault is not theirs alone, and sending again would feed it.
+            boolean few = silent * 2 <= fleet.ready().size();
             for (Backend b : fleet.all()) {
                 if (b.out == 0 || fleet.silence(b, now) < SILENT) {
                     continue;
                 }
-                for (WorkItem wi : b.held.values()) {
+                for (WorkItem wi : List.copyOf(b.held.values())) {
+                    // Work stuck at backends that are lost filled the room, and all else was turned away.
+                    line.release(wi);
                     HandOff ho = wi.handOffs.get(wi.handOffs.size() - 1);
-                    if (!wi.ended && !ho.recalled && ho.out && wi.category.repeat() == Repeat.RERUNNABLE
-                        && wi.handOffs.size() < most && now < wi.due && repeats >= 1) {
+                    if (mayRecall && !wi.ended && !ho.recalled && ho.out && ho.backend == b
+                        && wi.category.repeat() == Repeat.RERUNNABLE && wi.handOffs.size() < most
+                        && now < wi.due && (few || repeats >= 1)) {
                         ho.recalled = true;
+                        if (few) {
+                            // What a lost backend holds costs nothing to run again.
+                            repeats++;
+                        }
                         outlet.recall(wi.id, wi.handOffs.size() - 1);
                     }
                 }
@@ -779,13 +799,13 @@
 
         /** Draws from the posterior of its chance of success whether a doubtful backend gets work. */
         private boolean trusted(Backend b, long now) {
-            long failures = Math.max(b.failures.sum(now), Math.min(4, b.streak));
-            long doubts = failures + (long) Math.max(0, silence(b, now) - 4);
-            if (doubts == 0) {
+            double silence = silence(b, now);
+            double doubts = Math.max(b.failures.sum(now), Math.min(4, b.streak)) + Math.max(0, silence - 3);
+            if (doubts < 1) {
                 return true;
             }
-            // Answers from before a row of failures count less with each failure.
-            long answers = b.answers.sum(now) >> Math.min(20, 2 * b.streak);
+            // Earlier answers count less with each failure in a row since, and the longer the silence is.
+            double answers = b.answers.sum(now) * Math.exp(-b.streak - silence / 2);
             return beta(1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
         }
 
@@ -826,7 +846,8 @@
             // One imagined gap of the usual latency stands in until the backend has shown its own.
             double usual = (double) latencySum / latencyCount;
             double gap = (b.gapSum.sum(now) + usual) / (b.gapCount.sum(now) + 1);
-            return (now - b.quietSince) * b.out / Math.max(1, gap);
+            // A backend that has failed of late is given less time.
+            return (now - b.quietSince) * b.out * (1 + Math.min(4, b.streak)) / Math.max(1, gap);
         }
 
         void sent(Backend b, WorkItem wi, long now) {
@@ -868,6 +889,12 @@
                     b.failures.add(now, 1);
                     b.streak++;
                 }
+                case RECALLED -> {
+                    if (ho.recalled) {
+                        b.failures.add(now, 1);
+                        b.streak++;
+                    }
+                }
                 default -> { }
             }
             b.out--;
