--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -209,8 +209,8 @@
         private final Ring finishedDue = new Ring(SPAN, 20);
         private final Ring latency = new Ring(SPAN, 20);
         private final Ring latencyLog = new Ring(SPAN, 20);
-        /** The lowest typical latency over the span that the last minute has seen. */
-        private final Lowest calm = new Lowest(600_000, 6);
+        /** The lowest typical latency over the span that the last half minute has seen. */
+        private final Lowest calm = new Lowest(300_000, 6);
         /** What waits, by tenant; the tenants take turns. */
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
         private int turn;
@@ -251,8 +251,8 @@
         }
 
         private boolean fits(boolean overQuota, long now) {
-            // One for each backend is never too many; all balancers together must not make it one for each of them.
-            int floor = Math.max(2, fleet.ready().size() / balancers);
+            // Two for each backend are never too many, as the balancers together send them.
+            int floor = Math.max(2, 2 * fleet.ready().size() / balancers);
             double usual = perTime(latency, now);
             double multiple = overQuota ? OVER_CALM : WITHIN_CALM;
             // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
@@ -341,8 +341,9 @@
                 }
             }
             advance(now);
-            // A mean over fewer than 20 is chance: it would set the calm latency too low for a minute.
-            if (finished.sum(now) >= 20) {
+            // Soon after a start, or after a standstill, only the quick ones have come back; and a mean over few
+            // is chance. Either would set the calm latency too low, and the room with it, for a long time.
+            if (now - firstAt >= SPAN && finished.sum(now) >= 50 && finished.sum(now) >= 2 * inside) {
                 calm.add(now, typical(now));
             }
         }
