--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -36,12 +36,13 @@
             s.choice("MembershipMode", "automatic", "subscribe") == 1, s.timeDown("Obligations.AskWithin"),
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
             s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
+        Balancer.Line line = new Balancer.Line(fleet, tenants, balancers, first);
         this.balancer = new Balancer(this,
             new Balancer.Intake(this, categoryList, tenantList, first, balancers, longestComeBack),
-            new Balancer.Line(fleet, tenants, balancers, first),
+            line,
             new Balancer.Lane(fleet),
             new Balancer.Pick(fleet, random.split()),
-            new Balancer.HandOffs(this, fleet, s.count("Limits.MaxHandOffs", 1),
+            new Balancer.HandOffs(this, line, fleet, s.count("Limits.MaxHandOffs", 1),
                 s.flag("Limits.Cancel", false)),
             fleet);
     }
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -86,7 +86,7 @@
     /** The time asked for by {@link Outlet#wakeMe} has come. */
     public void wake(long now) {
         fleet.keepList(now);
-        handOffs.rescue(line, now);
+        handOffs.rescue(now);
         line.tidy(now);
         outlet.wakeMe(now + TICK);
     }
@@ -214,6 +214,8 @@
         /** What waits, by tenant; the tenants take turns. */
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
         private int turn;
+        private double ceiling = 1e6;
+        private long lowerAgainAt;
         private int inside;
         private long firstAt = -1;
 
@@ -258,9 +260,9 @@
             // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
             // rate alone shrank to nothing when all work took longer for a reason of its own.
             double steady = Math.min(perTime(finishedDue, now) * (overQuota ? OVER : WITHIN),
-                usual * Math.min(2, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
+                usual * Math.min(1, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
             // Arrivals are uneven: twice their usual spread above the steady number is still no excess.
-            return inside < Math.max(floor, steady + 2 * Math.sqrt(steady));
+            return inside < Math.max(floor, Math.min(ceiling, steady + 2 * Math.sqrt(steady)));
         }
 
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
@@ -284,6 +286,15 @@
             after.take(wi, now);
         }
 
+        /** A backend had no place left: together the balancers let in more than there is room for. */
+        void turnedAway(long now) {
+            // Once for each crowd: those turned away together tell one thing.
+            if (now >= lowerAgainAt) {
+                ceiling = Math.max(2, Math.min(ceiling, inside) * 0.9);
+                lowerAgainAt = now + Math.round(Math.exp(typical(now) / 1000));
+            }
+        }
+
         /** A work item stops counting as inside though it is not back yet. */
         void release(WorkItem wi) {
             if (wi.inLane) {
@@ -297,6 +308,8 @@
             if (wi.inLane) {
                 release(wi);
                 if (wi.ended) {
+                    // One more for each round of answers, as long as nothing is turned away.
+                    ceiling = Math.min(1e6, ceiling + 1 / ceiling);
                     latency.add(now, now - wi.enteredAt);
                     latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
                     finished.add(now, 1);
@@ -418,6 +431,7 @@
         private static final double SILENT = 8;
 
         private final Outlet outlet;
+        private final Line line;
         private final Fleet fleet;
         private final int most;
         private final boolean mayRecall;
@@ -428,8 +442,9 @@
          * @param most      the most hand-offs that a work item may have
          * @param mayRecall whether a hand-off may be recalled
          */
-        public HandOffs(Outlet outlet, Fleet fleet, int most, boolean mayRecall) {
+        public HandOffs(Outlet outlet, Line line, Fleet fleet, int most, boolean mayRecall) {
             this.outlet = outlet;
+            this.line = line;
             this.fleet = fleet;
             this.most = most;
             this.mayRecall = mayRecall;
@@ -454,6 +469,9 @@
             ho.out = false;
             ho.neverRan = outcome.neverRan();
             fleet.settled(ho, wi, outcome, now);
+            if (outcome == Outcome.TURNED_AWAY) {
+                line.turnedAway(now);
+            }
             boolean wasEnded = wi.ended;
             wi.ended |= over;
             if (!wi.anyOut()) {
@@ -503,7 +521,7 @@
         }
 
         /** Frees the room of what is held by backends gone silent, and sends again elsewhere what may be. */
-        void rescue(Line line, long now) {
+        void rescue(long now) {
             int silent = 0;
             for (Backend b : fleet.all()) {
                 silent += b.out > 0 && fleet.silence(b, now) >= SILENT ? 1 : 0;
