--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -29,4 +29,9 @@
         this.member = member;
         this.sent = new Ring(sentSpan, 10);
     }
+
+    /** The listed size; 1 where the list gives none. */
+    double size() {
+        return member.size() > 0 ? member.size() : 1;
+    }
 }
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -574,8 +574,6 @@
         private final List<Backend> open = new ArrayList<>();
         private final List<Backend> ready = new ArrayList<>();
         private final long fall;
-        private final Ring warmSent;
-        private double warmSize;
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
@@ -603,7 +601,6 @@
             this.coldTime = coldTime;
             this.fallMultiple = fallMultiple;
             this.fall = fall;
-            this.warmSent = new Ring(fall, 10);
         }
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
@@ -661,12 +658,15 @@
                 ask(now);
             }
             double size = 0;
+            long sent = 0;
             for (Backend b : ready) {
-                size += warmth(b, now) < 1 ? 0 : b.member.size();
+                if (warmth(b, now) >= 1) {
+                    size += b.size();
+                    sent += b.sent.sum(now);
+                }
             }
-            warmSize = size;
             if (size > 0) {
-                sentPerSize = warmSent.sum(now) / size;
+                sentPerSize = sent / size;
             }
         }
 
@@ -802,7 +802,7 @@
 
         /** The listed size, less while cold. */
         double size(Backend b, long now) {
-            return Math.max(1e-3, b.member.size() * warmth(b, now));
+            return Math.max(1e-3, b.size() * warmth(b, now));
         }
 
         /** Keeps a cold backend within this balancer's part of what may be sent to it in any window. */
@@ -812,7 +812,7 @@
                 return true;
             }
             // Half the multiple: what warm backends are sent is at times more than they can do.
-            double part = fallMultiple / 2 * warmth * sentPerSize * b.member.size();
+            double part = fallMultiple / 2 * warmth * sentPerSize * b.size();
             return b.sent.sum(now) + 1 <= Math.max(1, part);
         }
 
@@ -876,9 +876,6 @@
             b.out++;
             b.held.put(wi.id, wi);
             b.sent.add(now, 1);
-            if (warmth(b, now) >= 1) {
-                warmSent.add(now, 1);
-            }
         }
 
         void settled(HandOff ho, WorkItem wi, Outcome outcome, long now) {
--- /dev/null
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -0,0 +1,209 @@
+package cottonlock.decision;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.decision.Category.Repeat;
+import cottonlock.decision.Category.Scope;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import net.jqwik.api.Example;
+
+/** Plain cases, and one small case for each failure found. */
+class BalancerTest {
+    private static final List<Category> PLAIN = List.of(
+        Ledger.category(0, Repeat.RERUNNABLE, Scope.ALL), Ledger.category(1, Repeat.EXCLUSIVE, Scope.ALL));
+    private static final List<Tenant> TWO = List.of(new Tenant(0.75, 100), new Tenant(0.25, 100));
+
+    private static Ledger ledger(boolean first, List<Tenant> tenants, int backends) {
+        Ledger ledger = new Ledger(PLAIN, tenants, 7, first, false);
+        ledger.list(Ledger.ready(0, backends), true, true);
+        return ledger;
+    }
+
+    private static Set<String> ids(List<Backend> lane) {
+        return lane.stream().map(b -> b.id).collect(Collectors.toSet());
+    }
+
+    /** Answers everything that is out, in the order of arrival. */
+    private static void finishAll(Ledger ledger) {
+        for (long id : List.copyOf(ledger.items.keySet())) {
+            Ledger.Item item = ledger.items.get(id);
+            for (int n = 0; item != null && n < item.sent.size(); n++) {
+                if (item.sent.get(n).out) {
+                    ledger.settle(id, n, Outcome.FINISHED);
+                }
+            }
+        }
+    }
+
+    @Example
+    void lanesHoldTheSharesAndAtLeastOneBackend() {
+        List<Tenant> tenants = List.of(new Tenant(0.5, 0), new Tenant(0.45, 0), new Tenant(0.05, 0));
+        assertArrayEquals(new int[] {5, 4, 1}, Balancer.Fleet.laneSizes(tenants, 10));
+        assertArrayEquals(new int[] {1, 1, 0}, Balancer.Fleet.laneSizes(tenants, 2));
+        assertArrayEquals(new int[] {0, 0, 0}, Balancer.Fleet.laneSizes(tenants, 0));
+        assertArrayEquals(new int[] {2}, Balancer.Fleet.laneSizes(List.of(new Tenant(0.2, 0)), 10));
+        assertArrayEquals(new int[0], Balancer.Fleet.laneSizes(List.of(), 10));
+    }
+
+    @Example
+    void lanesAreAlikeInEveryOrderOfTheListAndShareNothing() {
+        Ledger one = ledger(true, TWO, 8);
+        Ledger other = new Ledger(PLAIN, TWO, 99, false, false);
+        other.list(Ledger.ready(4, 8), false, false);
+        other.list(Ledger.ready(0, 4), false, false);
+        Set<String> all = new HashSet<>();
+        for (int t = 0; t < 2; t++) {
+            assertEquals(ids(one.fleet.lane(t)), ids(other.fleet.lane(t)));
+            all.addAll(ids(one.fleet.lane(t)));
+        }
+        assertEquals(8, all.size());
+    }
+
+    @Example
+    void workStaysInItsLaneWhileTheLaneIsUsable() {
+        Ledger ledger = ledger(false, TWO, 8);
+        for (int i = 0; i < 200; i++) {
+            ledger.arrive(0, i % 2, 20_000);
+            ledger.pass(100);
+            finishAll(ledger);
+        }
+        Set<String> small = ids(ledger.fleet.lane(1));
+        long inSmall = ledger.sends.entrySet().stream().filter(e -> small.contains(e.getKey()))
+            .mapToLong(e -> e.getValue().size()).sum();
+        assertEquals(100, inSmall);
+    }
+
+    @Example
+    void aLaneWithoutUsableBackendsSpills() {
+        Ledger ledger = ledger(false, TWO, 8);
+        ids(ledger.fleet.lane(1)).forEach(id -> ledger.fleet.all().forEach(b -> {
+            if (b.id.equals(id)) {
+                b.leavingSince = ledger.now;
+            }
+        }));
+        ledger.arrive(0, 1, 20_000);
+        assertEquals(1, ledger.sends.size());
+    }
+
+    @Example
+    void anEmptyListDefersAtOnce() {
+        Ledger ledger = ledger(true, TWO, 0);
+        ledger.arrive(0, 0, 20_000);
+        assertTrue(ledger.items.isEmpty());
+    }
+
+    @Example
+    void excessIsTurnedAwayFirst() {
+        Ledger ledger = ledger(true, List.of(new Tenant(0.5, 1_000), new Tenant(0.5, 2)), 4);
+        for (int i = 0; i < 60; i++) {
+            ledger.arrive(0, i % 2, 20_000);
+            ledger.pass(50);
+        }
+        long within = ledger.fleet.lane(0).stream().mapToLong(b -> b.sent.sum(ledger.now)).sum();
+        long beyond = ledger.fleet.lane(1).stream().mapToLong(b -> b.sent.sum(ledger.now)).sum();
+        assertTrue(within >= beyond, within + " within quota, " + beyond + " beyond");
+    }
+
+    @Example
+    void failedCallsForTheListAreRepeatedInTime() {
+        Ledger ledger = new Ledger(PLAIN, TWO, 3, true, true);
+        ledger.list(Ledger.ready(0, 3), true, true);
+        assertEquals(1, ledger.asked);
+        for (int i = 2; i < 20; i++) {
+            ledger.balancer.listFailed(ledger.now);
+            ledger.pass(26_000);
+            assertEquals(i, ledger.asked);
+        }
+    }
+
+    /** Found on a day with a lost server room: sent on from the line after its client had left. */
+    @Example
+    void workWhoseClientLeftIsNotSentOn() {
+        Ledger ledger = ledger(true, TWO, 2);
+        long last = 0;
+        for (int i = 0; i < 8; i++) {
+            last = ledger.arrive(0, 0, 20_000);
+        }
+        for (long id : List.copyOf(ledger.items.keySet())) {
+            if (ledger.items.get(id).sent.isEmpty()) {
+                ledger.left(id);
+            }
+        }
+        finishAll(ledger);
+        ledger.pass(1_000);
+        assertTrue(ledger.items.isEmpty() || last > 0);
+    }
+
+    /** Found when a product of zero and infinity shut the door: the first work items must get through. */
+    @Example
+    void aFreshBalancerLetsWorkIn() {
+        Ledger ledger = ledger(true, TWO, 6);
+        long id = ledger.arrive(0, 0, 20_000);
+        assertEquals(1, ledger.items.get(id).sent.size());
+    }
+
+    /** Found on a day with a lost server room: what it held filled the room and all else was turned away. */
+    @Example
+    void workStuckAtSilentBackendsFreesItsRoom() {
+        Ledger ledger = ledger(true, List.of(), 6);
+        for (int i = 0; i < 300; i++) {
+            ledger.arrive(1, 0, 60_000);
+            ledger.pass(100);
+            for (long id : List.copyOf(ledger.items.keySet())) {
+                Ledger.Item item = ledger.items.get(id);
+                if (!item.sent.isEmpty() && item.sent.get(0).to.zone() != 0) {
+                    ledger.settle(id, 0, Outcome.FINISHED);
+                }
+            }
+        }
+        long id = ledger.arrive(0, 0, 20_000);
+        assertTrue(ledger.items.containsKey(id), "turned away while backends idle");
+    }
+
+    /** Found on a day with slow backends: answers that come far too late count against a backend. */
+    @Example
+    void aSlowBackendGetsLessWork() {
+        Ledger ledger = ledger(false, List.of(), 4);
+        for (int i = 0; i < 400; i++) {
+            ledger.arrive(0, 0, 60_000);
+            ledger.pass(100);
+            for (long id : List.copyOf(ledger.items.keySet())) {
+                Ledger.Sent sent = ledger.items.get(id).sent.get(0);
+                if (sent.out && ledger.now - sent.at >= (sent.to.id().equals("b0") ? 3_000 : 100)) {
+                    ledger.settle(id, 0, Outcome.FINISHED);
+                }
+            }
+        }
+        assertTrue(ledger.sends.get("b0").size() * 2 < ledger.sends.get("b1").size(),
+            ledger.sends.get("b0").size() + " to the slow one");
+    }
+
+    /** Found on a day without queues at the backends: turned-away work must lower what is let in. */
+    @Example
+    void turnedAwayWorkLowersTheRoom() {
+        Ledger ledger = ledger(true, List.of(), 8);
+        for (int i = 0; i < 200; i++) {
+            ledger.arrive(0, 0, 60_000);
+            ledger.pass(100);
+            for (long id : List.copyOf(ledger.items.keySet())) {
+                for (int n = 0; ledger.items.containsKey(id) && n < ledger.items.get(id).sent.size(); n++) {
+                    if (ledger.items.get(id).sent.get(n).out) {
+                        ledger.settle(id, n, Outcome.TURNED_AWAY);
+                    }
+                }
+            }
+        }
+        long before = ledger.sends.values().stream().mapToLong(List::size).sum();
+        for (int i = 0; i < 40; i++) {
+            ledger.arrive(0, 0, 60_000);
+        }
+        long more = ledger.sends.values().stream().mapToLong(List::size).sum() - before;
+        assertFalse(more > 20, more + " let in at once");
+    }
+}
--- /dev/null
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -0,0 +1,257 @@
+package cottonlock.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.decision.Category.Repeat;
+import cottonlock.decision.Category.Scope;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Keeps its own account of what a balancer does, and fails at once where one of the four rules is broken. */
+final class Ledger implements Outlet {
+    static final long SLACK = 200;
+    static final long COLD = 80_000;
+    static final long FALL = 30_000;
+    static final double COLD_SHARE = 0.3;
+    static final double FALL_MULTIPLE = 2.5;
+    static final int MOST = 4;
+
+    /** A work item as the ledger knows it. */
+    static final class Item {
+        final Category category;
+        final long expiry;
+        final List<Sent> sent = new ArrayList<>();
+        boolean answered;
+        boolean deferred;
+
+        Item(Category category, long expiry) {
+            this.category = category;
+            this.expiry = expiry;
+        }
+    }
+
+    /** A hand-off as the ledger knows it. */
+    static final class Sent {
+        final Member to;
+        final long at;
+        boolean out = true;
+        boolean recalled;
+        boolean mayHaveRun = true;
+
+        Sent(Member to, long at) {
+            this.to = to;
+            this.at = at;
+        }
+    }
+
+    final List<Category> categories;
+    final Map<Long, Item> items = new LinkedHashMap<>();
+    final Map<String, Member> listed = new LinkedHashMap<>();
+    final Map<String, List<Long>> sends = new LinkedHashMap<>();
+    final List<Long> wakes = new ArrayList<>();
+    final Balancer balancer;
+    final Balancer.Fleet fleet;
+    long now;
+    int asked;
+    private double busiest;
+    private long nextId = 1;
+
+    Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mustAsk) {
+        this(categories, tenants, seed, first, mustAsk, true);
+    }
+
+    Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mustAsk,
+           boolean mayRecall) {
+        this.categories = categories;
+        SplittableRandom random = new SplittableRandom(seed);
+        fleet = new Balancer.Fleet(this, random.split(), tenants, mustAsk, 100_000, COLD_SHARE, COLD,
+            FALL_MULTIPLE, FALL);
+        Balancer.Line line = new Balancer.Line(fleet, tenants.size(), 2, first);
+        balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, 2, 10_000), line,
+            new Balancer.Lane(fleet), new Balancer.Pick(fleet, random.split()),
+            new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
+        balancer.start(now);
+    }
+
+    static Category category(int number, Repeat repeat, Scope scope) {
+        return new Category(number, 10_000, 1, 0, repeat, scope, 15_000);
+    }
+
+    static Member ready(int n) {
+        return new Member("b" + n, n % 3, n / 2, Member.State.READY, 1, 0);
+    }
+
+    static List<Member> ready(int from, int to) {
+        List<Member> members = new ArrayList<>();
+        for (int n = from; n < to; n++) {
+            members.add(ready(n));
+        }
+        return members;
+    }
+
+    void list(List<Member> members, boolean whole, boolean cached) {
+        if (whole) {
+            listed.replaceAll((id, m) ->
+                new Member(id, m.zone(), m.cell(), Member.State.GONE, m.size(), m.startedAt()));
+        }
+        for (Member m : members) {
+            listed.put(m.id(), m);
+        }
+        balancer.list(now, members, whole, cached);
+        check();
+    }
+
+    long arrive(int category, int tenant, long patience) {
+        long id = nextId++;
+        items.put(id, new Item(categories.get(category), now + patience));
+        balancer.arrive(now, id, category, tenant, patience, id % 5 == 0);
+        check();
+        return id;
+    }
+
+    void settle(long id, int number, Outcome outcome) {
+        Item item = items.get(id);
+        Sent sent = item.sent.get(number);
+        sent.out = false;
+        sent.mayHaveRun = !outcome.neverRan();
+        boolean over = item.answered || outcome == Outcome.FINISHED;
+        item.answered = over;
+        balancer.settled(now, id, number, outcome, over);
+        check();
+    }
+
+    void left(long id) {
+        items.get(id).answered = true;
+        balancer.left(now, id);
+        check();
+    }
+
+    /** Lets time pass in steps; timers fire, and hand-offs still out at an expiry time out. */
+    void pass(long time) {
+        for (long end = now + time; now < end;) {
+            now = Math.min(end, now + 50);
+            for (long id : List.copyOf(items.keySet())) {
+                Item item = items.get(id);
+                for (int n = 0; item != null && n < item.sent.size(); n++) {
+                    if (item.sent.get(n).out && (now >= item.expiry || item.sent.get(n).recalled)) {
+                        settle(id, n, now >= item.expiry ? Outcome.TIMED_OUT : Outcome.RECALLED);
+                    }
+                }
+            }
+            if (wakes.removeIf(at -> at <= now)) {
+                balancer.wake(now);
+            }
+            check();
+        }
+    }
+
+    /** The first rule: no work item is without its answer after its expiry. */
+    private void check() {
+        items.forEach((id, item) ->
+            assertTrue(item.answered || now <= item.expiry + SLACK, () -> "work item " + id + " is lost"));
+        items.values().removeIf(item -> item.answered && item.sent.stream().noneMatch(s -> s.out));
+    }
+
+    private Item open(long wi, String act) {
+        Item item = items.get(wi);
+        assertNotNull(item, () -> act + " of work item " + wi + " after its end");
+        assertFalse(item.answered, () -> act + " of work item " + wi + " after its final answer");
+        return item;
+    }
+
+    @Override
+    public void handOff(long wi, String backend, long timeOut) {
+        Item item = open(wi, "hand-off");
+        Member to = listed.get(backend);
+        assertNotNull(to, "hand-off to a backend that no list has named");
+        assertEquals(Member.State.READY, to.state(), "hand-off to a backend that leaves");
+        assertTrue(item.sent.size() < MOST, "too many hand-offs");
+        assertTrue(item.sent.stream().noneMatch(s -> s.out), "two hand-offs out at once");
+        item.sent.stream().filter(s -> s.mayHaveRun).findFirst().ifPresent(ran -> {
+            assertTrue(item.category.repeat() != Repeat.EXCLUSIVE, "an exclusive work item sent twice");
+            if (item.category.repeat() == Repeat.TICKETED) {
+                assertTrue(now - ran.at < item.category.repeatWindow(), "a ticket too old to be known");
+                assertTrue(switch (item.category.scope()) {
+                    case ALL -> true;
+                    case ZONE -> to.zone() == ran.to.zone();
+                    case CELL -> to.cell() == ran.to.cell();
+                }, "a ticket not known there");
+            }
+        });
+        item.sent.add(new Sent(to, now));
+        sends.computeIfAbsent(backend, b -> new ArrayList<>()).add(now);
+        checkCold(to);
+    }
+
+    /** The fourth rule, as this balancer's part: in proportion no more than a warm backend was ever sent. */
+    private void checkCold(Member to) {
+        long age = now - to.startedAt();
+        double size = to.size() > 0 ? to.size() : 1;
+        if (to.startedAt() == 0 || age >= COLD) {
+            busiest = Math.max(busiest, recent(to, FALL + FALL / 10) / size);
+            return;
+        }
+        double warmth = COLD_SHARE + (1 - COLD_SHARE) * age / COLD;
+        assertTrue(recent(to, FALL) <= Math.max(1, FALL_MULTIPLE * warmth * busiest * size),
+            () -> "cold backend " + to.id() + " sent " + recent(to, FALL) + ", warm ones " + busiest);
+    }
+
+    long recent(Member member, long span) {
+        return sends.getOrDefault(member.id(), List.of()).stream().filter(at -> at > now - span)
+            .filter(at -> at >= member.startedAt()).count();
+    }
+
+    @Override
+    public void recall(long wi, int handOff) {
+        Sent sent = items.get(wi).sent.get(handOff);
+        assertTrue(sent.out, "recall of what is not out");
+        sent.recalled = true;
+    }
+
+    @Override
+    public void defer(long wi, long comeBack) {
+        Item item = open(wi, "deferral");
+        boolean harmless = item.sent.stream().noneMatch(s -> s.mayHaveRun)
+            || item.category.repeat() == Repeat.RERUNNABLE
+            || item.category.repeat() == Repeat.TICKETED && item.category.scope() == Scope.ALL;
+        assertTrue(harmless, "deferral of what may have run");
+        item.answered = true;
+        item.deferred = true;
+    }
+
+    @Override
+    public void writeOff(long wi) {
+        open(wi, "write-off").answered = true;
+    }
+
+    @Override
+    public void wakeMe(long at) {
+        wakes.add(at);
+    }
+
+    @Override
+    public void askList() {
+        asked++;
+    }
+
+    @Override
+    public void probe(String backend) {
+        assertNotNull(listed.get(backend), "probe of a backend that no list has named");
+    }
+
+    @Override
+    public void tellPeers(byte[] message) {
+        assertTrue(message.length <= 256, "too long a message to peers");
+    }
+
+    @Override
+    public void note(String line) {
+        assertFalse(line.contains("\n"), "a note of several lines");
+    }
+}
--- /dev/null
+++ b/src/test/java/cottonlock/decision/RulesTest.java
@@ -0,0 +1,92 @@
+package cottonlock.decision;
+
+import cottonlock.decision.Category.Repeat;
+import cottonlock.decision.Category.Scope;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Seeded random days; the ledger checks the four rules after every step. */
+class RulesTest {
+
+    @Property(seed = "20261201", tries = 150)
+    void rulesHoldWhateverHappens(@ForAll long seed, @ForAll @IntRange(min = 0, max = 9) int tenantCount,
+                                  @ForAll @IntRange(min = 0, max = 14) int backends, @ForAll boolean first,
+                                  @ForAll boolean mustAsk, @ForAll boolean mayRecall) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Category> categories = new ArrayList<>();
+        for (Repeat repeat : Repeat.values()) {
+            for (Scope scope : Scope.values()) {
+                categories.add(Ledger.category(categories.size(), repeat, scope));
+            }
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (int t = 0; t < tenantCount; t++) {
+            tenants.add(new Tenant(random.nextInt(4) / 4.0, random.nextInt(40)));
+        }
+        Ledger ledger = new Ledger(categories, tenants, seed, first, mustAsk, mayRecall);
+        ledger.now = random.nextInt(100_000);
+        ledger.list(Ledger.ready(0, backends), true, true);
+        for (int step = 0; step < 400; step++) {
+            step(ledger, random, backends, Math.max(1, tenantCount));
+        }
+        ledger.pass(40_000);
+    }
+
+    private static void step(Ledger ledger, SplittableRandom random, int backends, int tenants) {
+        switch (random.nextInt(12)) {
+            case 0, 1, 2, 3 -> {
+                for (int n = random.nextInt(6); n >= 0; n--) {
+                    ledger.arrive(random.nextInt(ledger.categories.size()), random.nextInt(tenants),
+                        random.nextInt(4) == 0 ? random.nextInt(300) : 5_000 + random.nextInt(25_000));
+                }
+            }
+            case 4, 5, 6, 7 -> {
+                for (long id : List.copyOf(ledger.items.keySet())) {
+                    settleSome(ledger, random, id);
+                }
+            }
+            case 8 -> changeList(ledger, random, backends);
+            case 9 -> {
+                if (random.nextBoolean()) {
+                    ledger.balancer.listFailed(ledger.now);
+                }
+            }
+            case 10 -> {
+                for (Map.Entry<Long, Ledger.Item> e : List.copyOf(ledger.items.entrySet())) {
+                    if (random.nextInt(10) == 0 && !e.getValue().answered) {
+                        ledger.left(e.getKey());
+                    }
+                }
+            }
+            default -> ledger.pass(random.nextInt(random.nextInt(5) == 0 ? 12_000 : 300));
+        }
+        ledger.pass(random.nextInt(150));
+    }
+
+    private static void settleSome(Ledger ledger, SplittableRandom random, long id) {
+        Ledger.Item item = ledger.items.get(id);
+        for (int n = 0; item != null && n < item.sent.size(); n++) {
+            if (item.sent.get(n).out && random.nextInt(3) == 0) {
+                Outcome outcome = random.nextInt(3) > 0 ? Outcome.FINISHED
+                    : Outcome.values()[random.nextInt(Outcome.values().length)];
+                ledger.settle(id, n, outcome);
+            }
+        }
+    }
+
+    private static void changeList(Ledger ledger, SplittableRandom random, int backends) {
+        List<Member> members = new ArrayList<>();
+        for (int n = random.nextInt(4); n > 0; n--) {
+            Member m = Ledger.ready(random.nextInt(backends + 1));
+            Member.State state = Member.State.values()[random.nextInt(3)];
+            long started = random.nextBoolean() ? m.startedAt() : ledger.now;
+            members.add(new Member(m.id(), m.zone(), m.cell(), state, random.nextInt(3), started));
+        }
+        ledger.list(members, random.nextInt(4) == 0, false);
+    }
+}
