--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -379,7 +379,7 @@
             double out = 0;
             double size = 0;
             for (Backend b : fleet.ready()) {
-                out += b.out + 1;
+                out += b.out;
                 size += fleet.size(b, now);
             }
             double far = FAR * out / size;
@@ -761,7 +761,7 @@
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (b.out + 1 <= far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
+                if (b.out <= 1 + far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
                     && trusted(b, now)) {
                     usable.add(b);
                 }
