--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -40,7 +40,7 @@
         this.balancer = new Balancer(this,
             new Balancer.Intake(this, categoryList, tenantList, first, balancers, longestComeBack),
             line,
-            new Balancer.Lane(fleet),
+            new Balancer.Lane(line, fleet),
             new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, s.count("Limits.MaxHandOffs", 1),
                 s.flag("Limits.Cancel", false)),
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -199,6 +199,8 @@
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
         private static final double OVER_CALM = 0.9;
+        /** Thousandths in the logarithm of the latency: a third longer than calm is beyond chance. */
+        private static final double PRESSED = 300;
         /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
@@ -270,6 +272,11 @@
             return latencyLog.sum(now) / (double) Math.max(1, finished.sum(now));
         }
 
+        /** Whether answers take clearly longer than they do when the fleet is calm. */
+        boolean pressed(long now) {
+            return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
+        }
+
         private boolean worthWaiting(WorkItem wi, int place, long now) {
             int lines = 0;
             for (Deque<WorkItem> line : waiting) {
@@ -357,7 +364,7 @@
             advance(now);
             // Soon after a start, or after a standstill, only the quick ones have come back; and a mean over few
             // is chance. Either would set the calm latency too low, and the room with it, for a long time.
-            if (now - firstAt >= SPAN && finished.sum(now) >= 50 && finished.sum(now) >= 2 * inside) {
+            if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
                 calm.add(now, typical(now));
             }
         }
@@ -365,9 +372,11 @@
 
     /** The design: the tenant's own lane; the public part or all backends when none of it is usable. */
     public static final class Lane extends Stage {
+        private final Line line;
         private final Fleet fleet;
 
-        public Lane(Fleet fleet) {
+        public Lane(Line line, Fleet fleet) {
+            this.line = line;
             this.fleet = fleet;
         }
 
@@ -383,12 +392,13 @@
                 size += fleet.size(b, now);
             }
             double far = FAR * out / size;
-            wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, far, now);
+            double spare = line.pressed(now) ? 0.25 : 1;
+            wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
             if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.usable(fleet.open(), wi, far, now);
+                wi.candidates = fleet.usable(fleet.open(), wi, far, spare, now);
             }
             if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.usable(fleet.ready(), wi, far, now);
+                wi.candidates = fleet.usable(fleet.ready(), wi, far, spare, now);
             }
             if (wi.candidates.isEmpty()) {
                 before.back(wi, now);
@@ -757,11 +767,11 @@
         }
 
         /** Those of the given backends that this work item may go to now. */
-        List<Backend> usable(List<Backend> part, WorkItem wi, double far, long now) {
+        List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (b.out <= 1 + far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
+                if (b.out <= spare + far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
                     && trusted(b, now)) {
                     usable.add(b);
                 }
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -74,7 +74,7 @@
             FALL_MULTIPLE, FALL);
         Balancer.Line line = new Balancer.Line(fleet, tenants.size(), 2, first);
         balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, 2, 10_000), line,
-            new Balancer.Lane(fleet), new Balancer.Pick(fleet, random.split()),
+            new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
         balancer.start(now);
     }
