--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -199,8 +199,8 @@
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
         private static final double OVER_CALM = 0.9;
-        /** Thousandths in the logarithm of the latency: a third longer than calm is beyond chance. */
-        private static final double PRESSED = 300;
+        /** Thousandths in the logarithm of the latency: a fifth longer than calm. */
+        private static final double PRESSED = 200;
         /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
@@ -392,7 +392,7 @@
                 size += fleet.size(b, now);
             }
             double far = FAR * out / size;
-            double spare = line.pressed(now) ? 0.25 : 1;
+            double spare = line.pressed(now) ? 0 : 1;
             wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
             if (wi.candidates.isEmpty()) {
                 wi.candidates = fleet.usable(fleet.open(), wi, far, spare, now);
