--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -263,8 +263,8 @@
             // rate alone shrank to nothing when all work took longer for a reason of its own.
             double steady = Math.min(perTime(finishedDue, now) * (overQuota ? OVER : WITHIN),
                 usual * Math.min(1, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
-            // Arrivals are uneven: twice their usual spread above the steady number is still no excess.
-            return inside < Math.max(floor, Math.min(ceiling, steady + 2 * Math.sqrt(steady)));
+            // Arrivals are uneven: some spreads above the steady number are no excess, more while all is calm.
+            return inside < Math.max(floor, Math.min(ceiling, steady + (pressed(now) ? 2 : 4) * Math.sqrt(steady)));
         }
 
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
