--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -264,7 +264,7 @@
             double steady = Math.min(perTime(finishedDue, now) * (overQuota ? OVER : WITHIN),
                 usual * Math.min(1, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
             // Arrivals are uneven: some spreads above the steady number are no excess, more while all is calm.
-            return inside < Math.max(floor, Math.min(ceiling, steady + (pressed(now) ? 2 : 4) * Math.sqrt(steady)));
+            return inside < Math.max(floor, Math.min(ceiling, steady + (atEase(now) ? 4 : 2) * Math.sqrt(steady)));
         }
 
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
@@ -272,6 +272,11 @@
             return latencyLog.sum(now) / (double) Math.max(1, finished.sum(now));
         }
 
+        /** Whether it is known that answers take about as long as when calm: at a start it is not. */
+        private boolean atEase(long now) {
+            return calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
+        }
+
         /** Whether answers take clearly longer than they do when the fleet is calm. */
         boolean pressed(long now) {
             return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
@@ -438,8 +443,8 @@
     public static final class HandOffs extends Stage {
         /** Repeats of work that may have run, per hand-off: more would feed an overload. */
         private static final double REPEATS = 0.1;
-        /** A backend is silent when its silence has a chance of e^-8 given the gaps before. */
-        private static final double SILENT = 8;
+        /** A backend is silent when its silence has a chance of e^-6 given the gaps before. */
+        private static final double SILENT = 6;
 
         private final Outlet outlet;
         private final Line line;
@@ -535,15 +540,12 @@
         void rescue(long now) {
             int silent = 0;
             for (Backend b : fleet.all()) {
-                silent += b.out > 0 && fleet.silence(b, now) >= SILENT ? 1 : 0;
-            }
-            if (silent == 0) {
-                return;
+                silent += fleet.silence(b, now) >= SILENT ? 1 : 0;
             }
             // Where most are silent the fault is not theirs alone, and sending again would feed it.
             boolean few = silent * 2 <= fleet.ready().size();
             for (Backend b : fleet.all()) {
-                if (b.out == 0 || fleet.silence(b, now) < SILENT) {
+                if (fleet.silence(b, now) < SILENT) {
                     continue;
                 }
                 for (WorkItem wi : List.copyOf(b.held.values())) {
@@ -554,10 +556,8 @@
                         && wi.category.repeat() == Repeat.RERUNNABLE && wi.handOffs.size() < most
                         && now < wi.due && (few || repeats >= 1)) {
                         ho.recalled = true;
-                        if (few) {
-                            // What a lost backend holds costs nothing to run again.
-                            repeats++;
-                        }
+                        // What a lost backend holds costs nothing to run again.
+                        repeats += few ? 1 : 0;
                         outlet.recall(wi.id, wi.handOffs.size() - 1);
                     }
                 }
@@ -918,8 +918,9 @@
                 }
                 case RECALLED -> {
                     if (ho.recalled) {
+                        // Recalled for its silence: no single chance failure, so it counts for several.
                         b.failures.add(now, 1);
-                        b.streak++;
+                        b.streak += 3;
                     }
                 }
                 default -> { }
