--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -443,8 +443,8 @@
     public static final class HandOffs extends Stage {
         /** Repeats of work that may have run, per hand-off: more would feed an overload. */
         private static final double REPEATS = 0.1;
-        /** A backend is silent when its silence has a chance of e^-6 given the gaps before. */
-        private static final double SILENT = 6;
+        /** A backend is silent when its silence has a chance of e^-8 given the gaps before. */
+        private static final double SILENT = 8;
 
         private final Outlet outlet;
         private final Line line;
