--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -33,7 +33,8 @@
         boolean first = s.count("Stage", 0) == 0;
         long longestComeBack = s.flag("Limits.RetryAfter", false) ? s.timeDown("Limits.MaxRetryAfter") : 0;
         Balancer.Fleet fleet = new Balancer.Fleet(this, random.split(), tenantList,
-            s.choice("MembershipMode", "automatic", "subscribe") == 1, s.timeDown("Obligations.AskWithin"),
+            s.flag("Limits.PeerMessages", false), s.choice("MembershipMode", "automatic", "subscribe") == 1,
+            s.timeDown("Obligations.AskWithin"),
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
             s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
         Balancer.Line line = new Balancer.Line(fleet, tenants, balancers, first);
--- a/src/main/java/cottonlock/bench/WireHost.java
+++ b/src/main/java/cottonlock/bench/WireHost.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -102,9 +103,9 @@
                 feedback();
             }
             case "inbox" -> {
-                instance();
+                Instance i = instance();
                 in.whole("SrcPeer");
-                in.skip("Msg");
+                i.balancer.heard(now, bytes(in.word("Msg")));
             }
             case "under_way" -> {
                 Instance i = instance();
@@ -233,6 +234,14 @@
         };
     }
 
+    private static byte[] bytes(String word) {
+        try {
+            return word.equals("-") ? new byte[0] : Base64.getDecoder().decode(word);
+        } catch (IllegalArgumentException e) {
+            throw new Malformed("Msg is not base64: " + word);
+        }
+    }
+
     private void feedback() {
         if (in.hasMore()) {
             in.skip("Feedback");
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -12,6 +12,8 @@
     int out;
     /** Failures in a row. */
     int streak;
+    /** Found lost since the other balancers were last told. */
+    boolean lost;
     /** When it last gave a sign of life, or last went from nothing out to something out. */
     long quietSince;
     /** Answers and failures of the last two seconds: older ones say little of how it is now. */
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -2,6 +2,7 @@
 
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.WorkItem.HandOff;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -73,7 +74,7 @@
         handOffs.left(now, id);
     }
 
-    /** News of the list of backends: all of it, or only what changed; cached: as this balancer last held it. */
+    /** News of the list of backends, whole or only what changed; cached: as this balancer last held it. */
     public void list(long now, List<Member> members, boolean whole, boolean cached) {
         fleet.list(now, members, whole, cached);
     }
@@ -83,10 +84,16 @@
         fleet.listFailed(now);
     }
 
+    /** Another balancer of the tier has sent what it told by {@link Outlet#tellPeers}. */
+    public void heard(long now, byte[] message) {
+        fleet.heard(now, message);
+    }
+
     /** The time asked for by {@link Outlet#wakeMe} has come. */
     public void wake(long now) {
         fleet.keepList(now);
         handOffs.rescue(now);
+        fleet.tell();
         line.tidy(now);
         outlet.wakeMe(now + TICK);
     }
@@ -174,13 +181,14 @@
 
         private boolean withinQuota(int tenant, boolean repeated, long now) {
             for (int t = 0; t < tokens.length; t++) {
-                // Half a second's worth may come at once: shorter, and the unevenness of arrivals counts as excess.
+                // Half a second's worth may come at once: with less, uneven arrivals would count as excess.
                 double full = Math.max(1, refill[t] * 5_000);
-                tokens[t] = refilledAt < 0 ? full : Math.min(full, tokens[t] + refill[t] * (now - refilledAt));
+                double since = tokens[t] + refill[t] * (now - refilledAt);
+                tokens[t] = refilledAt < 0 ? full : Math.min(full, since);
             }
             refilledAt = now;
-            // Who sends beyond a quota sees most of the excess deferred, so what comes again is mostly excess:
-            // it must not use up the quota of what comes for the first time.
+            // Who sends beyond a quota sees most of the excess deferred, so what comes again is mostly
+            // excess: it must not use up the quota of what comes for the first time.
             if (tokens[tenant] < (repeated ? Math.max(1, refill[tenant] * 2_500) : 1)) {
                 return false;
             }
@@ -263,8 +271,10 @@
             // rate alone shrank to nothing when all work took longer for a reason of its own.
             double steady = Math.min(perTime(finishedDue, now) * (overQuota ? OVER : WITHIN),
                 usual * Math.min(1, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
-            // Arrivals are uneven: some spreads above the steady number are no excess, more while all is calm.
-            return inside < Math.max(floor, Math.min(ceiling, steady + (atEase(now) ? 4 : 2) * Math.sqrt(steady)));
+            // Arrivals are uneven: two of their usual spreads above the steady number are no excess, and
+            // four make next to no one wait for nothing while all is calm.
+            double room = steady + (atEase(now) ? 4 : 2) * Math.sqrt(steady);
+            return inside < Math.max(floor, Math.min(ceiling, room));
         }
 
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
@@ -288,7 +298,8 @@
                 lines += line.isEmpty() ? 0 : 1;
             }
             // One that ends before the line is next looked at would be lost there.
-            return now + 4 * TICK < wi.expiry && place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
+            return now + 4 * TICK < wi.expiry
+                && place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
         }
 
         private void enter(WorkItem wi, long now) {
@@ -358,7 +369,8 @@
                 int n = line.size();
                 for (int i = 0; i < n; i++) {
                     WorkItem wi = line.poll();
-                    if (now - wi.inLineSince > 2 * WAIT * wi.category.dueTime() || now + 2 * TICK >= wi.expiry) {
+                    if (now - wi.inLineSince > 2 * WAIT * wi.category.dueTime()
+                        || now + 2 * TICK >= wi.expiry) {
                         wi.inLineSince = -1;
                         before.back(wi, now);
                     } else {
@@ -367,8 +379,8 @@
                 }
             }
             advance(now);
-            // Soon after a start, or after a standstill, only the quick ones have come back; and a mean over few
-            // is chance. Either would set the calm latency too low, and the room with it, for a long time.
+            // Soon after a start, or after a standstill, only the quick ones have come back, and a mean over
+            // few is chance. Either would set the calm latency, and with it the room, too low for long.
             if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
                 calm.add(now, typical(now));
             }
@@ -567,6 +579,8 @@
 
     /** The backends: the list and its upkeep, the lanes, and how each backend is judged. */
     public static final class Fleet {
+        /** Bytes of a message to peers, at most. */
+        private static final int LONGEST = 256;
         /** Ten seconds of answers make a usual time even where few come. */
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost stays under it nine times in ten. */
@@ -575,6 +589,7 @@
         private final Outlet outlet;
         private final SplittableRandom random;
         private final List<Tenant> tenants;
+        private final boolean mayTell;
         private final boolean mustAsk;
         private final long askWithin;
         private final double coldShare;
@@ -594,6 +609,7 @@
         private long latencyCount = 1;
 
         /**
+         * @param mayTell      whether balancers may send each other messages
          * @param mustAsk      whether changes of the list come only when asked for
          * @param askWithin    what has been in the list for so long counts as told
          * @param coldShare    the part of its capacity that a backend starts with
@@ -601,11 +617,13 @@
          * @param fallMultiple how many times its present capacity makes it fall
          * @param fall         within which time
          */
-        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, boolean mustAsk,
-                     long askWithin, double coldShare, long coldTime, double fallMultiple, long fall) {
+        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, boolean mayTell,
+                     boolean mustAsk, long askWithin, double coldShare, long coldTime, double fallMultiple,
+                     long fall) {
             this.outlet = outlet;
             this.random = random;
             this.tenants = tenants;
+            this.mayTell = mayTell;
             this.mustAsk = mustAsk;
             this.askWithin = askWithin;
             this.coldShare = coldShare;
@@ -659,7 +677,7 @@
         void listFailed(long now) {
             failedAsks++;
             // Twice as long after each failure, spread at random: all balancers ask after the same trouble,
-            // and calls that wait in turn behind each other fail again. A quarter of the time allowed at most.
+            // and calls that wait in turn behind each other fail again. A quarter of what is allowed at most.
             long wait = Math.min(askWithin / 4, 1_000L << Math.min(8, failedAsks));
             askAt = now + wait / 2 + random.nextLong(Math.max(1, wait / 2));
         }
@@ -771,8 +789,8 @@
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (b.out <= spare + far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now) && warmEnough(b, now)
-                    && trusted(b, now)) {
+                if (b.out <= spare + far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now)
+                    && warmEnough(b, now) && trusted(b, now)) {
                     usable.add(b);
                 }
             }
@@ -839,7 +857,7 @@
             return beta(1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
         }
 
-        /** Whether an answer took far longer than this category's answers usually do, and keeps account of it. */
+        /** Whether an answer took far longer than is usual in its category; keeps account of it too. */
         private boolean slow(WorkItem wi, long time, long now) {
             while (times.size() <= wi.category.number()) {
                 times.add(new Ring(USUAL_SPAN, 10));
@@ -880,6 +898,31 @@
             return (now - b.quietSince) * b.out * (1 + Math.min(4, b.streak)) / Math.max(1, gap);
         }
 
+        /** Tells the other balancers which backends this one has found lost. */
+        void tell() {
+            StringBuilder lost = new StringBuilder();
+            for (Backend b : known.values()) {
+                if (b.lost && mayTell && lost.length() + b.id.length() < LONGEST) {
+                    lost.append(lost.length() == 0 ? "" : " ").append(b.id);
+                }
+                b.lost = false;
+            }
+            if (lost.length() > 0) {
+                outlet.tellPeers(lost.toString().getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        /** Doubts what others have found lost, unless it has answered here of late; never passes it on. */
+        void heard(long now, byte[] message) {
+            for (String id : new String(message, StandardCharsets.UTF_8).split(" ")) {
+                Backend b = known.get(id);
+                if (b != null && b.answers.sum(now) == 0) {
+                    b.failures.add(now, 1);
+                    b.streak = Math.max(b.streak, 3);
+                }
+            }
+        }
+
         void sent(Backend b, WorkItem wi, long now) {
             if (b.out == 0) {
                 b.quietSince = now;
@@ -915,12 +958,15 @@
                 case ERROR, TURNED_AWAY, NO_CONNECTION, BROKEN_OFF, TIMED_OUT -> {
                     b.failures.add(now, 1);
                     b.streak++;
+                    // Where each must find out alone, a lost zone costs every balancer work at each backend.
+                    b.lost |= outcome == Outcome.NO_CONNECTION && b.streak >= 2;
                 }
                 case RECALLED -> {
                     if (ho.recalled) {
                         // Recalled for its silence: no single chance failure, so it counts for several.
                         b.failures.add(now, 1);
                         b.streak += 3;
+                        b.lost = true;
                     }
                 }
                 default -> { }
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -100,13 +100,16 @@
     @Example
     void excessIsTurnedAwayFirst() {
         Ledger ledger = ledger(true, List.of(new Tenant(0.5, 1_000), new Tenant(0.5, 2)), 4);
-        for (int i = 0; i < 60; i++) {
-            ledger.arrive(0, i % 2, 20_000);
-            ledger.pass(50);
+        int[] letIn = new int[2];
+        for (int i = 0; i < 400; i++) {
+            Ledger.Item item = ledger.items.get(ledger.arrive(0, i % 2, 20_000));
+            letIn[i % 2] += item == null ? 0 : 1;
+            if (i % 16 == 15) {
+                finishAll(ledger);
+            }
+            ledger.pass(100);
         }
-        long within = ledger.fleet.lane(0).stream().mapToLong(b -> b.sent.sum(ledger.now)).sum();
-        long beyond = ledger.fleet.lane(1).stream().mapToLong(b -> b.sent.sum(ledger.now)).sum();
-        assertTrue(within >= beyond, within + " within quota, " + beyond + " beyond");
+        assertTrue(letIn[0] > letIn[1], letIn[0] + " within quota, " + letIn[1] + " beyond");
     }
 
     @Example
@@ -204,4 +207,34 @@
         long more = ledger.sends.values().stream().mapToLong(List::size).sum() - before;
         assertFalse(more > 20, more + " let in at once");
     }
+
+    /** Found on a day with a lost server room: each balancer lost work to find out what its peers knew. */
+    @Example
+    void whatPeersFoundLostIsDoubtedButNotPassedOn() {
+        Ledger finder = ledger(false, List.of(), 2);
+        for (int i = 0; i < 40; i++) {
+            long id = finder.arrive(0, 0, 20_000);
+            for (int n = 0; finder.items.containsKey(id) && n < finder.items.get(id).sent.size(); n++) {
+                boolean lost = finder.items.get(id).sent.get(n).to.id().equals("b0");
+                finder.settle(id, n, lost ? Outcome.NO_CONNECTION : Outcome.FINISHED);
+            }
+            finder.pass(300);
+        }
+        assertEquals(Set.of("b0"), Set.copyOf(finder.told));
+        Ledger hearer = ledger(false, List.of(), 2);
+        hearer.balancer.heard(hearer.now, "b0".getBytes());
+        hearer.pass(600);
+        assertTrue(hearer.told.isEmpty());
+        for (int i = 0; i < 40; i++) {
+            hearer.balancer.heard(hearer.now, "b0".getBytes());
+            hearer.arrive(0, 0, 20_000);
+            hearer.pass(300);
+            for (long id : List.copyOf(hearer.items.keySet())) {
+                if (hearer.items.get(id).sent.get(0).to.id().equals("b1")) {
+                    hearer.settle(id, 0, Outcome.FINISHED);
+                }
+            }
+        }
+        assertTrue(hearer.sends.get("b1").size() > 25, hearer.sends.toString());
+    }
 }
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -7,6 +7,7 @@
 
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.Category.Scope;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -54,6 +55,7 @@
     final Map<Long, Item> items = new LinkedHashMap<>();
     final Map<String, Member> listed = new LinkedHashMap<>();
     final Map<String, List<Long>> sends = new LinkedHashMap<>();
+    final List<String> told = new ArrayList<>();
     final List<Long> wakes = new ArrayList<>();
     final Balancer balancer;
     final Balancer.Fleet fleet;
@@ -70,7 +72,7 @@
            boolean mayRecall) {
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
-        fleet = new Balancer.Fleet(this, random.split(), tenants, mustAsk, 100_000, COLD_SHARE, COLD,
+        fleet = new Balancer.Fleet(this, random.split(), tenants, true, mustAsk, 100_000, COLD_SHARE, COLD,
             FALL_MULTIPLE, FALL);
         Balancer.Line line = new Balancer.Line(fleet, tenants.size(), 2, first);
         balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, 2, 10_000), line,
@@ -247,6 +249,7 @@
 
     @Override
     public void tellPeers(byte[] message) {
+        told.add(new String(message, StandardCharsets.UTF_8));
         assertTrue(message.length <= 256, "too long a message to peers");
     }
 
--- a/src/test/java/cottonlock/decision/RulesTest.java
+++ b/src/test/java/cottonlock/decision/RulesTest.java
@@ -52,6 +52,7 @@
             }
             case 8 -> changeList(ledger, random, backends);
             case 9 -> {
+                ledger.balancer.heard(ledger.now, ("b" + random.nextInt(9) + "  x").getBytes());
                 if (random.nextBoolean()) {
                     ledger.balancer.listFailed(ledger.now);
                 }
