--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -398,7 +398,7 @@
         }
 
         /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
-        private static final double FAR = 1.25;
+        private static final double FAR = 1.1;
 
         @Override
         void take(WorkItem wi, long now) {
