--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -398,7 +398,7 @@
         }
 
         /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
-        private static final double FAR = 1.1;
+        private static final double FAR = 1.25;
 
         @Override
         void take(WorkItem wi, long now) {
@@ -522,11 +522,12 @@
             if (wi.handOffs.size() >= most || now >= wi.due) {
                 return false;
             }
-            HandOff ran = wi.mayHaveRun();
-            if (ran == null) {
+            boolean ran = wi.mayHaveRun() != null;
+            if (!ran && outcome != Outcome.TURNED_AWAY) {
                 return true;
             }
-            if (wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
+            // Turned-away work sent on and on is load too: each backend must look at it.
+            if (ran && wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
                 return false;
             }
             repeats--;
