--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -510,7 +510,7 @@
                     before.back(wi, now);
                 }
             } else if (!wi.anyOut()) {
-                if (mayRepeat(wi, outcome, now)) {
+                if (mayRepeat(wi, now)) {
                     before.before.take(wi, now);
                 } else {
                     before.back(wi, now);
@@ -518,16 +518,14 @@
             }
         }
 
-        private boolean mayRepeat(WorkItem wi, Outcome outcome, long now) {
+        private boolean mayRepeat(WorkItem wi, long now) {
             if (wi.handOffs.size() >= most || now >= wi.due) {
                 return false;
             }
-            boolean ran = wi.mayHaveRun() != null;
-            if (!ran && outcome != Outcome.TURNED_AWAY) {
+            if (wi.mayHaveRun() == null) {
                 return true;
             }
-            // Turned-away work sent on and on is load too: each backend must look at it.
-            if (ran && wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
+            if (wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
                 return false;
             }
             repeats--;
@@ -584,8 +582,8 @@
         private static final int LONGEST = 256;
         /** Ten seconds of answers make a usual time even where few come. */
         private static final long USUAL_SPAN = 100_000;
-        /** Three times the usual: work of uneven cost stays under it nine times in ten. */
-        private static final double SLOW = 3;
+        /** Twice the usual: work of uneven cost stays under it more often than not. */
+        private static final double SLOW = 2;
 
         private final Outlet outlet;
         private final SplittableRandom random;
