--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -582,8 +582,8 @@
         private static final int LONGEST = 256;
         /** Ten seconds of answers make a usual time even where few come. */
         private static final long USUAL_SPAN = 100_000;
-        /** Twice the usual: work of uneven cost stays under it more often than not. */
-        private static final double SLOW = 2;
+        /** Two and a half times the usual: work of uneven cost stays under it most of the time. */
+        private static final double SLOW = 2.5;
 
         private final Outlet outlet;
         private final SplittableRandom random;
