Lane entry by Little's law where balancers are many; silence not judged on guesses

Half the due time stands in now, and three imagined gaps for each backend. Cause 2: least rooms of two a balancer add up over hundreds; the quota's bucket of one refused by chance. Now, where a balancer's part is under half a backend, work enters a lane at the rate at which its backends may hold it (3 to 4 each, less after turned-away work); quota buckets hold four; few answers: look back longer.

--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -37,7 +37,7 @@
             s.timeDown("Obligations.AskWithin"),
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
             s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
-        Balancer.Line line = new Balancer.Line(fleet, tenants, balancers, first);
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, first);
         this.balancer = new Balancer(this,
             new Balancer.Intake(this, categoryList, tenantList, first, balancers, longestComeBack),
             line,
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -119,6 +119,9 @@
 
     /** Knows each category and quota; gives the final answer when a work item comes back unfinished. */
     public static final class Intake extends Stage {
+        /** With a bucket of four, Poisson arrivals at nine tenths of the quota seldom find it empty. */
+        private static final double DEPTH = 4;
+
         private final Outlet outlet;
         private final List<Category> categories;
         private final boolean first;
@@ -182,9 +185,10 @@
         private boolean withinQuota(int tenant, boolean repeated, long now) {
             for (int t = 0; t < tokens.length; t++) {
                 // Half a second's worth may come at once: with less, uneven arrivals would count as excess.
-                double full = Math.max(1, refill[t] * 5_000);
+                // And four at least: one of many balancers sees few of a tenant, and by chance some at once.
+                double full = Math.max(DEPTH, refill[t] * 5_000);
                 double since = tokens[t] + refill[t] * (now - refilledAt);
-                tokens[t] = refilledAt < 0 ? full : Math.min(full, since);
+                tokens[t] = refilledAt < 0 ? full / 4 : Math.min(full, since);
             }
             refilledAt = now;
             // Who sends beyond a quota sees most of the excess deferred, so what comes again is mostly
@@ -201,28 +205,43 @@
     public static final class Line extends Stage {
         /** Two seconds: long enough for a steady rate, short enough to follow a fleet that slows down. */
         private static final long SPAN = 20_000;
+        /** Where two seconds hold fewer answers than this, up to eight times as long is looked back. */
+        private static final int FEW = 30;
+        private static final int BUCKETS = 20;
+        /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
+        private static final double SPARSE = 0.5;
+        private static final int SPANS = 8;
         /** Parts of the due time that the time at the backends may take, within and over the quota. */
         private static final double WITHIN = 0.5;
         private static final double OVER = 0.3;
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
         private static final double OVER_CALM = 0.9;
-        /** Thousandths in the logarithm of the latency: a fifth longer than calm. */
-        private static final double PRESSED = 200;
+        /** In the logarithm of the latency: a fifth longer than calm. */
+        private static final double PRESSED = 0.2;
         /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
         private final Fleet fleet;
         private final int balancers;
         private final boolean bounded;
-        private final Ring finished = new Ring(SPAN, 20);
-        private final Ring finishedDue = new Ring(SPAN, 20);
-        private final Ring latency = new Ring(SPAN, 20);
-        private final Ring latencyLog = new Ring(SPAN, 20);
+        private final SplittableRandom random;
+        private final Ring finished = new Ring(SPANS * SPAN, SPANS * BUCKETS);
+        private final Ring finishedDue = new Ring(SPANS * SPAN, SPANS * BUCKETS);
+        private final Ring latency = new Ring(SPANS * SPAN, SPANS * BUCKETS);
+        private final Ring latencyLog = new Ring(SPANS * SPAN, SPANS * BUCKETS);
+        /** How many spans are looked back, and what was seen in them. */
+        private int spans = SPANS;
+        private long answers;
+        private double rate;
+        private double usual;
+        private double dueRate;
+        private double typical;
         /** The lowest typical latency over the span that the last half minute has seen. */
         private final Lowest calm = new Lowest(300_000, 6);
         /** What waits, by tenant; the tenants take turns. */
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
+        private final Entry[] lanes;
         private int turn;
         private double ceiling = 1e6;
         private long lowerAgainAt;
@@ -233,11 +252,14 @@
          * @param balancers how many balancers hand work to the same backends
          * @param bounded whether this balancer may turn work away: not where others have worked on it
          */
-        public Line(Fleet fleet, int tenants, int balancers, boolean bounded) {
+        public Line(Fleet fleet, SplittableRandom random, int tenants, int balancers, boolean bounded) {
             this.fleet = fleet;
+            this.random = random;
             this.balancers = Math.max(1, balancers);
             this.bounded = bounded;
-            for (int t = 0; t < Math.max(1, tenants); t++) {
+            lanes = new Entry[Math.max(1, tenants)];
+            for (int t = 0; t < lanes.length; t++) {
+                lanes[t] = new Entry();
                 waiting.add(new ArrayDeque<>());
             }
         }
@@ -248,9 +270,9 @@
                 firstAt = now;
             }
             Deque<WorkItem> own = waiting.get(wi.tenant);
-            if (!bounded || own.isEmpty() && fits(wi.overQuota, now)) {
+            if (!bounded || own.isEmpty() && fits(wi, now)) {
                 enter(wi, now);
-            } else if (wi.overQuota || !worthWaiting(wi, own.size() + 1, now)) {
+            } else if (wi.overQuota || sparse() || !worthWaiting(wi, own.size() + 1, now)) {
                 before.back(wi, now);
             } else {
                 wi.inLineSince = now;
@@ -259,37 +281,50 @@
         }
 
         private double perTime(Ring ring, long now) {
-            return ring.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt));
+            return ring.sum(now, spans * BUCKETS)
+                / (double) Math.min(spans * SPAN, Math.max(1, now - firstAt));
         }
 
-        private boolean fits(boolean overQuota, long now) {
-            // Two for each backend are never too many, as the balancers together send them.
-            int floor = Math.max(2, 2 * fleet.ready().size() / balancers);
-            double usual = perTime(latency, now);
-            double multiple = overQuota ? OVER_CALM : WITHIN_CALM;
+        /** Looks back as far as it takes to see enough: of many balancers, one has few answers a second. */
+        private void lookBack(long now) {
+            spans = 1;
+            while (spans < SPANS && finished.sum(now, spans * BUCKETS) < FEW) {
+                spans *= 2;
+            }
+            answers = finished.sum(now, spans * BUCKETS);
+            rate = perTime(finished, now);
+            usual = perTime(latency, now);
+            dueRate = perTime(finishedDue, now);
+            // The mean logarithm of the latency, which a few costly work items hardly move.
+            typical = latencyLog.sum(now, spans * BUCKETS) / 1000.0 / Math.max(1, answers);
+        }
+
+        private boolean fits(WorkItem wi, long now) {
+            // Two for each backend are never too many, as the balancers together send them. Each balancer's
+            // part may be below one: it is then let in by chance, for many least rooms of one add up.
+            if (sparse()) {
+                return lanes[wi.tenant].letsIn(wi, fleet.lane(wi.tenant).size() / (double) balancers, now);
+            }
+            double floor = 2.0 * fleet.ready().size() / balancers;
+            double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
             // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
             // rate alone shrank to nothing when all work took longer for a reason of its own.
-            double steady = Math.min(perTime(finishedDue, now) * (overQuota ? OVER : WITHIN),
-                usual * Math.min(1, multiple * Math.exp((calm.value() - typical(now)) / 1000)));
+            double steady = Math.min(dueRate * (wi.overQuota ? OVER : WITHIN),
+                usual * Math.min(1, multiple * Math.exp(calm.value() - typical)));
             // Arrivals are uneven: two of their usual spreads above the steady number are no excess, and
             // four make next to no one wait for nothing while all is calm.
-            double room = steady + (atEase(now) ? 4 : 2) * Math.sqrt(steady);
-            return inside < Math.max(floor, Math.min(ceiling, room));
-        }
-
-        /** The mean logarithm of the latency: a few costly work items hardly move it. */
-        private double typical(long now) {
-            return latencyLog.sum(now) / (double) Math.max(1, finished.sum(now));
+            double room = steady + (atEase() ? 4 : 2) * Math.sqrt(steady);
+            return inside + random.nextDouble() < Math.max(floor, Math.min(ceiling, room));
         }
 
         /** Whether it is known that answers take about as long as when calm: at a start it is not. */
-        private boolean atEase(long now) {
-            return calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
+        private boolean atEase() {
+            return calm.value() < Double.POSITIVE_INFINITY && !pressed();
         }
 
         /** Whether answers take clearly longer than they do when the fleet is calm. */
-        boolean pressed(long now) {
-            return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
+        boolean pressed() {
+            return answers >= 10 && typical > calm.value() + PRESSED;
         }
 
         private boolean worthWaiting(WorkItem wi, int place, long now) {
@@ -299,7 +334,7 @@
             }
             // One that ends before the line is next looked at would be lost there.
             return now + 4 * TICK < wi.expiry
-                && place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
+                && place * Math.max(1, lines) <= rate * WAIT * wi.category.dueTime();
         }
 
         private void enter(WorkItem wi, long now) {
@@ -315,7 +350,57 @@
             // Once for each crowd: those turned away together tell one thing.
             if (now >= lowerAgainAt) {
                 ceiling = Math.max(2, Math.min(ceiling, inside) * 0.9);
-                lowerAgainAt = now + Math.round(Math.exp(typical(now) / 1000));
+                lowerAgainAt = now + Math.round(Math.exp(typical));
+            }
+        }
+
+        /** Whether this balancer's part of the backends is so small that it can't count what is inside. */
+        private boolean sparse() {
+            return SPARSE * balancers > fleet.ready().size();
+        }
+
+        /** What each hand-off that ends tells of its tenant's lane. */
+        void learn(WorkItem wi, Outcome outcome, long time) {
+            lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
+        }
+
+        /**
+         * How fast work may enter a lane where one balancer of many sees too little of it to count: by Little's
+         * law, what its backends may hold over the time that the work stays.
+         */
+        private static final class Entry {
+            /** Of the tokens kept, and how many must be there for work over its quota. */
+            private static final double DEPTH = 4;
+            private static final double OVER = 3;
+            /** What each backend may hold, on average: 3 and 4 did alike, 5 and more made backends choke. */
+            private static final double MOST = 4;
+            private double hold = 3;
+            private double tokens = 1;
+            private double time;
+            private long at;
+
+            boolean letsIn(WorkItem wi, double backends, long now) {
+                // A third of the due time stands in until answers are seen.
+                time = time > 0 ? time : wi.category.dueTime() / 3.0;
+                tokens = Math.min(DEPTH, tokens + hold * backends / Math.max(1, time) * (now - at));
+                at = now;
+                if (tokens < (wi.overQuota ? OVER : 1)) {
+                    return false;
+                }
+                tokens--;
+                return true;
+            }
+
+            void learn(Outcome outcome, long took, long due) {
+                // A quick failure must not pass for a quick answer: it would open the lane the wider the
+                // worse things go. Eight answers: fewer are chance, more tell too late.
+                double shown = outcome == Outcome.FINISHED ? took : Math.max(took, 2 * time);
+                time += (Math.min(shown, due) - time) / 8;
+                if (outcome == Outcome.TURNED_AWAY) {
+                    hold = Math.max(1, hold * 0.9);
+                } else if (outcome == Outcome.FINISHED) {
+                    hold = Math.min(MOST, hold + 0.02);
+                }
             }
         }
 
@@ -335,7 +420,8 @@
                     // One more for each round of answers, as long as nothing is turned away.
                     ceiling = Math.min(1e6, ceiling + 1 / ceiling);
                     latency.add(now, now - wi.enteredAt);
-                    latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
+                    double log = Math.log(1 + now - wi.enteredAt);
+                    latencyLog.add(now, Math.round(1000 * log));
                     finished.add(now, 1);
                     finishedDue.add(now, wi.category.dueTime());
                 }
@@ -345,13 +431,15 @@
         }
 
         private void advance(long now) {
-            for (int empty = 0; empty < waiting.size() && fits(false, now); turn++) {
-                WorkItem wi = waiting.get(turn % waiting.size()).poll();
-                if (wi == null) {
+            for (int empty = 0; empty < waiting.size(); turn++) {
+                Deque<WorkItem> line = waiting.get(turn % waiting.size());
+                if (line.isEmpty()) {
                     empty++;
-                } else {
+                } else if (fits(line.peek(), now)) {
                     empty = 0;
-                    enter(wi, now);
+                    enter(line.poll(), now);
+                } else {
+                    return;
                 }
             }
         }
@@ -378,11 +466,12 @@
                     }
                 }
             }
+            lookBack(now);
             advance(now);
             // Soon after a start, or after a standstill, only the quick ones have come back, and a mean over
             // few is chance. Either would set the calm latency, and with it the room, too low for long.
-            if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
-                calm.add(now, typical(now));
+            if (now - firstAt >= SPAN && answers >= 20 && answers >= 2 * inside) {
+                calm.add(now, typical);
             }
         }
     }
@@ -409,7 +498,7 @@
                 size += fleet.size(b, now);
             }
             double far = FAR * out / size;
-            double spare = line.pressed(now) ? 0 : 1;
+            double spare = line.pressed() ? 0 : 1;
             wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
             if (wi.candidates.isEmpty()) {
                 wi.candidates = fleet.usable(fleet.open(), wi, far, spare, now);
@@ -497,6 +586,9 @@
             ho.out = false;
             ho.neverRan = outcome.neverRan();
             fleet.settled(ho, wi, outcome, now);
+            if (outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
+                line.learn(wi, outcome, now - ho.sentAt);
+            }
             if (outcome == Outcome.TURNED_AWAY) {
                 line.turnedAway(now);
             }
@@ -584,6 +676,10 @@
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
+        /** Gaps imagined for each backend, so that one or two quick answers do not make the next look late. */
+        private static final int IMAGINED = 3;
+        /** Answers imagined at the start, each after half the due time. */
+        private static final int AT_START = 10;
 
         private final Outlet outlet;
         private final SplittableRandom random;
@@ -604,8 +700,8 @@
         private int failedAsks;
         private final List<Ring> times = new ArrayList<>();
         private final List<Ring> timeCounts = new ArrayList<>();
-        private long latencySum = 500;
-        private long latencyCount = 1;
+        private long latencySum;
+        private long latencyCount;
 
         /**
          * @param mayTell      whether balancers may send each other messages
@@ -890,9 +986,9 @@
             if (b.out == 0) {
                 return 0;
             }
-            // One imagined gap of the usual latency stands in until the backend has shown its own.
-            double usual = (double) latencySum / latencyCount;
-            double gap = (b.gapSum.sum(now) + usual) / (b.gapCount.sum(now) + 1);
+            // A few imagined gaps of the usual latency stand in until the backend has shown its own.
+            double usual = (double) latencySum / Math.max(1, latencyCount);
+            double gap = (b.gapSum.sum(now) + IMAGINED * usual) / (b.gapCount.sum(now) + IMAGINED);
             // A backend that has failed of late is given less time.
             return (now - b.quietSince) * b.out * (1 + Math.min(4, b.streak)) / Math.max(1, gap);
         }
@@ -926,6 +1022,12 @@
             if (b.out == 0) {
                 b.quietSince = now;
             }
+            if (latencyCount == 0) {
+                // With a short guess in its place all backends looked lost in the first second, the balancers
+                // told each other so, and all their work went to the few that nobody had named yet.
+                latencyCount = AT_START;
+                latencySum = AT_START * wi.category.dueTime() / 2;
+            }
             b.out++;
             b.held.put(wi.id, wi);
             b.sent.add(now, 1);
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -74,7 +74,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         fleet = new Balancer.Fleet(this, random.split(), tenants, true, mustAsk, 100_000, COLD_SHARE, COLD,
             FALL_MULTIPLE, FALL);
-        Balancer.Line line = new Balancer.Line(fleet, tenants.size(), 2, first);
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), 2, first);
         balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, 2, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
