--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -32,7 +32,7 @@
         int balancers = s.count("FleetSize", 1);
         boolean first = s.count("Stage", 0) == 0;
         long longestComeBack = s.flag("Limits.RetryAfter", false) ? s.timeDown("Limits.MaxRetryAfter") : 0;
-        Balancer.Fleet fleet = new Balancer.Fleet(this, random.split(), tenantList,
+        Balancer.Fleet fleet = new Balancer.Fleet(this, random.split(), tenantList, balancers,
             s.flag("Limits.PeerMessages", false), s.choice("MembershipMode", "automatic", "subscribe") == 1,
             s.timeDown("Obligations.AskWithin"),
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -23,6 +23,10 @@
     final Ring gapCount = new Ring(300_000, 10);
     final Ring gapSum = new Ring(300_000, 10);
     final Ring sent;
+    /** While cold: when it last got work, the part of the usual gap until the next, and of which start. */
+    long spacedFrom;
+    double spacing;
+    long spacedFor = -1;
     /** The work items handed to it and still out, in the order of sending. */
     final Map<Long, WorkItem> held = new LinkedHashMap<>();
 
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -303,7 +303,7 @@
             // Two for each backend are never too many, as the balancers together send them. Each balancer's
             // part may be below one: it is then let in by chance, for many least rooms of one add up.
             if (sparse()) {
-                return lanes[wi.tenant].letsIn(wi, fleet.lane(wi.tenant).size() / (double) balancers, now);
+                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, now) / balancers, now);
             }
             double floor = 2.0 * fleet.ready().size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
@@ -372,9 +372,9 @@
             /** Of the tokens kept, and how many must be there for work over its quota. */
             private static final double DEPTH = 4;
             private static final double OVER = 3;
-            /** What each backend may hold, on average: 3 and 4 did alike, 5 and more made backends choke. */
-            private static final double MOST = 4;
-            private double hold = 3;
+            /** What each backend may hold, on average: from 4 to 5 did alike, 3 left room unused, 6 made backends choke. */
+            private static final double MOST = 5;
+            private double hold = 4;
             private double tokens = 1;
             private double time;
             private long at;
@@ -684,6 +684,7 @@
         private final Outlet outlet;
         private final SplittableRandom random;
         private final List<Tenant> tenants;
+        private final int balancers;
         private final boolean mayTell;
         private final boolean mustAsk;
         private final long askWithin;
@@ -704,6 +705,7 @@
         private long latencyCount;
 
         /**
+         * @param balancers    how many balancers hand work to the same backends
          * @param mayTell      whether balancers may send each other messages
          * @param mustAsk      whether changes of the list come only when asked for
          * @param askWithin    what has been in the list for so long counts as told
@@ -712,12 +714,13 @@
          * @param fallMultiple how many times its present capacity makes it fall
          * @param fall         within which time
          */
-        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, boolean mayTell,
-                     boolean mustAsk, long askWithin, double coldShare, long coldTime, double fallMultiple,
+        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, int balancers,
+                     boolean mayTell, boolean mustAsk, long askWithin, double coldShare, long coldTime, double fallMultiple,
                      long fall) {
             this.outlet = outlet;
             this.random = random;
             this.tenants = tenants;
+            this.balancers = Math.max(1, balancers);
             this.mayTell = mayTell;
             this.mustAsk = mustAsk;
             this.askWithin = askWithin;
@@ -863,8 +866,13 @@
             return tenant < lanes.size() ? lanes.get(tenant) : open;
         }
 
-        int laneSize(int tenant) {
-            return lane(tenant).size();
+        /** How many warm and trusted backends the lane is worth; a spill lends it one at least. */
+        double able(int tenant, long now) {
+            double able = 0;
+            for (Backend b : lane(tenant)) {
+                able += b.streak >= 3 ? 0 : warmth(b, now);
+            }
+            return Math.max(1, able);
         }
 
         List<Backend> open() {
@@ -935,9 +943,16 @@
             if (warmth >= 1) {
                 return true;
             }
-            // Half the multiple: what warm backends are sent is at times more than they can do.
+            if (b.spacedFor != b.member.startedAt()) {
+                b.spacedFor = b.member.startedAt();
+                b.spacedFrom = now;
+                b.spacing = random.nextDouble();
+            }
+            // Half the multiple: what warm backends are sent is at times more than they can do. All balancers
+            // together may send it one until it is known what warm ones get. Spaced in time, for one from
+            // each of hundreds of balancers in the first moment pushed a cold backend over.
             double part = fallMultiple / 2 * warmth * sentPerSize * b.size();
-            return b.sent.sum(now) + 1 <= Math.max(1, part);
+            return (now - b.spacedFrom) * Math.max(part, 1.0 / balancers) >= fall * b.spacing;
         }
 
         /** Draws from the posterior of its chance of success whether a doubtful backend gets work. */
@@ -1031,6 +1046,8 @@
             b.out++;
             b.held.put(wi.id, wi);
             b.sent.add(now, 1);
+            b.spacedFrom = now;
+            b.spacing = 0.5 + random.nextDouble();
         }
 
         void settled(HandOff ho, WorkItem wi, Outcome outcome, long now) {
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -72,8 +72,8 @@
            boolean mayRecall) {
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
-        fleet = new Balancer.Fleet(this, random.split(), tenants, true, mustAsk, 100_000, COLD_SHARE, COLD,
-            FALL_MULTIPLE, FALL);
+        fleet = new Balancer.Fleet(this, random.split(), tenants, 2, true, mustAsk, 100_000,
+            COLD_SHARE, COLD, FALL_MULTIPLE, FALL);
         Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), 2, first);
         balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, 2, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
