--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -499,7 +499,8 @@
             }
             double far = FAR * out / size;
             double spare = line.pressed() ? 0 : 1;
-            wi.candidates = fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
+            wi.candidates = fleet.crowded(wi.tenant, FAR, now) ? List.of()
+                : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
             if (wi.candidates.isEmpty()) {
                 wi.candidates = fleet.usable(fleet.open(), wi, far, spare, now);
             }
@@ -676,6 +677,10 @@
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
+        /** Four seconds: some answers of each tenant even where few come, and soon enough for a lane to rest. */
+        private static final long STAY_SPAN = 40_000;
+        /** Held by each backend on average, this is never a crowd. */
+        private static final double FREE = 2;
         /** Gaps imagined for each backend, so that one or two quick answers do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -699,6 +704,9 @@
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
+        /** How long hand-offs stayed in the last seconds: by Little's law, how many were out. */
+        private final List<Ring> stays = new ArrayList<>();
+        private final Ring stay = new Ring(STAY_SPAN, 8);
         private final List<Ring> times = new ArrayList<>();
         private final List<Ring> timeCounts = new ArrayList<>();
         private long latencySum;
@@ -728,6 +736,7 @@
             this.coldTime = coldTime;
             this.fallMultiple = fallMultiple;
             this.fall = fall;
+            tenants.forEach(t -> stays.add(new Ring(STAY_SPAN, 8)));
         }
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
@@ -866,6 +875,20 @@
             return tenant < lanes.size() ? lanes.get(tenant) : open;
         }
 
+        /**
+         * Whether the lane counts as unusable for this work item: by chance, so that what stays keeps its
+         * backends at the given multiple of what all hold on average. One balancer of many sees next to
+         * nothing in flight, and a lane that chokes shows only in how long work stays there.
+         */
+        boolean crowded(int tenant, double far, long now) {
+            if (tenant >= stays.size() || lane(tenant).isEmpty()) {
+                return false;
+            }
+            double own = stays.get(tenant).sum(now) / (double) lane(tenant).size();
+            double all = stay.sum(now) / (double) ready.size();
+            return own * balancers > FREE * STAY_SPAN && random.nextDouble() * own > far * all;
+        }
+
         /** How many warm and trusted backends the lane is worth; a spill lends it one at least. */
         double able(int tenant, long now) {
             double able = 0;
@@ -1089,6 +1112,10 @@
                 }
                 default -> { }
             }
+            stay.add(now, now - ho.sentAt);
+            if (wi.tenant < stays.size()) {
+                stays.get(wi.tenant).add(now, now - ho.sentAt);
+            }
             b.out--;
             b.held.remove(wi.id);
         }
