--- a/src/main/java/cottonlock/bench/WireHost.java
+++ b/src/main/java/cottonlock/bench/WireHost.java
@@ -148,7 +148,7 @@
             }
             String id = in.word("Backend");
             int zone = in.index("FailureDomain", ANY);
-            in.index("ClassOfHost", ANY);
+            int kind = in.index("ClassOfHost", ANY);
             int cell = in.index("UnitGroup", ANY);
             Member.State state = switch (in.word("Lifecycle")) {
                 case "ready" -> Member.State.READY;
@@ -159,7 +159,7 @@
             double size = size(in.word("Size"));
             // Rounded up: a backend taken for younger than it is gets less, never more, than it can bear.
             long startedAt = (in.whole("ReadyAt") + MICROS - 1) / MICROS;
-            members.add(new Member(id, zone, cell, state, size, startedAt));
+            members.add(new Member(id, zone, kind, cell, state, size, startedAt));
         }
         buffers.set(buffer, members);
     }
--- /dev/null
+++ b/src/main/java/cottonlock/decision/Averages.java
@@ -0,0 +1,36 @@
+package cottonlock.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Averages over the recent past, one for each number that comes up (a category, a kind of backend). */
+final class Averages {
+    private static final int BUCKETS = 10;
+    private final long span;
+    private final List<Ring> sums = new ArrayList<>();
+    private final List<Ring> counts = new ArrayList<>();
+
+    Averages(long span) {
+        this.span = span;
+    }
+
+    void add(long now, int number, long value) {
+        while (sums.size() <= number) {
+            sums.add(new Ring(span, BUCKETS));
+            counts.add(new Ring(span, BUCKETS));
+        }
+        sums.get(number).add(now, value);
+        counts.get(number).add(now, 1);
+    }
+
+    long count(long now, int number) {
+        return number < counts.size() ? counts.get(number).sum(now) : 0;
+    }
+
+    /** The average, as if {@code imagined} more values had been the given one. */
+    double mean(long now, int number, int imagined, double value) {
+        long count = count(now, number);
+        double sum = count == 0 ? 0 : sums.get(number).sum(now);
+        return count + imagined == 0 ? 0 : (sum + imagined * value) / (count + imagined);
+    }
+}
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -10,6 +10,8 @@
     /** When this balancer learned that it drains or is gone; -1 while it is ready. */
     long leavingSince = -1;
     int out;
+    /** How quickly its kind answers here, against all. */
+    double pace = 1;
     /** Failures in a row. */
     int streak;
     /** Found lost since the other balancers were last told. */
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -205,9 +205,6 @@
     public static final class Line extends Stage {
         /** Two seconds: long enough for a steady rate, short enough to follow a fleet that slows down. */
         private static final long SPAN = 20_000;
-        /** Where two seconds hold fewer answers than this, up to eight times as long is looked back. */
-        private static final int FEW = 30;
-        private static final int BUCKETS = 20;
         /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
         private static final double SPARSE = 0.5;
         private static final int SPANS = 8;
@@ -226,17 +223,10 @@
         private final int balancers;
         private final boolean bounded;
         private final SplittableRandom random;
-        private final Ring finished = new Ring(SPANS * SPAN, SPANS * BUCKETS);
-        private final Ring finishedDue = new Ring(SPANS * SPAN, SPANS * BUCKETS);
-        private final Ring latency = new Ring(SPANS * SPAN, SPANS * BUCKETS);
-        private final Ring latencyLog = new Ring(SPANS * SPAN, SPANS * BUCKETS);
-        /** How many spans are looked back, and what was seen in them. */
-        private int spans = SPANS;
-        private long answers;
-        private double rate;
-        private double usual;
-        private double dueRate;
-        private double typical;
+        private final Ring finished = new Ring(SPAN, 20);
+        private final Ring finishedDue = new Ring(SPAN, 20);
+        private final Ring latency = new Ring(SPAN, 20);
+        private final Ring latencyLog = new Ring(SPAN, 20);
         /** The lowest typical latency over the span that the last half minute has seen. */
         private final Lowest calm = new Lowest(300_000, 6);
         /** What waits, by tenant; the tenants take turns. */
@@ -281,22 +271,12 @@
         }
 
         private double perTime(Ring ring, long now) {
-            return ring.sum(now, spans * BUCKETS)
-                / (double) Math.min(spans * SPAN, Math.max(1, now - firstAt));
+            return ring.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt));
         }
 
-        /** Looks back as far as it takes to see enough: of many balancers, one has few answers a second. */
-        private void lookBack(long now) {
-            spans = 1;
-            while (spans < SPANS && finished.sum(now, spans * BUCKETS) < FEW) {
-                spans *= 2;
-            }
-            answers = finished.sum(now, spans * BUCKETS);
-            rate = perTime(finished, now);
-            usual = perTime(latency, now);
-            dueRate = perTime(finishedDue, now);
-            // The mean logarithm of the latency, which a few costly work items hardly move.
-            typical = latencyLog.sum(now, spans * BUCKETS) / 1000.0 / Math.max(1, answers);
+        /** The mean logarithm of the latency: a few costly work items hardly move it. */
+        private double typical(long now) {
+            return latencyLog.sum(now) / 1000.0 / Math.max(1, finished.sum(now));
         }
 
         private boolean fits(WorkItem wi, long now) {
@@ -309,22 +289,22 @@
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
             // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
             // rate alone shrank to nothing when all work took longer for a reason of its own.
-            double steady = Math.min(dueRate * (wi.overQuota ? OVER : WITHIN),
-                usual * Math.min(1, multiple * Math.exp(calm.value() - typical)));
+            double steady = Math.min(perTime(finishedDue, now) * (wi.overQuota ? OVER : WITHIN),
+                perTime(latency, now) * Math.min(1, multiple * Math.exp(calm.value() - typical(now))));
             // Arrivals are uneven: two of their usual spreads above the steady number are no excess, and
             // four make next to no one wait for nothing while all is calm.
-            double room = steady + (atEase() ? 4 : 2) * Math.sqrt(steady);
+            double room = steady + (atEase(now) ? 4 : 2) * Math.sqrt(steady);
             return inside + random.nextDouble() < Math.max(floor, Math.min(ceiling, room));
         }
 
         /** Whether it is known that answers take about as long as when calm: at a start it is not. */
-        private boolean atEase() {
-            return calm.value() < Double.POSITIVE_INFINITY && !pressed();
+        private boolean atEase(long now) {
+            return calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
         }
 
         /** Whether answers take clearly longer than they do when the fleet is calm. */
-        boolean pressed() {
-            return answers >= 10 && typical > calm.value() + PRESSED;
+        boolean pressed(long now) {
+            return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
         }
 
         private boolean worthWaiting(WorkItem wi, int place, long now) {
@@ -334,7 +314,7 @@
             }
             // One that ends before the line is next looked at would be lost there.
             return now + 4 * TICK < wi.expiry
-                && place * Math.max(1, lines) <= rate * WAIT * wi.category.dueTime();
+                && place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
         }
 
         private void enter(WorkItem wi, long now) {
@@ -350,7 +330,7 @@
             // Once for each crowd: those turned away together tell one thing.
             if (now >= lowerAgainAt) {
                 ceiling = Math.max(2, Math.min(ceiling, inside) * 0.9);
-                lowerAgainAt = now + Math.round(Math.exp(typical));
+                lowerAgainAt = now + Math.round(Math.exp(typical(now)));
             }
         }
 
@@ -466,12 +446,11 @@
                     }
                 }
             }
-            lookBack(now);
             advance(now);
             // Soon after a start, or after a standstill, only the quick ones have come back, and a mean over
             // few is chance. Either would set the calm latency, and with it the room, too low for long.
-            if (now - firstAt >= SPAN && answers >= 20 && answers >= 2 * inside) {
-                calm.add(now, typical);
+            if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
+                calm.add(now, typical(now));
             }
         }
     }
@@ -498,7 +477,7 @@
                 size += fleet.size(b, now);
             }
             double far = FAR * out / size;
-            double spare = line.pressed() ? 0 : 1;
+            double spare = line.pressed(now) ? 0 : 1;
             wi.candidates = fleet.crowded(wi.tenant, FAR, now) ? List.of()
                 : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
             if (wi.candidates.isEmpty()) {
@@ -681,6 +660,10 @@
         private static final long STAY_SPAN = 40_000;
         /** Held by each backend on average, this is never a crowd. */
         private static final double FREE = 2;
+        /** Stays imagined for each kind of backend, all usual, so that a few do not decide how quick it is. */
+        private static final int IMAGINED_STAYS = 10;
+        /** A kind is never taken for more than so many times as quick or slow as its size says. */
+        private static final double PACE = 5;
         /** Gaps imagined for each backend, so that one or two quick answers do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -707,8 +690,10 @@
         /** How long hand-offs stayed in the last seconds: by Little's law, how many were out. */
         private final List<Ring> stays = new ArrayList<>();
         private final Ring stay = new Ring(STAY_SPAN, 8);
-        private final List<Ring> times = new ArrayList<>();
-        private final List<Ring> timeCounts = new ArrayList<>();
+        private final Averages times = new Averages(USUAL_SPAN);
+        /** How long hand-offs stay at each kind of backend, and at all. */
+        private final Averages kindStays = new Averages(USUAL_SPAN);
+        private final Averages allStays = new Averages(USUAL_SPAN);
         private long latencySum;
         private long latencyCount;
 
@@ -796,6 +781,9 @@
             double size = 0;
             long sent = 0;
             for (Backend b : ready) {
+                double all = allStays.mean(now, 0, 1, 1);
+                double pace = all / kindStays.mean(now, b.member.kind(), IMAGINED_STAYS, all);
+                b.pace = Math.max(1 / PACE, Math.min(PACE, pace * pace));
                 if (warmth(b, now) >= 1) {
                     size += b.size();
                     sent += b.sent.sum(now);
@@ -955,9 +943,10 @@
             return coldShare + (1 - coldShare) * Math.max(0, age) / coldTime;
         }
 
-        /** The listed size, less while cold. */
+        /** The listed size, less while cold, and by the square of how quickly its kind answers: the square, as
+         * most of a stay is often the tiers behind, which are alike for all. */
         double size(Backend b, long now) {
-            return Math.max(1e-3, b.size() * warmth(b, now));
+            return Math.max(1e-3, b.size() * warmth(b, now) * b.pace);
         }
 
         /** Keeps a cold backend within this balancer's part of what may be sent to it in any window. */
@@ -987,38 +976,19 @@
             }
             // Earlier answers count less with each failure in a row since, and the longer the silence is.
             double answers = b.answers.sum(now) * Math.exp(-b.streak - silence / 2);
-            return beta(1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
+            return Beta.draw(random, 1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
         }
 
         /** Whether an answer took far longer than is usual in its category; keeps account of it too. */
         private boolean slow(WorkItem wi, long time, long now) {
-            while (times.size() <= wi.category.number()) {
-                times.add(new Ring(USUAL_SPAN, 10));
-                timeCounts.add(new Ring(USUAL_SPAN, 10));
-            }
-            Ring sum = times.get(wi.category.number());
-            Ring count = timeCounts.get(wi.category.number());
-            double log = Math.log(1 + time);
-            long n = count.sum(now);
-            boolean slow = n >= 10 && log > sum.sum(now) / 1000.0 / n + Math.log(SLOW);
-            sum.add(now, Math.round(1000 * log));
-            count.add(now, 1);
+            int category = wi.category.number();
+            double log = 1000 * Math.log(1 + time);
+            boolean slow = times.count(now, category) >= 10
+                && log > times.mean(now, category, 0, 0) + 1000 * Math.log(SLOW);
+            times.add(now, category, Math.round(log));
             return slow;
         }
 
-        private double beta(int a, int b) {
-            double x = gamma(a);
-            return x / (x + gamma(b));
-        }
-
-        private double gamma(int shape) {
-            double product = 1;
-            for (int i = 0; i < shape; i++) {
-                product *= 1 - random.nextDouble();
-            }
-            return -Math.log(product);
-        }
-
         /** How unusual the backend's present silence is: minus the logarithm of its chance. */
         double silence(Backend b, long now) {
             if (b.out == 0) {
@@ -1113,6 +1083,10 @@
                 default -> { }
             }
             stay.add(now, now - ho.sentAt);
+            if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
+                kindStays.add(now, b.member.kind(), now - ho.sentAt);
+                allStays.add(now, 0, now - ho.sentAt);
+            }
             if (wi.tenant < stays.size()) {
                 stays.get(wi.tenant).add(now, now - ho.sentAt);
             }
--- a/src/main/java/cottonlock/decision/Member.java
+++ b/src/main/java/cottonlock/decision/Member.java
@@ -5,7 +5,7 @@
  *
  * @param startedAt when it last started; 0 for long ago
  */
-public record Member(String id, int zone, int cell, State state, double size, long startedAt) {
+public record Member(String id, int zone, int kind, int cell, State state, double size, long startedAt) {
 
     /** What the list says of a backend's process. */
     public enum State { READY, DRAINING, GONE }
--- a/src/main/java/cottonlock/decision/Ring.java
+++ b/src/main/java/cottonlock/decision/Ring.java
@@ -24,19 +24,6 @@
         return total;
     }
 
-    /** The sum over the newest buckets only, the one still filling included. */
-    long sum(long now, int newestBuckets) {
-        if (newestBuckets >= buckets.length) {
-            return sum(now);
-        }
-        roll(now);
-        long sum = 0;
-        for (int i = 0; i < newestBuckets; i++) {
-            sum += buckets[(int) Math.floorMod(newest - i, (long) buckets.length)];
-        }
-        return sum;
-    }
-
     void clear() {
         java.util.Arrays.fill(buckets, 0);
         total = 0;
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -86,7 +86,7 @@
     }
 
     static Member ready(int n) {
-        return new Member("b" + n, n % 3, n / 2, Member.State.READY, 1, 0);
+        return new Member("b" + n, n % 3, n % 2, n / 2, Member.State.READY, 1, 0);
     }
 
     static List<Member> ready(int from, int to) {
@@ -100,7 +100,7 @@
     void list(List<Member> members, boolean whole, boolean cached) {
         if (whole) {
             listed.replaceAll((id, m) ->
-                new Member(id, m.zone(), m.cell(), Member.State.GONE, m.size(), m.startedAt()));
+                new Member(id, m.zone(), m.kind(), m.cell(), Member.State.GONE, m.size(), m.startedAt()));
         }
         for (Member m : members) {
             listed.put(m.id(), m);
--- a/src/test/java/cottonlock/decision/RulesTest.java
+++ b/src/test/java/cottonlock/decision/RulesTest.java
@@ -86,7 +86,7 @@
             Member m = Ledger.ready(random.nextInt(backends + 1));
             Member.State state = Member.State.values()[random.nextInt(3)];
             long started = random.nextBoolean() ? m.startedAt() : ledger.now;
-            members.add(new Member(m.id(), m.zone(), m.cell(), state, random.nextInt(3), started));
+            members.add(new Member(m.id(), m.zone(), m.kind(), m.cell(), state, random.nextInt(3), started));
         }
         ledger.list(members, random.nextInt(4) == 0, false);
     }
