--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -354,15 +354,21 @@
             private static final double OVER = 3;
             /** What each backend may hold, on average: from 4 to 5 did alike, 3 left room unused, 6 made backends choke. */
             private static final double MOST = 5;
+            /** In five seconds what was learned fades by two thirds: a choked backend has rested by then. */
+            private static final double FADE = 50_000;
             private double hold = 4;
-            private double tokens = 1;
+            private double tokens = DEPTH;
             private double time;
-            private long at;
+            private long at = -1;
 
             boolean letsIn(WorkItem wi, double backends, long now) {
-                // A third of the due time stands in until answers are seen.
-                time = time > 0 ? time : wi.category.dueTime() / 3.0;
-                tokens = Math.min(DEPTH, tokens + hold * backends / Math.max(1, time) * (now - at));
+                // A third of the due time stands in until answers are seen, and comes back when they stop:
+                // where a flood had shut a lane, too few were let in to learn that it was over.
+                double usual = wi.category.dueTime() / 3.0;
+                double kept = at < 0 ? 0 : Math.exp((at - now) / FADE);
+                time = at < 0 ? usual : Math.min(time, usual + (time - usual) * kept);
+                hold = MOST - (MOST - hold) * (at < 0 ? 1 : kept);
+                tokens = Math.min(DEPTH, tokens + hold * backends / Math.max(1, time) * (at < 0 ? 0 : now - at));
                 at = now;
                 if (tokens < (wi.overQuota ? OVER : 1)) {
                     return false;
@@ -378,8 +384,6 @@
                 time += (Math.min(shown, due) - time) / 8;
                 if (outcome == Outcome.TURNED_AWAY) {
                     hold = Math.max(1, hold * 0.9);
-                } else if (outcome == Outcome.FINISHED) {
-                    hold = Math.min(MOST, hold + 0.02);
                 }
             }
         }
