--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -38,6 +38,11 @@
         this.sent = new Ring(sentSpan, 10);
     }
 
+    /** Takes no more work from the first that was heard of its leaving. */
+    void leave(long now) {
+        leavingSince = leavingSince < 0 ? now : leavingSince;
+    }
+
     /** The listed size; 1 where the list gives none. */
     double size() {
         return member.size() > 0 ? member.size() : 1;
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -10,8 +10,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * The decision module: everything that one balancer decides, and nothing else.
@@ -126,25 +128,22 @@
         private final List<Category> categories;
         private final boolean first;
         private final long longestComeBack;
-        private final double[] tokens;
-        private final double[] refill;
-        private long refilledAt = -1;
-
-        /**
-         * @param first           whether work items come from clients, not from the tier before
-         * @param balancers       how many balancers share each quota
-         * @param longestComeBack the longest come-back time that clients follow; 0 for none
-         */
+        /** Each tenant's quota at this balancer, for each tenth of a millisecond, and what is left of it. */
+        private final double[] quotas;
+        private final Tokens[] tokens;
+
+        /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
                       int balancers, long longestComeBack) {
             this.outlet = outlet;
             this.categories = categories;
             this.first = first;
             this.longestComeBack = longestComeBack;
-            this.tokens = new double[tenants.size()];
-            this.refill = new double[tenants.size()];
-            for (int t = 0; t < refill.length; t++) {
-                refill[t] = tenants.get(t).quota() / Math.max(1, balancers) / 10_000;
+            this.quotas = new double[tenants.size()];
+            this.tokens = new Tokens[tenants.size()];
+            for (int t = 0; t < quotas.length; t++) {
+                quotas[t] = tenants.get(t).quota() / Math.max(1, balancers) / 10_000;
+                tokens[t] = new Tokens(Math.max(DEPTH, quotas[t] * 5_000) / 4);
             }
         }
 
@@ -183,21 +182,13 @@
         }
 
         private boolean withinQuota(int tenant, boolean repeated, long now) {
-            for (int t = 0; t < tokens.length; t++) {
-                // Half a second's worth may come at once: with less, uneven arrivals would count as excess.
-                // And four at least: one of many balancers sees few of a tenant, and by chance some at once.
-                double full = Math.max(DEPTH, refill[t] * 5_000);
-                double since = tokens[t] + refill[t] * (now - refilledAt);
-                tokens[t] = refilledAt < 0 ? full / 4 : Math.min(full, since);
-            }
-            refilledAt = now;
+            // Half a second's worth may come at once: with less, uneven arrivals would count as excess.
+            // And four at least: one of many balancers sees few of a tenant, and by chance some at once.
+            double depth = Math.max(DEPTH, quotas[tenant] * 5_000);
             // Who sends beyond a quota sees most of the excess deferred, so what comes again is mostly
             // excess: it must not use up the quota of what comes for the first time.
-            if (tokens[tenant] < (repeated ? Math.max(1, refill[tenant] * 2_500) : 1)) {
-                return false;
-            }
-            tokens[tenant]--;
-            return true;
+            double needed = repeated ? Math.max(1, quotas[tenant] * 2_500) : 1;
+            return tokens[tenant].take(now, quotas[tenant], depth, needed);
         }
     }
 
@@ -207,7 +198,6 @@
         private static final long SPAN = 20_000;
         /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
         private static final double SPARSE = 0.5;
-        private static final int SPANS = 8;
         /** Parts of the due time that the time at the backends may take, within and over the quota. */
         private static final double WITHIN = 0.5;
         private static final double OVER = 0.3;
@@ -238,10 +228,7 @@
         private int inside;
         private long firstAt = -1;
 
-        /**
-         * @param balancers how many balancers hand work to the same backends
-         * @param bounded whether this balancer may turn work away: not where others have worked on it
-         */
+        /** Bounded: whether this balancer may turn work away, not where others have worked on it. */
         public Line(Fleet fleet, SplittableRandom random, int tenants, int balancers, boolean bounded) {
             this.fleet = fleet;
             this.random = random;
@@ -285,33 +272,26 @@
             if (sparse()) {
                 return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, now) / balancers, now);
             }
-            double floor = 2.0 * fleet.ready().size() / balancers;
+            double floor = 2.0 * fleet.ready.size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
             // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
             // rate alone shrank to nothing when all work took longer for a reason of its own.
             double steady = Math.min(perTime(finishedDue, now) * (wi.overQuota ? OVER : WITHIN),
                 perTime(latency, now) * Math.min(1, multiple * Math.exp(calm.value() - typical(now))));
             // Arrivals are uneven: two of their usual spreads above the steady number are no excess, and
-            // four make next to no one wait for nothing while all is calm.
-            double room = steady + (atEase(now) ? 4 : 2) * Math.sqrt(steady);
+            // four make next to no one wait for nothing while all is known to be calm.
+            boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
+            double room = steady + (atEase ? 4 : 2) * Math.sqrt(steady);
             return inside + random.nextDouble() < Math.max(floor, Math.min(ceiling, room));
         }
 
-        /** Whether it is known that answers take about as long as when calm: at a start it is not. */
-        private boolean atEase(long now) {
-            return calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
-        }
-
         /** Whether answers take clearly longer than they do when the fleet is calm. */
         boolean pressed(long now) {
             return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
         }
 
         private boolean worthWaiting(WorkItem wi, int place, long now) {
-            int lines = 0;
-            for (Deque<WorkItem> line : waiting) {
-                lines += line.isEmpty() ? 0 : 1;
-            }
+            long lines = waiting.stream().filter(line -> !line.isEmpty()).count();
             // One that ends before the line is next looked at would be lost there.
             return now + 4 * TICK < wi.expiry
                 && place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
@@ -325,56 +305,46 @@
             after.take(wi, now);
         }
 
-        /** A backend had no place left: together the balancers let in more than there is room for. */
-        void turnedAway(long now) {
-            // Once for each crowd: those turned away together tell one thing.
-            if (now >= lowerAgainAt) {
-                ceiling = Math.max(2, Math.min(ceiling, inside) * 0.9);
-                lowerAgainAt = now + Math.round(Math.exp(typical(now)));
-            }
-        }
-
         /** Whether this balancer's part of the backends is so small that it can't count what is inside. */
         private boolean sparse() {
-            return SPARSE * balancers > fleet.ready().size();
+            return SPARSE * balancers > fleet.ready.size();
         }
 
-        /** What each hand-off that ends tells of its tenant's lane. */
-        void learn(WorkItem wi, Outcome outcome, long time) {
+        /** What each hand-off that ends tells of its tenant's lane, and of the room. */
+        void learn(WorkItem wi, Outcome outcome, long time, long now) {
             lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
+            // A backend was full: together the balancers let in more than there is room for. Once for each
+            // crowd: those turned away together tell one thing.
+            if (outcome == Outcome.TURNED_AWAY && now >= lowerAgainAt) {
+                ceiling = Math.max(2, Math.min(ceiling, inside) * 0.9);
+                lowerAgainAt = now + Math.round(Math.exp(typical(now)));
+            }
         }
 
-        /**
-         * How fast work may enter a lane where one balancer of many sees too little of it to count: by Little's
-         * law, what its backends may hold over the time that the work stays.
-         */
+        /** How fast work may enter a lane of which one balancer of many sees too little to count it: by
+         * Little's law, what its backends may hold over the time that work stays there. */
         private static final class Entry {
-            /** Of the tokens kept, and how many must be there for work over its quota. */
+            /** The most tokens kept, and how many must be there for work over its quota. */
             private static final double DEPTH = 4;
             private static final double OVER = 3;
-            /** What each backend may hold, on average: from 4 to 5 did alike, 3 left room unused, 6 made backends choke. */
+            /** What each backend may hold: 4 to 5 did alike, 3 left room unused, 6 made backends choke. */
             private static final double MOST = 5;
             /** In five seconds what was learned fades by two thirds: a choked backend has rested by then. */
             private static final double FADE = 50_000;
+            private final Tokens tokens = new Tokens(DEPTH);
             private double hold = 4;
-            private double tokens = DEPTH;
             private double time;
             private long at = -1;
 
             boolean letsIn(WorkItem wi, double backends, long now) {
-                // A third of the due time stands in until answers are seen, and comes back when they stop:
+                // A third of the due time stands in until answers are seen; slowness fades when they stop:
                 // where a flood had shut a lane, too few were let in to learn that it was over.
                 double usual = wi.category.dueTime() / 3.0;
-                double kept = at < 0 ? 0 : Math.exp((at - now) / FADE);
+                double kept = at < 0 ? 1 : Math.exp((at - now) / FADE);
                 time = at < 0 ? usual : Math.min(time, usual + (time - usual) * kept);
-                hold = MOST - (MOST - hold) * (at < 0 ? 1 : kept);
-                tokens = Math.min(DEPTH, tokens + hold * backends / Math.max(1, time) * (at < 0 ? 0 : now - at));
+                hold = MOST - (MOST - hold) * kept;
                 at = now;
-                if (tokens < (wi.overQuota ? OVER : 1)) {
-                    return false;
-                }
-                tokens--;
-                return true;
+                return tokens.take(now, hold * backends / Math.max(1, time), DEPTH, wi.overQuota ? OVER : 1);
             }
 
             void learn(Outcome outcome, long took, long due) {
@@ -417,38 +387,32 @@
         private void advance(long now) {
             for (int empty = 0; empty < waiting.size(); turn++) {
                 Deque<WorkItem> line = waiting.get(turn % waiting.size());
-                if (line.isEmpty()) {
-                    empty++;
-                } else if (fits(line.peek(), now)) {
-                    empty = 0;
-                    enter(line.poll(), now);
-                } else {
+                if (!line.isEmpty() && !fits(line.peek(), now)) {
                     return;
                 }
+                empty = line.isEmpty() ? empty + 1 : 0;
+                if (!line.isEmpty()) {
+                    enter(line.poll(), now);
+                }
             }
         }
 
         /** Drops a waiting work item whose client has left: sent on later, it would run for nobody. */
         void left(long id) {
-            for (Deque<WorkItem> line : waiting) {
-                line.removeIf(wi -> wi.id == id);
-            }
+            waiting.forEach(line -> line.removeIf(wi -> wi.id == id));
         }
 
         /** Ends early what has waited long enough. */
         void tidy(long now) {
             for (Deque<WorkItem> line : waiting) {
-                int n = line.size();
-                for (int i = 0; i < n; i++) {
-                    WorkItem wi = line.poll();
-                    if (now - wi.inLineSince > 2 * WAIT * wi.category.dueTime()
-                        || now + 2 * TICK >= wi.expiry) {
-                        wi.inLineSince = -1;
+                line.removeIf(wi -> {
+                    boolean over = now - wi.inLineSince > 2 * WAIT * wi.category.dueTime()
+                        || now + 2 * TICK >= wi.expiry;
+                    if (over) {
                         before.back(wi, now);
-                    } else {
-                        line.add(wi);
                     }
-                }
+                    return over;
+                });
             }
             advance(now);
             // Soon after a start, or after a standstill, only the quick ones have come back, and a mean over
@@ -461,6 +425,9 @@
 
     /** The design: the tenant's own lane; the public part or all backends when none of it is usable. */
     public static final class Lane extends Stage {
+        /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
+        private static final double FAR = 1.25;
+
         private final Line line;
         private final Fleet fleet;
 
@@ -469,26 +436,22 @@
             this.fleet = fleet;
         }
 
-        /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
-        private static final double FAR = 1.25;
-
         @Override
         void take(WorkItem wi, long now) {
             double out = 0;
             double size = 0;
-            for (Backend b : fleet.ready()) {
+            for (Backend b : fleet.ready) {
                 out += b.out;
                 size += fleet.size(b, now);
             }
             double far = FAR * out / size;
             double spare = line.pressed(now) ? 0 : 1;
-            wi.candidates = fleet.crowded(wi.tenant, FAR, now) ? List.of()
-                : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
-            if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.usable(fleet.open(), wi, far, spare, now);
-            }
-            if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.usable(fleet.ready(), wi, far, spare, now);
+            boolean crowded = fleet.crowded(wi.tenant, FAR, now);
+            wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
+            for (List<Backend> part : List.of(fleet.open, fleet.ready)) {
+                if (wi.candidates.isEmpty()) {
+                    wi.candidates = fleet.usable(part, wi, far, spare, now);
+                }
             }
             if (wi.candidates.isEmpty()) {
                 before.back(wi, now);
@@ -539,10 +502,6 @@
         private final Map<Long, WorkItem> open = new HashMap<>();
         private double repeats;
 
-        /**
-         * @param most      the most hand-offs that a work item may have
-         * @param mayRecall whether a hand-off may be recalled
-         */
         public HandOffs(Outlet outlet, Line line, Fleet fleet, int most, boolean mayRecall) {
             this.outlet = outlet;
             this.line = line;
@@ -571,10 +530,7 @@
             ho.neverRan = outcome.neverRan();
             fleet.settled(ho, wi, outcome, now);
             if (outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
-                line.learn(wi, outcome, now - ho.sentAt);
-            }
-            if (outcome == Outcome.TURNED_AWAY) {
-                line.turnedAway(now);
+                line.learn(wi, outcome, now - ho.sentAt, now);
             }
             boolean wasEnded = wi.ended;
             wi.ended |= over;
@@ -625,13 +581,10 @@
 
         /** Frees the room of what is held by backends gone silent, and sends again elsewhere what may be. */
         void rescue(long now) {
-            int silent = 0;
-            for (Backend b : fleet.all()) {
-                silent += fleet.silence(b, now) >= SILENT ? 1 : 0;
-            }
+            long silent = fleet.known.values().stream().filter(b -> fleet.silence(b, now) >= SILENT).count();
             // Where most are silent the fault is not theirs alone, and sending again would feed it.
-            boolean few = silent * 2 <= fleet.ready().size();
-            for (Backend b : fleet.all()) {
+            boolean few = silent * 2 <= fleet.ready.size();
+            for (Backend b : fleet.known.values()) {
                 if (fleet.silence(b, now) < SILENT) {
                     continue;
                 }
@@ -660,15 +613,15 @@
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
-        /** Four seconds: some answers of each tenant even where few come, and soon enough for a lane to rest. */
+        /** Four seconds: a few answers of each tenant even at many balancers, yet soon enough to rest a lane. */
         private static final long STAY_SPAN = 40_000;
         /** Held by each backend on average, this is never a crowd. */
         private static final double FREE = 2;
-        /** Stays imagined for each kind of backend, all usual, so that a few do not decide how quick it is. */
+        /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
         private static final int IMAGINED_STAYS = 10;
         /** A kind is never taken for more than so many times as quick or slow as its size says. */
         private static final double PACE = 5;
-        /** Gaps imagined for each backend, so that one or two quick answers do not make the next look late. */
+        /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
         private static final int AT_START = 10;
@@ -701,19 +654,9 @@
         private long latencySum;
         private long latencyCount;
 
-        /**
-         * @param balancers    how many balancers hand work to the same backends
-         * @param mayTell      whether balancers may send each other messages
-         * @param mustAsk      whether changes of the list come only when asked for
-         * @param askWithin    what has been in the list for so long counts as told
-         * @param coldShare    the part of its capacity that a backend starts with
-         * @param coldTime     the time after which it is warm
-         * @param fallMultiple how many times its present capacity makes it fall
-         * @param fall         within which time
-         */
         public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, int balancers,
-                     boolean mayTell, boolean mustAsk, long askWithin, double coldShare, long coldTime, double fallMultiple,
-                     long fall) {
+                     boolean mayTell, boolean mustAsk, long askWithin, double coldShare, long coldTime,
+                     double fallMultiple, long fall) {
             this.outlet = outlet;
             this.random = random;
             this.tenants = tenants;
@@ -730,11 +673,8 @@
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
             if (whole) {
-                for (Backend b : known.values()) {
-                    if (members.stream().noneMatch(m -> m.id().equals(b.id))) {
-                        leave(b, now);
-                    }
-                }
+                Set<String> listed = members.stream().map(Member::id).collect(Collectors.toSet());
+                known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> b.leave(now));
             }
             for (Member m : members) {
                 Backend b = known.get(m.id());
@@ -751,7 +691,7 @@
                 if (m.state() == Member.State.READY) {
                     b.leavingSince = -1;
                 } else {
-                    leave(b, now);
+                    b.leave(now);
                 }
             }
             layLanes();
@@ -759,17 +699,11 @@
                 failedAsks = 0;
                 askAt = Long.MAX_VALUE;
                 if (cached) {
-                    ask(now);
+                    outlet.askList();
                 }
             }
         }
 
-        private void leave(Backend b, long now) {
-            if (b.leavingSince < 0) {
-                b.leavingSince = now;
-            }
-        }
-
         void listFailed(long now) {
             failedAsks++;
             // Twice as long after each failure, spread at random: all balancers ask after the same trouble,
@@ -780,15 +714,17 @@
 
         void keepList(long now) {
             if (now >= askAt) {
-                ask(now);
+                askAt = Long.MAX_VALUE;
+                outlet.askList();
             }
             double size = 0;
             long sent = 0;
             for (Backend b : ready) {
                 double all = allStays.mean(now, 0, 1, 1);
                 double pace = all / kindStays.mean(now, b.member.kind(), IMAGINED_STAYS, all);
+                // Squared, as much of a stay is often the tiers behind, which are alike for all.
                 b.pace = Math.max(1 / PACE, Math.min(PACE, pace * pace));
-                if (warmth(b, now) >= 1) {
+                if (b.member.warmth(now, coldShare, coldTime) >= 1) {
                     size += b.size();
                     sent += b.sent.sum(now);
                 }
@@ -798,26 +734,19 @@
             }
         }
 
-        private void ask(long now) {
-            askAt = Long.MAX_VALUE;
-            outlet.askList();
-        }
-
         /** Lays out the lanes: in order of the tenants, each takes the untaken backends of highest hash. */
         private void layLanes() {
             ready.clear();
             open.clear();
             lanes.clear();
-            for (Backend b : known.values()) {
-                if (b.leavingSince < 0) {
-                    ready.add(b);
-                }
-            }
+            // What has gone for good would be looked at, and kept, for as long as the balancer lives.
+            known.values().removeIf(b -> b.leavingSince >= 0 && b.out == 0);
+            known.values().stream().filter(b -> b.leavingSince < 0).forEach(ready::add);
             int[] sizes = laneSizes(tenants, ready.size());
             List<Backend> untaken = new ArrayList<>(ready);
             for (int t = 0; t < tenants.size(); t++) {
                 int tenant = t;
-                untaken.sort(Comparator.comparingLong((Backend b) -> hash(tenant, b.id)).reversed());
+                untaken.sort(Comparator.comparingLong((Backend b) -> Hash.of(tenant, b.id)).reversed());
                 List<Backend> lane = new ArrayList<>(untaken.subList(0, sizes[t]));
                 lane.sort(Comparator.comparing(b -> b.id));
                 untaken.subList(0, sizes[t]).clear();
@@ -834,49 +763,33 @@
             for (int t = 0; t < sizes.length && left > 0; t++, left--) {
                 sizes[t] = 1;
             }
-            while (left > 0) {
-                int neediest = -1;
-                double most = 0;
+            for (int neediest = 0; left > 0 && neediest >= 0; left--) {
+                neediest = -1;
+                double most = 1e-9;
                 for (int t = 0; t < sizes.length; t++) {
                     double lack = tenants.get(t).share() * backends - sizes[t];
-                    if (lack > most + 1e-9) {
+                    if (lack > most) {
                         most = lack;
                         neediest = t;
                     }
                 }
-                if (neediest < 0) {
-                    break;
+                if (neediest >= 0) {
+                    sizes[neediest]++;
                 }
-                sizes[neediest]++;
-                left--;
             }
             return sizes;
         }
 
-        static long hash(int tenant, String id) {
-            long h = 0xcbf29ce484222325L ^ tenant;
-            for (int i = 0; i < id.length(); i++) {
-                h = (h ^ id.charAt(i)) * 0x100000001b3L;
-            }
-            h = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
-            h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
-            return h ^ (h >>> 31);
-        }
-
         List<Backend> lane(int tenant) {
             return tenant < lanes.size() ? lanes.get(tenant) : open;
         }
 
-        /**
-         * Whether the lane counts as unusable for this work item: by chance, so that what stays keeps its
-         * backends at the given multiple of what all hold on average. One balancer of many sees next to
-         * nothing in flight, and a lane that chokes shows only in how long work stays there.
-         */
+        /** Whether the lane counts as unusable for this work item: by chance, so that what stays keeps its
+         * backends at the given multiple of what all hold. One balancer of many sees next to nothing in
+         * flight: that a lane chokes shows only in how long work stays there. */
         boolean crowded(int tenant, double far, long now) {
-            if (tenant >= stays.size() || lane(tenant).isEmpty()) {
-                return false;
-            }
-            double own = stays.get(tenant).sum(now) / (double) lane(tenant).size();
+            double own = tenant < stays.size() ? stays.get(tenant).sum(now) : 0;
+            own /= Math.max(1, lane(tenant).size());
             double all = stay.sum(now) / (double) ready.size();
             return own * balancers > FREE * STAY_SPAN && random.nextDouble() * own > far * all;
         }
@@ -885,29 +798,17 @@
         double able(int tenant, long now) {
             double able = 0;
             for (Backend b : lane(tenant)) {
-                able += b.streak >= 3 ? 0 : warmth(b, now);
+                able += b.streak >= 3 ? 0 : b.member.warmth(now, coldShare, coldTime);
             }
             return Math.max(1, able);
         }
 
-        List<Backend> open() {
-            return open;
-        }
-
-        List<Backend> ready() {
-            return ready;
-        }
-
-        Iterable<Backend> all() {
-            return known.values();
-        }
-
         /** Those of the given backends that this work item may go to now. */
         List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (b.out <= spare + far * size(b, now) && !tried(b, wi) && sameGroup(b, wi, ran, now)
+                if (b.out <= spare + far * size(b, now) && !wi.tried(b) && sameGroup(b, wi, ran, now)
                     && warmEnough(b, now) && trusted(b, now)) {
                     usable.add(b);
                 }
@@ -915,15 +816,6 @@
             return usable;
         }
 
-        private static boolean tried(Backend b, WorkItem wi) {
-            for (HandOff ho : wi.handOffs) {
-                if (ho.backend == b) {
-                    return true;
-                }
-            }
-            return false;
-        }
-
         private static boolean sameGroup(Backend b, WorkItem wi, HandOff ran, long now) {
             if (ran == null || wi.category.repeat() == Repeat.RERUNNABLE) {
                 return true;
@@ -931,31 +823,17 @@
             if (wi.category.repeat() == Repeat.EXCLUSIVE || now - ran.sentAt >= wi.category.repeatWindow()) {
                 return false;
             }
-            return switch (wi.category.scope()) {
-                case ALL -> true;
-                case ZONE -> b.member.zone() == ran.backend.member.zone();
-                case CELL -> b.member.cell() == ran.backend.member.cell();
-            };
-        }
-
-        /** The part of its capacity that a backend has at least: it grows evenly while cold. */
-        private double warmth(Backend b, long now) {
-            long age = now - b.member.startedAt();
-            if (b.member.startedAt() <= 0 || age >= coldTime) {
-                return 1;
-            }
-            return coldShare + (1 - coldShare) * Math.max(0, age) / coldTime;
+            return wi.category.scope().joins(ran.backend.member, b.member);
         }
 
-        /** The listed size, less while cold, and by the square of how quickly its kind answers: the square, as
-         * most of a stay is often the tiers behind, which are alike for all. */
+        /** The listed size, less while cold, and by how quickly its kind answers. */
         double size(Backend b, long now) {
-            return Math.max(1e-3, b.size() * warmth(b, now) * b.pace);
+            return Math.max(1e-3, b.size() * b.member.warmth(now, coldShare, coldTime) * b.pace);
         }
 
         /** Keeps a cold backend within this balancer's part of what may be sent to it in any window. */
         private boolean warmEnough(Backend b, long now) {
-            double warmth = warmth(b, now);
+            double warmth = b.member.warmth(now, coldShare, coldTime);
             if (warmth >= 1) {
                 return true;
             }
--- a/src/main/java/cottonlock/decision/Category.java
+++ b/src/main/java/cottonlock/decision/Category.java
@@ -17,5 +17,16 @@
     public enum Repeat { RERUNNABLE, TICKETED, EXCLUSIVE }
 
     /** The backends that know each other's tickets. */
-    public enum Scope { ALL, ZONE, CELL }
+    public enum Scope {
+        ALL, ZONE, CELL;
+
+        /** Whether two backends are in the same group. */
+        boolean joins(Member one, Member other) {
+            return switch (this) {
+                case ALL -> true;
+                case ZONE -> one.zone() == other.zone();
+                case CELL -> one.cell() == other.cell();
+            };
+        }
+    }
 }
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -50,6 +50,10 @@
         }
     }
 
+    boolean tried(Backend backend) {
+        return handOffs.stream().anyMatch(ho -> ho.backend == backend);
+    }
+
     boolean anyOut() {
         for (HandOff ho : handOffs) {
             if (ho.out) {
