--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -613,8 +613,10 @@
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
-        /** Four seconds: a few answers of each tenant even at many balancers, yet soon enough to rest a lane. */
+        /** Four seconds: a few answers of each tenant even at many balancers, yet soon enough for a lane. */
         private static final long STAY_SPAN = 40_000;
+        /** With a part of two backends or more, what a balancer has in flight tells it enough. */
+        private static final double FEW = 2;
         /** Held by each backend on average, this is never a crowd. */
         private static final double FREE = 2;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
@@ -791,7 +793,8 @@
             double own = tenant < stays.size() ? stays.get(tenant).sum(now) : 0;
             own /= Math.max(1, lane(tenant).size());
             double all = stay.sum(now) / (double) ready.size();
-            return own * balancers > FREE * STAY_SPAN && random.nextDouble() * own > far * all;
+            return FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
+                && random.nextDouble() * own > far * all;
         }
 
         /** How many warm and trusted backends the lane is worth; a spill lends it one at least. */
