--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -638,7 +638,7 @@
         private final double coldShare;
         private final long coldTime;
         private final double fallMultiple;
-        private final Map<String, Backend> known = new TreeMap<>();
+        final Map<String, Backend> known = new TreeMap<>();
         private final List<List<Backend>> lanes = new ArrayList<>();
         private final List<Backend> open = new ArrayList<>();
         private final List<Backend> ready = new ArrayList<>();
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -7,6 +7,7 @@
 
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.Category.Scope;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -237,4 +238,133 @@
         }
         assertTrue(hearer.sends.get("b1").size() > 25, hearer.sends.toString());
     }
+
+    private static List<Ledger> many(int balancers, List<Tenant> tenants) {
+        List<Ledger> many = new ArrayList<>();
+        for (int n = 0; n < balancers; n++) {
+            many.add(new Ledger(PLAIN, tenants, n, true, false, true, balancers));
+        }
+        return many;
+    }
+
+    /** Found with hundreds of balancers: one work item from each at once pushed a cold backend over. */
+    @Example
+    void manyBalancersTogetherKeepAColdBackendUp() {
+        int balancers = 200;
+        List<Long> sent = new ArrayList<>();
+        for (Ledger ledger : many(balancers, List.of())) {
+            List<Member> members = new ArrayList<>(Ledger.ready(0, 20));
+            ledger.list(members, true, true);
+            for (int i = 0; i < 60; i++) {
+                ledger.arrive(0, 0, 20_000);
+                ledger.pass(1_000);
+                finishAll(ledger);
+                if (i == 20) {
+                    ledger.list(List.of(new Member("b3", 0, 0, 1, Member.State.READY, 1, ledger.now)), false, false);
+                }
+            }
+            sent.addAll(ledger.sends.getOrDefault("b3", List.of()).stream().filter(at -> at > 20_900).toList());
+        }
+        // Each warm backend gets 10 a second of the 200; a cold one bears the multiple of its share of that.
+        double bears = Ledger.FALL_MULTIPLE * Ledger.COLD_SHARE * 10 * Ledger.FALL / 10_000.0;
+        long inWindow = sent.stream().filter(at -> at <= 20_900 + Ledger.FALL).count();
+        assertTrue(inWindow <= bears, inWindow + " sent in the first window, it bears " + bears);
+        assertTrue(inWindow > 0, "a cold backend is not left out");
+    }
+
+    /** Found with hundreds of balancers: the least rooms of one work item each added up and choked all. */
+    @Example
+    void manyBalancersTogetherLetInWhatTheBackendsMayHold() {
+        long held = 0;
+        for (Ledger ledger : many(200, List.of(new Tenant(1, 100)))) {
+            ledger.list(Ledger.ready(0, 10), true, true);
+            for (int i = 0; i < 40; i++) {
+                ledger.arrive(0, 0, 60_000);
+                ledger.pass(500);
+            }
+            held += ledger.items.size();
+        }
+        assertTrue(held < 200 * 6, held + " held by ten backends of which none answers");
+    }
+
+    /** Found at a start with many balancers: nearly all backends passed for silent in the first second. */
+    @Example
+    void anAnswerOfUsualLengthIsNoSilence() {
+        Ledger ledger = ledger(true, List.of(), 10);
+        for (int i = 0; i < 10; i++) {
+            ledger.arrive(0, 0, 60_000);
+        }
+        ledger.pass(3_000);
+        assertTrue(ledger.told.isEmpty(), "told peers " + ledger.told);
+        assertTrue(ledger.items.values().stream().allMatch(item -> item.sent.size() == 1));
+    }
+
+    /** Found on a day with eight lanes and many balancers: two lanes choked while the others idled. */
+    @Example
+    void aLaneThatHoldsFarMoreThanTheOthersSpills() {
+        int outside = 0;
+        for (Ledger ledger : many(20, TWO)) {
+            ledger.list(Ledger.ready(0, 20), true, true);
+            Set<String> small = ids(ledger.fleet.lane(1));
+            for (int i = 0; i < 60; i++) {
+                ledger.arrive(0, i % 3 == 0 ? 0 : 1, 60_000);
+                ledger.pass(900);
+                for (long id : List.copyOf(ledger.items.keySet())) {
+                    Ledger.Sent sent = ledger.items.get(id).sent.get(0);
+                    if (sent.out && ledger.now - sent.at >= (small.contains(sent.to.id()) ? 4_000 : 500)) {
+                        ledger.settle(id, 0, Outcome.FINISHED);
+                    }
+                }
+            }
+            outside += ledger.spilled(1, small);
+        }
+        assertTrue(outside > 50, outside + " of the crowded lane's work items spilled");
+    }
+
+    /** Found after a flood: so few were let in that nobody learned that it was over. */
+    @Example
+    void aLaneOpensAgainAfterAFlood() {
+        Ledger ledger = many(200, TWO).get(0);
+        ledger.list(Ledger.ready(0, 50), true, true);
+        int[] letIn = new int[2];
+        for (int i = 0; i < 800; i++) {
+            long id = ledger.arrive(0, 0, 60_000);
+            letIn[i / 400] += ledger.items.containsKey(id) ? 1 : 0;
+            for (int n = 0; ledger.items.containsKey(id) && n < ledger.items.get(id).sent.size(); n++) {
+                ledger.settle(id, n, i < 400 ? Outcome.TURNED_AWAY : Outcome.FINISHED);
+            }
+            ledger.pass(500);
+        }
+        assertTrue(letIn[1] > letIn[0] * 1.3, letIn[0] + " let in during the flood, " + letIn[1] + " after it");
+    }
+
+    /** Found where listed sizes are alike: the slower kind of machine held most and choked first. */
+    @Example
+    void aSlowerKindGetsLessWork() {
+        Ledger ledger = ledger(false, List.of(), 20);
+        int[] byKind = new int[2];
+        for (int i = 0; i < 800; i++) {
+            long id = ledger.arrive(0, 0, 60_000);
+            byKind[ledger.items.get(id).sent.get(0).to.kind()]++;
+            ledger.pass(100);
+            for (long out : List.copyOf(ledger.items.keySet())) {
+                Ledger.Sent sent = ledger.items.get(out).sent.get(0);
+                if (ledger.now - sent.at >= (sent.to.kind() == 1 ? 600 : 300)) {
+                    ledger.settle(out, 0, Outcome.FINISHED);
+                }
+            }
+        }
+        assertTrue(byKind[1] * 3 < byKind[0] * 2, byKind[1] + " to the slower kind of " + byKind[0]);
+    }
+
+    /** What has gone for good must not be kept, nor looked at, for as long as the balancer lives. */
+    @Example
+    void whatHasGoneIsForgotten() {
+        Ledger ledger = ledger(false, TWO, 4);
+        for (int i = 4; i < 100; i++) {
+            ledger.list(Ledger.ready(i, i + 4), true, false);
+            ledger.pass(100);
+        }
+        assertEquals(4, ledger.fleet.known.size());
+    }
 }
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /** Keeps its own account of what a balancer does, and fails at once where one of the four rules is broken. */
@@ -55,6 +56,8 @@
     final Map<Long, Item> items = new LinkedHashMap<>();
     final Map<String, Member> listed = new LinkedHashMap<>();
     final Map<String, List<Long>> sends = new LinkedHashMap<>();
+    /** By tenant, the backends that work items were first handed to. */
+    final Map<Integer, List<String>> firstSent = new LinkedHashMap<>();
     final List<String> told = new ArrayList<>();
     final List<Long> wakes = new ArrayList<>();
     final Balancer balancer;
@@ -70,12 +73,17 @@
 
     Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mustAsk,
            boolean mayRecall) {
+        this(categories, tenants, seed, first, mustAsk, mayRecall, 2);
+    }
+
+    Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mustAsk,
+           boolean mayRecall, int balancers) {
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
-        fleet = new Balancer.Fleet(this, random.split(), tenants, 2, true, mustAsk, 100_000,
+        fleet = new Balancer.Fleet(this, random.split(), tenants, balancers, true, mustAsk, 100_000,
             COLD_SHARE, COLD, FALL_MULTIPLE, FALL);
-        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), 2, first);
-        balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, 2, 10_000), line,
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), balancers, first);
+        balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, balancers, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
         balancer.start(now);
@@ -113,6 +121,9 @@
         long id = nextId++;
         items.put(id, new Item(categories.get(category), now + patience));
         balancer.arrive(now, id, category, tenant, patience, id % 5 == 0);
+        if (items.get(id).sent.size() > 0) {
+            firstSent.computeIfAbsent(tenant, t -> new ArrayList<>()).add(items.get(id).sent.get(0).to.id());
+        }
         check();
         return id;
     }
@@ -204,6 +215,11 @@
             () -> "cold backend " + to.id() + " sent " + recent(to, FALL) + ", warm ones " + busiest);
     }
 
+    /** How many work items of the tenant went first to a backend outside its lane. */
+    int spilled(int tenant, Set<String> lane) {
+        return (int) firstSent.getOrDefault(tenant, List.of()).stream().filter(b -> !lane.contains(b)).count();
+    }
+
     long recent(Member member, long span) {
         return sends.getOrDefault(member.id(), List.of()).stream().filter(at -> at > now - span)
             .filter(at -> at >= member.startedAt()).count();
