--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -270,7 +270,7 @@
             // Two for each backend are never too many, as the balancers together send them. Each balancer's
             // part may be below one: it is then let in by chance, for many least rooms of one add up.
             if (sparse()) {
-                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, now) / balancers, now);
+                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now) / balancers, now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
@@ -352,9 +352,7 @@
                 // worse things go. Eight answers: fewer are chance, more tell too late.
                 double shown = outcome == Outcome.FINISHED ? took : Math.max(took, 2 * time);
                 time += (Math.min(shown, due) - time) / 8;
-                if (outcome == Outcome.TURNED_AWAY) {
-                    hold = Math.max(1, hold * 0.9);
-                }
+                hold = outcome == Outcome.TURNED_AWAY ? Math.max(1, hold * 0.9) : hold;
             }
         }
 
@@ -397,7 +395,7 @@
             }
         }
 
-        /** Drops a waiting work item whose client has left: sent on later, it would run for nobody. */
+        /** Drops a work item whose client has left: sent on later, it would run for nobody. */
         void left(long id) {
             waiting.forEach(line -> line.removeIf(wi -> wi.id == id));
         }
@@ -585,10 +583,8 @@
             // Where most are silent the fault is not theirs alone, and sending again would feed it.
             boolean few = silent * 2 <= fleet.ready.size();
             for (Backend b : fleet.known.values()) {
-                if (fleet.silence(b, now) < SILENT) {
-                    continue;
-                }
-                for (WorkItem wi : List.copyOf(b.held.values())) {
+                boolean isSilent = fleet.silence(b, now) >= SILENT;
+                for (WorkItem wi : isSilent ? List.copyOf(b.held.values()) : List.<WorkItem>of()) {
                     // Work stuck at backends that are lost filled the room, and all else was turned away.
                     line.release(wi);
                     HandOff ho = wi.handOffs.get(wi.handOffs.size() - 1);
@@ -617,6 +613,8 @@
         private static final long STAY_SPAN = 40_000;
         /** With a part of two backends or more, what a balancer has in flight tells it enough. */
         private static final double FEW = 2;
+        /** So full of what backends may hold, the fleet lends none to lanes; 0.6 left quiet lanes short. */
+        private static final double LEND = 0.75;
         /** Held by each backend on average, this is never a crowd. */
         private static final double FREE = 2;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
@@ -654,6 +652,7 @@
         private final Averages kindStays = new Averages(USUAL_SPAN);
         private final Averages allStays = new Averages(USUAL_SPAN);
         private long latencySum;
+        private long firstSent;
         private long latencyCount;
 
         public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, int balancers,
@@ -731,9 +730,7 @@
                     sent += b.sent.sum(now);
                 }
             }
-            if (size > 0) {
-                sentPerSize = sent / size;
-            }
+            sentPerSize = size > 0 ? sent / size : sentPerSize;
         }
 
         /** Lays out the lanes: in order of the tenants, each takes the untaken backends of highest hash. */
@@ -797,9 +794,11 @@
                 && random.nextDouble() * own > far * all;
         }
 
-        /** How many warm and trusted backends the lane is worth; a spill lends it one at least. */
-        double able(int tenant, long now) {
-            double able = 0;
+        /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
+        double able(int tenant, double most, long now) {
+            double held = stay.sum(now) * (double) balancers / STAY_SPAN;
+            // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
+            double able = now - firstSent < STAY_SPAN ? 0 : Math.max(0, LEND * ready.size() - held / most);
             for (Backend b : lane(tenant)) {
                 able += b.streak >= 3 ? 0 : b.member.warmth(now, coldShare, coldTime);
             }
@@ -918,6 +917,7 @@
             if (latencyCount == 0) {
                 // With a short guess in its place all backends looked lost in the first second, the balancers
                 // told each other so, and all their work went to the few that nobody had named yet.
+                firstSent = now;
                 latencyCount = AT_START;
                 latencySum = AT_START * wi.category.dueTime() / 2;
             }
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -260,10 +260,12 @@
                 ledger.pass(1_000);
                 finishAll(ledger);
                 if (i == 20) {
-                    ledger.list(List.of(new Member("b3", 0, 0, 1, Member.State.READY, 1, ledger.now)), false, false);
+                    Member fresh = new Member("b3", 0, 0, 1, Member.State.READY, 1, ledger.now);
+                    ledger.list(List.of(fresh), false, false);
                 }
             }
-            sent.addAll(ledger.sends.getOrDefault("b3", List.of()).stream().filter(at -> at > 20_900).toList());
+            List<Long> toFresh = ledger.sends.getOrDefault("b3", List.of());
+            sent.addAll(toFresh.stream().filter(at -> at > 20_900).toList());
         }
         // Each warm backend gets 10 a second of the 200; a cold one bears the multiple of its share of that.
         double bears = Ledger.FALL_MULTIPLE * Ledger.COLD_SHARE * 10 * Ledger.FALL / 10_000.0;
@@ -342,7 +344,7 @@
             }
             ledger.pass(500);
         }
-        assertTrue(letIn[1] > letIn[0] * 1.3, letIn[0] + " let in during the flood, " + letIn[1] + " after it");
+        assertTrue(letIn[1] > letIn[0] * 1.3, letIn[0] + " let in during it, " + letIn[1] + " after");
     }
 
     /** Found where listed sizes are alike: the slower kind of machine held most and choked first. */
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -83,7 +83,8 @@
         fleet = new Balancer.Fleet(this, random.split(), tenants, balancers, true, mustAsk, 100_000,
             COLD_SHARE, COLD, FALL_MULTIPLE, FALL);
         Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), balancers, first);
-        balancer = new Balancer(this, new Balancer.Intake(this, categories, tenants, first, balancers, 10_000), line,
+        balancer = new Balancer(this,
+            new Balancer.Intake(this, categories, tenants, first, balancers, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
         balancer.start(now);
@@ -217,7 +218,8 @@
 
     /** How many work items of the tenant went first to a backend outside its lane. */
     int spilled(int tenant, Set<String> lane) {
-        return (int) firstSent.getOrDefault(tenant, List.of()).stream().filter(b -> !lane.contains(b)).count();
+        List<String> to = firstSent.getOrDefault(tenant, List.of());
+        return (int) to.stream().filter(b -> !lane.contains(b)).count();
     }
 
     long recent(Member member, long span) {
