--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -376,4 +376,19 @@
         }
         assertEquals(4, ledger.fleet.known.size());
     }
+
+    /** Found on quiet days with many balancers: a tenant held to its lane's rate while all else idled. */
+    @Example
+    void anIdleFleetIsLentToALane() {
+        Ledger ledger = many(50, List.of(new Tenant(0.05, 1), new Tenant(0.95, 1_000))).get(0);
+        ledger.list(Ledger.ready(0, 20), true, true);
+        int[] letIn = new int[2];
+        for (int i = 0; i < 400; i++) {
+            long id = ledger.arrive(0, 0, 60_000);
+            letIn[ledger.now < 40_000 ? 0 : 1] += ledger.items.containsKey(id) ? 1 : 0;
+            ledger.pass(500);
+            finishAll(ledger);
+        }
+        assertTrue(letIn[1] > 20 * letIn[0], letIn[0] + " let in while unknown, " + letIn[1] + " then");
+    }
 }
