--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -885,11 +885,12 @@
             return (now - b.quietSince) * b.out * (1 + Math.min(4, b.streak)) / Math.max(1, gap);
         }
 
-        /** Tells the other balancers which backends this one has found lost. */
+        /** Tells the others what was found lost; of many balancers, the false finds add up and shun all. */
         void tell() {
             StringBuilder lost = new StringBuilder();
             for (Backend b : known.values()) {
-                if (b.lost && mayTell && lost.length() + b.id.length() < LONGEST) {
+                boolean fits = lost.length() + b.id.length() < LONGEST;
+                if (b.lost && mayTell && balancers <= ready.size() && fits) {
                     lost.append(lost.length() == 0 ? "" : " ").append(b.id);
                 }
                 b.lost = false;
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -391,4 +391,21 @@
         }
         assertTrue(letIn[1] > 20 * letIn[0], letIn[0] + " let in while unknown, " + letIn[1] + " then");
     }
+
+    /** Found with many balancers: the false finds of all added up, and sound backends were shunned. */
+    @Example
+    void manyBalancersDoNotTell() {
+        for (int balancers : new int[] {2, 200}) {
+            Ledger ledger = new Ledger(PLAIN, List.of(), 1, false, false, true, balancers);
+            ledger.list(Ledger.ready(0, 4), true, true);
+            for (int i = 0; i < 20; i++) {
+                long id = ledger.arrive(0, 0, 20_000);
+                for (int n = 0; ledger.items.containsKey(id) && n < ledger.items.get(id).sent.size(); n++) {
+                    ledger.settle(id, n, Outcome.NO_CONNECTION);
+                }
+                ledger.pass(300);
+            }
+            assertEquals(balancers > 4, ledger.told.isEmpty());
+        }
+    }
 }
