--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -1,13 +1,10 @@
 package cottonlock.bench;
 
 import cottonlock.decision.Balancer;
-import cottonlock.decision.Category;
 import cottonlock.decision.Outlet;
-import cottonlock.decision.Tenant;
-import java.util.ArrayList;
+import cottonlock.setup.Assembly;
+import cottonlock.setup.Settings;
 import java.util.Base64;
-import java.util.List;
-import java.util.SplittableRandom;
 
 /** One balancer of the bench: built from its settings, answering through the wire's messages. */
 final class Instance implements Outlet {
@@ -16,65 +13,19 @@
     final Balancer balancer;
     final int categories;
     final int tenants;
-    final int telemetryFields;
 
     Instance(String name, Reply reply, long seed, Settings s) {
         this.name = name;
         this.reply = reply;
-        List<Category> categoryList = categories(s);
-        List<Tenant> tenantList = tenants(s);
-        this.categories = categoryList.size();
-        this.tenants = tenantList.size();
-        String fields = s.text("Telemetry.Fields", "");
-        this.telemetryFields = fields.isEmpty() ? 0 : fields.split(",").length;
-
-        SplittableRandom random = new SplittableRandom(seed);
-        int balancers = s.count("FleetSize", 1);
-        boolean first = s.count("Stage", 0) == 0;
-        long longestComeBack = s.flag("Limits.RetryAfter", false) ? s.timeDown("Limits.MaxRetryAfter") : 0;
-        Balancer.Fleet fleet = new Balancer.Fleet(this, random.split(), tenantList, balancers,
-            s.flag("Limits.PeerMessages", false), s.choice("MembershipMode", "automatic", "subscribe") == 1,
-            s.timeDown("Obligations.AskWithin"),
-            s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
-            s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
-        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, first);
-        this.balancer = new Balancer(this,
-            new Balancer.Intake(this, categoryList, tenantList, first, balancers, longestComeBack),
-            line,
-            new Balancer.Lane(line, fleet),
-            new Balancer.Pick(fleet, random.split()),
-            new Balancer.HandOffs(this, line, fleet, s.count("Limits.MaxHandOffs", 1),
-                s.flag("Limits.Cancel", false)),
-            fleet);
-    }
-
-    private static List<Category> categories(Settings s) {
-        List<Category> list = new ArrayList<>();
-        int n = s.count("Categories.count", 0);
-        for (int i = 0; i < n; i++) {
-            String at = "Categories." + i + ".";
-            list.add(new Category(i, s.timeDown(at + "DueTime"), s.number(at + "Credit", 1),
-                s.number(at + "LateCredit", 0),
-                Category.Repeat.values()[s.choice(at + "Repeat", "safe", "keyed", "unsafe")],
-                Category.Scope.values()[s.choice(at + "KeyScope", "all", "zone", "cell")],
-                s.timeDown(at + "RepeatWindow")));
-        }
-        return list;
-    }
-
-    private static List<Tenant> tenants(Settings s) {
-        List<Tenant> list = new ArrayList<>();
-        int n = s.count("Projects.count", 0);
-        for (int i = 0; i < n; i++) {
-            String at = "Projects." + i + ".";
-            list.add(new Tenant(s.number(at + "Share", 0), s.number(at + "QuotaRps", 0)));
-        }
-        return list;
+        Assembly assembly = new Assembly(s);
+        this.categories = assembly.categories.size();
+        this.tenants = assembly.tenants.size();
+        this.balancer = assembly.balancer(this, seed);
     }
 
     @Override
     public void handOff(long wi, String backend, long timeOut) {
-        reply.start("dispatch", name).field(wi).field(backend).field(timeOut * WireHost.MICROS).end();
+        reply.start("dispatch", name).field(wi).field(backend).field(timeOut * Settings.MICROS).end();
     }
 
     @Override
@@ -84,7 +35,7 @@
 
     @Override
     public void defer(long wi, long comeBack) {
-        reply.start("overload_reply", name).field(wi).field(comeBack * WireHost.MICROS).end();
+        reply.start("overload_reply", name).field(wi).field(comeBack * Settings.MICROS).end();
     }
 
     @Override
@@ -94,7 +45,7 @@
 
     @Override
     public void wakeMe(long at) {
-        reply.start("set_timer", name).field(at * WireHost.MICROS).field(0).end();
+        reply.start("set_timer", name).field(at * Settings.MICROS).field(0).end();
     }
 
     @Override
--- a/src/main/java/cottonlock/bench/LineReader.java
+++ b/src/main/java/cottonlock/bench/LineReader.java
@@ -1,5 +1,6 @@
 package cottonlock.bench;
 
+import cottonlock.setup.Malformed;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/cottonlock/bench/WireHost.java
+++ b/src/main/java/cottonlock/bench/WireHost.java
@@ -2,6 +2,8 @@
 
 import cottonlock.decision.Member;
 import cottonlock.decision.Outcome;
+import cottonlock.setup.Malformed;
+import cottonlock.setup.Settings;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -14,8 +16,7 @@
 
 /** Hosts the balancers of the bench: each line read becomes a call, each answer a line of the reply. */
 public final class WireHost {
-    /** Microseconds, the wire's unit, in the module's: a tenth of a millisecond. */
-    static final long MICROS = 100;
+    private static final long MICROS = Settings.MICROS;
     private static final int BUFFERS = 16;
     /** Work item and hand-off numbers stay below this on the wire. */
     private static final int ANY = Integer.MAX_VALUE;
--- /dev/null
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -0,0 +1,69 @@
+package cottonlock.net;
+
+import cottonlock.decision.Category;
+import cottonlock.setup.Assembly;
+import cottonlock.setup.Settings;
+import java.util.List;
+
+/** Turns a client's request into a work item, or says what is wrong with it. */
+final class Admission {
+    /** What passing the answer on may take, in tenths of a millisecond: a busy core's few milliseconds. */
+    private static final long RESERVE = 100;
+    /** A longer patience is taken for this, in milliseconds: an hour. */
+    private static final long LONGEST = 3_600_000;
+
+    private final Clock clock;
+    private final List<Category> categories;
+    private final List<String> categoryNames;
+    private final List<String> tenantNames;
+
+    Admission(Clock clock, Assembly assembly, Settings settings) {
+        this.clock = clock;
+        this.categories = assembly.categories;
+        this.categoryNames = settings.each("Categories", "Name");
+        this.tenantNames = settings.each("Projects", "Name");
+    }
+
+    Item item(Client client, Head head, Body body) throws BadMessage {
+        long now = clock.now();
+        String method = head.start[0];
+        if (!method.equals("GET") && !method.equals("POST")) {
+            throw new BadMessage(405, "neither GET nor POST");
+        }
+        String requestId = head.only("X-Request-ID");
+        if (requestId == null || requestId.isEmpty()) {
+            throw new BadMessage(400, "no X-Request-ID");
+        }
+        String name = head.only("X-Priority-Class");
+        String target = head.start[1];
+        int end = 1;
+        while (end < target.length() && "/?#".indexOf(target.charAt(end)) < 0) {
+            end++;
+        }
+        String first = target.substring(1, end);
+        int category = categoryNames.indexOf(name == null ? first : name);
+        if (category < 0) {
+            throw new BadMessage(404, "unknown category");
+        }
+        if (!first.equals(categoryNames.get(category))) {
+            throw new BadMessage(400, "the path and X-Priority-Class differ");
+        }
+        String tenantName = head.only("X-Tenant-Id");
+        int tenant = tenantNames.isEmpty() ? 0 : tenantNames.indexOf(tenantName);
+        if (tenant < 0) {
+            throw new BadMessage(400, "unknown tenant");
+        }
+        String ticket = head.only("Idempotency-Key");
+        if (ticket == null && categories.get(category).repeat() == Category.Repeat.TICKETED) {
+            // Sent on without it, a repeat could not be known, and would have its effect twice.
+            throw new BadMessage(400, "no Idempotency-Key");
+        }
+        String patience = head.only("X-Timeout-Ms");
+        if (patience == null || !patience.matches("[0-9]{1,15}")) {
+            throw new BadMessage(400, "no X-Timeout-Ms in whole milliseconds");
+        }
+        long wait = Math.min(LONGEST, Long.parseLong(patience)) * 10 - RESERVE;
+        return new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
+            tenant, tenantName, "1".equals(head.only("X-Retried")), now + wait);
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -0,0 +1,157 @@
+package cottonlock.net;
+
+import cottonlock.decision.Outcome;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+/** A backend's actor: the one owner of the connections to it, kept ones first. */
+final class BackendActor implements Runnable {
+    /** More than the sockets there are: what the links tell always fits. */
+    private static final int MAILBOX = 2_048;
+    /** Parts of the idle time after which a connection is retired, before the backend does it. */
+    private static final double RETIRE = 0.8;
+    /** How often the resting connections are looked through, in milliseconds. */
+    private static final long LOOK = 500;
+
+    private final BlockingQueue<Runnable> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    private final Semaphore sockets;
+    private final int connectLimit;
+    private final long retireAfter;
+    private final Buffers buffers;
+    private final HttpWriter writer;
+    private final Watchdog watchdog;
+    private final Clock clock;
+    private final Log log;
+    private InetSocketAddress address;
+    private final Deque<Link> resting = new ArrayDeque<>();
+    private final Set<Link> links = new HashSet<>();
+    private boolean leaving;
+
+    /** Times in milliseconds. */
+    BackendActor(InetSocketAddress address, Semaphore sockets, long connectLimit, long idle,
+                 Buffers buffers, HttpWriter writer, Watchdog watchdog, Clock clock, Log log) {
+        this.address = address;
+        this.sockets = sockets;
+        this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
+        this.retireAfter = (long) (idle * RETIRE * 1_000_000);
+        this.buffers = buffers;
+        this.writer = writer;
+        this.watchdog = watchdog;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!leaving || !links.isEmpty()) {
+                Runnable message = mailbox.poll(LOOK, TimeUnit.MILLISECONDS);
+                if (message != null) {
+                    message.run();
+                }
+                retire();
+            }
+        } catch (InterruptedException e) {
+            links.forEach(Link::kill);
+        }
+    }
+
+    /** From the module's thread, which never waits here: false when the mailbox is full. */
+    boolean handOff(Item.HandOff ho) {
+        return mailbox.offer(() -> send(ho));
+    }
+
+    /** From the module's thread: the list has told where it listens now. */
+    void listensAt(InetSocketAddress now) {
+        mailbox.offer(() -> {
+            if (!now.equals(address)) {
+                address = now;
+                resting.forEach(Link::kill);
+                resting.clear();
+            }
+        });
+    }
+
+    /** From the module's thread: it has gone from the list; what is out may still end. */
+    void leave() {
+        mailbox.offer(() -> {
+            leaving = true;
+            resting.forEach(Link::kill);
+            resting.clear();
+        });
+    }
+
+    /** From a link: its hand-off is over and it may carry the next. */
+    void rests(Link link) {
+        put(() -> {
+            if (leaving || !link.address().equals(address)) {
+                link.kill();
+            } else {
+                link.restingSince = System.nanoTime();
+                resting.addLast(link);
+            }
+        });
+    }
+
+    /** From a link: it has given back all that it held. */
+    void ended(Link link) {
+        sockets.release();
+        put(() -> {
+            links.remove(link);
+            resting.remove(link);
+        });
+    }
+
+    private void put(Runnable message) {
+        try {
+            mailbox.put(message);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void send(Item.HandOff ho) {
+        for (Link link = resting.pollLast(); link != null; link = resting.pollLast()) {
+            if (!ho.attach(link)) {
+                resting.addLast(link);
+                return;
+            }
+            if (link.send(ho)) {
+                return;
+            }
+            if (ho.settled()) {
+                return;
+            }
+        }
+        if (!sockets.tryAcquire()) {
+            log.warn("out of sockets", "a hand-off got no connection");
+            ho.settle(Outcome.NO_CONNECTION);
+            return;
+        }
+        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, ho);
+        links.add(link);
+        try {
+            Sockets.start("link", link);
+        } catch (OutOfMemoryError e) {
+            // No thread can be had: this hand-off fails, the proxy must not.
+            log.warn("no thread", "a hand-off got no connection");
+            links.remove(link);
+            sockets.release();
+            ho.settle(Outcome.NO_CONNECTION);
+        }
+    }
+
+    private void retire() {
+        long now = System.nanoTime();
+        while (!resting.isEmpty() && now - resting.peekFirst().restingSince > retireAfter) {
+            resting.pollFirst().kill();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/BadMessage.java
@@ -0,0 +1,13 @@
+package cottonlock.net;
+
+/** A message that does not keep to the protocol, with the status that tells its sender so. */
+final class BadMessage extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    final int status;
+
+    BadMessage(int status, String fault) {
+        super(fault);
+        this.status = status;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Buffers.java
@@ -0,0 +1,42 @@
+package cottonlock.net;
+
+import java.io.IOException;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+/** The pool of buffers, all of one size; who takes one gives it back in one place. */
+final class Buffers {
+    /** The head of a message must fit into one; most bodies do. */
+    static final int SIZE = 8 << 10;
+    /** How long a taker waits when all are out, in milliseconds: answers free some well within a due time. */
+    private static final long WAIT = 500;
+
+    private final ConcurrentLinkedDeque<byte[]> free = new ConcurrentLinkedDeque<>();
+    private final Semaphore left;
+
+    Buffers(int most) {
+        this.left = new Semaphore(most);
+    }
+
+    byte[] take() throws IOException {
+        try {
+            if (!left.tryAcquire(WAIT, TimeUnit.MILLISECONDS)) {
+                throw new IOException("no buffer is free");
+            }
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while waiting for a buffer", e);
+        }
+        byte[] buffer = free.pollLast();
+        return buffer != null ? buffer : new byte[SIZE];
+    }
+
+    void give(byte[] buffer) {
+        free.addLast(buffer);
+        left.release();
+    }
+
+    int left() {
+        return left.availablePermits();
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Client.java
@@ -0,0 +1,223 @@
+package cottonlock.net;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+
+/**
+ * One connection of a client. Its thread reads all the time, so that a client that leaves is noticed while
+ * its work item is out; answers are written by the thread that has them.
+ */
+final class Client implements Runnable {
+    /** Milliseconds between requests: well past the minute that connections are commonly kept for. */
+    private static final long REST = 120_000;
+    /** Milliseconds for one request to come in: half requests must not pile up. */
+    private static final long READ = 5_000;
+    /** Milliseconds for what a refused client still sends, so that it sees the answer before the end. */
+    private static final long LINGER = 300;
+
+    private final Socket socket;
+    private final Listener listener;
+    private final ModuleActor module;
+    private final Admission admission;
+    private final Buffers buffers;
+    private final HttpWriter writer;
+    private final Watchdog watchdog;
+    private final Log log;
+    private Item wi;
+    private boolean reading;
+    private boolean closing;
+    private long restingSince = System.nanoTime();
+
+    Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
+           HttpWriter writer, Watchdog watchdog, Log log) {
+        this.socket = socket;
+        this.listener = listener;
+        this.module = module;
+        this.admission = admission;
+        this.buffers = buffers;
+        this.writer = writer;
+        this.watchdog = watchdog;
+        this.log = log;
+    }
+
+    @Override
+    public void run() {
+        byte[] buffer = null;
+        try {
+            socket.setTcpNoDelay(true);
+            buffer = buffers.take();
+            HttpReader reader = new HttpReader(socket, buffer);
+            while (awaitRequest(reader) && serve(reader)) {
+                // One work item after the other.
+            }
+        } catch (IOException e) {
+            // The client is gone; what it was owed is settled below.
+        } finally {
+            Sockets.close(socket);
+            if (buffer != null) {
+                buffers.give(buffer);
+            }
+            Item unanswered;
+            synchronized (this) {
+                unanswered = wi;
+            }
+            if (unanswered != null && unanswered.claim()) {
+                module.left(unanswered);
+            }
+            listener.ended(this);
+        }
+    }
+
+    /** Waits for the next request to begin; false when the connection is to end. */
+    private boolean awaitRequest(HttpReader reader) throws IOException {
+        while (true) {
+            try {
+                reader.within(REST);
+                if (!reader.await()) {
+                    return false;
+                }
+                break;
+            } catch (SocketTimeoutException e) {
+                synchronized (this) {
+                    if (wi == null) {
+                        return false;
+                    }
+                }
+            }
+        }
+        synchronized (this) {
+            // A request that comes before the last answer waits its turn.
+            while (wi != null) {
+                try {
+                    wait();
+                } catch (InterruptedException e) {
+                    return false;
+                }
+            }
+            reading = !closing;
+            return reading;
+        }
+    }
+
+    /** Reads one request and brings it on its way; false when the connection is to end. */
+    private boolean serve(HttpReader reader) throws IOException {
+        Body body = null;
+        Head head;
+        try {
+            reader.within(READ);
+            head = reader.request();
+            if (head.lists("Expect", "100-continue")) {
+                watchdog.write(socket, out -> out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes()));
+            }
+            body = reader.body(buffers);
+        } catch (BadMessage e) {
+            refuse(e, true);
+            socket.shutdownOutput();
+            drop(reader);
+            return false;
+        } catch (SocketTimeoutException e) {
+            refuse(new BadMessage(408, "half a request"), true);
+            return false;
+        }
+        boolean keep = head.keepsAlive(head.start[2]);
+        if (head.start[1].equals("/_health")) {
+            body.release();
+            answer(200, null, null, null, !keep);
+            return keep;
+        }
+        Item item;
+        try {
+            item = admission.item(this, head, body);
+        } catch (BadMessage e) {
+            body.release();
+            refuse(e, !keep);
+            return keep;
+        }
+        synchronized (this) {
+            wi = item;
+            reading = false;
+            closing |= !keep;
+        }
+        module.arrive(item);
+        return true;
+    }
+
+    private void refuse(BadMessage e, boolean close) throws IOException {
+        log.warn("bad request", e.getMessage() + ", from " + socket.getInetAddress().getHostAddress());
+        answer(e.status, null, null, null, close);
+    }
+
+    private void answer(int status, String name, String value, Body body, boolean close)
+        throws IOException {
+        watchdog.write(socket, out -> writer.answer(out, status, name, value, body, close));
+        synchronized (this) {
+            reading = false;
+            restingSince = System.nanoTime();
+        }
+    }
+
+    /** Reads on a little: closed with bytes unread, the connection would take the answer with it. */
+    private void drop(HttpReader reader) throws IOException {
+        reader.within(LINGER);
+        reader.dropAll();
+    }
+
+    /** The final answer to the work item under way, by whoever has claimed it. */
+    void finish(int status, String name, String value, Body body) {
+        boolean close;
+        synchronized (this) {
+            close = closing;
+        }
+        boolean whole = false;
+        try {
+            answer(status, name, value, body, close);
+            whole = true;
+        } catch (IOException e) {
+            log.info("client gone", "an answer could not be written whole");
+        }
+        synchronized (this) {
+            wi = null;
+            notifyAll();
+            close |= closing || !whole;
+        }
+        if (close) {
+            endReading();
+        }
+    }
+
+    /** Ends the connection now if it rests, else after the answer that is under way. */
+    void close() {
+        synchronized (this) {
+            closing = true;
+            if (reading || wi != null) {
+                return;
+            }
+        }
+        endReading();
+    }
+
+    /** Ends the connection at once, from any thread. */
+    void abort() {
+        Sockets.close(socket);
+    }
+
+    /** The thread sees the end of the stream and closes the socket, which is its own. */
+    private void endReading() {
+        try {
+            socket.shutdownInput();
+        } catch (IOException e) {
+            // It is closed already.
+        }
+    }
+
+    /** When it last began to rest, by the monotonic clock; Long.MAX_VALUE while it does not. */
+    synchronized long restingSince() {
+        return wi != null || reading || closing ? Long.MAX_VALUE : restingSince;
+    }
+
+    /** Whether a request is being read or a work item is under way. */
+    synchronized boolean busy() {
+        return reading || wi != null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Clock.java
@@ -0,0 +1,11 @@
+package cottonlock.net;
+
+/** The module's time: tenths of a millisecond since 1970, read once at the start and monotonic from then on. */
+final class Clock {
+    private final long started = System.currentTimeMillis() * 10;
+    private final long from = System.nanoTime();
+
+    long now() {
+        return started + (System.nanoTime() - from) / 100_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Config.java
@@ -0,0 +1,115 @@
+package cottonlock.net;
+
+import cottonlock.setup.Malformed;
+import cottonlock.setup.Settings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the configuration file of one proxy; whatever is wrong with it is a {@link Malformed}. */
+final class Config {
+    private final Map<?, ?> root;
+
+    private Config(Map<?, ?> root) {
+        this.root = root;
+    }
+
+    static Config read(Path file) {
+        try {
+            if (Json.read(Files.readString(file)) instanceof Map<?, ?> map) {
+                return new Config(map);
+            }
+            throw new Malformed("the configuration is no JSON object");
+        } catch (IOException e) {
+            throw new Malformed("the configuration cannot be read: " + e);
+        } catch (IllegalArgumentException e) {
+            throw new Malformed("the configuration is not JSON: " + e.getMessage());
+        }
+    }
+
+    /** The settings as paths and values, as the module is built from them. */
+    Settings settings() {
+        if (!(root.get("settings") instanceof Map<?, ?> map)) {
+            throw new Malformed("no settings");
+        }
+        Settings settings = new Settings();
+        put(settings, "", map);
+        return settings;
+    }
+
+    private static void put(Settings settings, String path, Object value) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((name, inner) -> put(settings, path.isEmpty() ? "" + name : path + "." + name, inner));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            settings.put(path + ".count", Integer.toString(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                put(settings, path + "." + i, list.get(i));
+            }
+        } else if (value instanceof List<?> list) {
+            List<String> words = new ArrayList<>();
+            list.forEach(word -> words.add(String.valueOf(word)));
+            settings.put(path, String.join(",", words));
+        } else if (value != null) {
+            settings.put(path, value.toString());
+        }
+    }
+
+    /** An address that must be there. */
+    InetSocketAddress address(String name) {
+        InetSocketAddress address = addressIfAny(name);
+        if (address == null) {
+            throw new Malformed("no " + name);
+        }
+        return address;
+    }
+
+    InetSocketAddress addressIfAny(String name) {
+        Object value = root.get(name);
+        return value == null ? null : address(name, value);
+    }
+
+    List<InetSocketAddress> addresses(String name) {
+        List<InetSocketAddress> list = new ArrayList<>();
+        if (root.get(name) instanceof List<?> values) {
+            values.forEach(value -> list.add(address(name, value)));
+        }
+        return list;
+    }
+
+    private static InetSocketAddress address(String name, Object value) {
+        try {
+            return Sockets.address(String.valueOf(value));
+        } catch (IllegalArgumentException e) {
+            throw new Malformed(name + " is not an address: " + value);
+        }
+    }
+
+    /** The seed for random numbers: 16 hex digits. */
+    long seed() {
+        try {
+            return Long.parseUnsignedLong(String.valueOf(root.get("seed")), 16);
+        } catch (NumberFormatException e) {
+            throw new Malformed("seed is not a hex number: " + root.get("seed"));
+        }
+    }
+
+    /** A limit on resources, or what stands in where none is given. */
+    int limit(String name, int otherwise) {
+        Object value = root.get("limits") instanceof Map<?, ?> limits ? limits.get(name) : null;
+        try {
+            return value == null ? otherwise : (int) Double.parseDouble(value.toString());
+        } catch (NumberFormatException e) {
+            throw new Malformed("limit " + name + " is not a number: " + value);
+        }
+    }
+
+    /** The list of backends as this proxy last had it. */
+    Directory.News known(Directory directory) {
+        return root.get("known") == null ? new Directory.News(0, true, List.of())
+            : directory.read(root.get("known"));
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Directory.java
@@ -0,0 +1,101 @@
+package cottonlock.net;
+
+import cottonlock.decision.Member;
+import cottonlock.setup.Malformed;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Turns discovery's JSON into lines of the module's list and the addresses to dial. */
+final class Directory {
+    /** A list as told: whole, or only what changed. */
+    record News(long version, boolean whole, List<Entry> entries) {
+    }
+
+    /** One backend: the module's line of it and where it listens. */
+    record Entry(Member member, InetSocketAddress dial) {
+    }
+
+    private final List<String> zones;
+    private final List<String> kinds;
+
+    Directory(List<String> zones, List<String> kinds) {
+        this.zones = new ArrayList<>(zones);
+        this.kinds = new ArrayList<>(kinds);
+    }
+
+    News read(Object json) {
+        if (!(json instanceof Map<?, ?> map) || !(map.get("hosts") instanceof List<?> hosts)) {
+            throw new Malformed("a list without hosts");
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (Object host : hosts) {
+            if (!(host instanceof Map<?, ?> fields)) {
+                throw new Malformed("a host that is no object");
+            }
+            entries.add(entry(fields));
+        }
+        return new News(whole(map, "seq", "0"), "true".equals(map.get("whole")), entries);
+    }
+
+    private Entry entry(Map<?, ?> fields) {
+        String id = text(fields, "host", null);
+        Member.State state = switch (text(fields, "health", null)) {
+            case "active" -> Member.State.READY;
+            case "leaving" -> Member.State.DRAINING;
+            case "left" -> Member.State.GONE;
+            default -> throw new Malformed("unknown health of " + id);
+        };
+        double size;
+        try {
+            size = Double.parseDouble(text(fields, "share", "1"));
+        } catch (NumberFormatException e) {
+            throw new Malformed("the share of " + id + " is not a number");
+        }
+        if (!(size >= 0 && size < Double.POSITIVE_INFINITY)) {
+            throw new Malformed("the share of " + id + " is out of range");
+        }
+        Member member = new Member(id, number(zones, text(fields, "site", "")),
+            number(kinds, text(fields, "class", "")), (int) whole(fields, "block", "0"), state, size,
+            whole(fields, "born_ms", "0") * 10);
+        String dial = text(fields, "dial", "");
+        if (dial.isEmpty() && state != Member.State.READY) {
+            return new Entry(member, null);
+        }
+        try {
+            return new Entry(member, Sockets.address(dial));
+        } catch (IllegalArgumentException e) {
+            throw new Malformed("the dial of " + id + " is not an address: " + dial);
+        }
+    }
+
+    private static String text(Map<?, ?> fields, String name, String otherwise) {
+        Object value = fields.get(name);
+        if (value instanceof String text) {
+            return text;
+        }
+        if (otherwise == null) {
+            throw new Malformed("a host without " + name);
+        }
+        return otherwise;
+    }
+
+    private static long whole(Map<?, ?> fields, String name, String otherwise) {
+        try {
+            return Long.parseLong(text(fields, name, otherwise));
+        } catch (NumberFormatException e) {
+            throw new Malformed(name + " is not a whole number");
+        }
+    }
+
+    /** The place of a name in the settings' list; names that it lacks come behind it. */
+    private synchronized int number(List<String> names, String name) {
+        int place = names.indexOf(name);
+        if (place < 0) {
+            place = names.size();
+            names.add(name);
+        }
+        return place;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Head.java
@@ -0,0 +1,54 @@
+package cottonlock.net;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The start line and the header fields of one message. */
+final class Head {
+    /** Method, target and version of a request; version, status and reason of an answer. */
+    final String[] start;
+    private final List<String> names = new ArrayList<>();
+    private final List<String> values = new ArrayList<>();
+
+    Head(String[] start) {
+        this.start = start;
+    }
+
+    void add(String name, String value) {
+        names.add(name);
+        values.add(value);
+    }
+
+    /** The value of a field that may stand only once, or null. */
+    String only(String name) throws BadMessage {
+        String found = null;
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).equalsIgnoreCase(name)) {
+                if (found != null) {
+                    throw new BadMessage(400, "more than one " + name);
+                }
+                found = values.get(i);
+            }
+        }
+        return found;
+    }
+
+    /** Whether a field that lists words holds the given one. */
+    boolean lists(String name, String word) {
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).equalsIgnoreCase(name)) {
+                for (String part : values.get(i).split(",")) {
+                    if (part.trim().equalsIgnoreCase(word)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Whether the sender keeps the connection, given the version that it speaks. */
+    boolean keepsAlive(String version) {
+        return version.equals("HTTP/1.1") && !lists("Connection", "close");
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -0,0 +1,299 @@
+package cottonlock.net;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+
+/** Parses HTTP/1.1 messages from one socket, strictly: what could be read in two ways is refused. */
+final class HttpReader {
+    /** Longer lines between chunks carry nothing that anyone here needs. */
+    private static final int CHUNK_LINE = 256;
+    private static final long TO_THE_END = Long.MAX_VALUE;
+
+    private final Socket socket;
+    private final InputStream in;
+    private final byte[] buffer;
+    private int at;
+    private int filled;
+    private long limit;
+    private boolean chunked;
+    /** What is left of the body, or of its present chunk. */
+    private long left;
+    private boolean bodyOver = true;
+
+    /** Reads through the given buffer, which stays the caller's. */
+    HttpReader(Socket socket, byte[] buffer) throws IOException {
+        this.socket = socket;
+        this.in = socket.getInputStream();
+        this.buffer = buffer;
+    }
+
+    /** All reads from now on must be done within so many milliseconds; 0: no limit. */
+    void within(long millis) {
+        limit = millis == 0 ? 0 : System.nanoTime() + millis * 1_000_000;
+    }
+
+    /** Waits for the first byte of a message; false when the other side has ended its sending. */
+    boolean await() throws IOException {
+        return at < filled || fill();
+    }
+
+    private boolean fill() throws IOException {
+        if (at == filled) {
+            at = 0;
+            filled = 0;
+        } else if (filled == buffer.length) {
+            System.arraycopy(buffer, at, buffer, 0, filled - at);
+            filled -= at;
+            at = 0;
+        }
+        int wait = 0;
+        if (limit != 0) {
+            // A sender of one byte a second must not hold the thread for longer than the limit.
+            long ms = (limit - System.nanoTime()) / 1_000_000;
+            if (ms <= 0) {
+                throw new SocketTimeoutException("too slow");
+            }
+            wait = (int) Math.min(Integer.MAX_VALUE, ms);
+        }
+        socket.setSoTimeout(wait);
+        int n = in.read(buffer, filled, buffer.length - filled);
+        filled += Math.max(0, n);
+        return n > 0;
+    }
+
+    /** Reads and drops what still comes, until the other side ends or the limit is up. */
+    void dropAll() throws IOException {
+        do {
+            at = filled;
+        } while (fill());
+    }
+
+    private byte next() throws IOException {
+        if (at == filled && !fill()) {
+            throw new IOException("the message ends early");
+        }
+        return buffer[at++];
+    }
+
+    Head request() throws IOException, BadMessage {
+        Head head = head();
+        String[] s = head.start;
+        if (s.length != 3 || !token(s[0]) || !s[1].startsWith("/") || !s[2].startsWith("HTTP/")) {
+            throw new BadMessage(400, "not a request line");
+        }
+        if (!s[2].equals("HTTP/1.1") && !s[2].equals("HTTP/1.0")) {
+            throw new BadMessage(505, "neither HTTP/1.1 nor HTTP/1.0");
+        }
+        if (s[2].equals("HTTP/1.1") && head.only("Host") == null) {
+            throw new BadMessage(400, "no Host");
+        }
+        frame(head, 0);
+        return head;
+    }
+
+    /** The head of the final answer; interim ones are passed over. */
+    Head answer() throws IOException, BadMessage {
+        while (true) {
+            Head head = head();
+            String[] s = head.start;
+            boolean version = s[0].equals("HTTP/1.1") || s[0].equals("HTTP/1.0");
+            if (s.length < 2 || !version || !s[1].matches("[1-5][0-9][0-9]")) {
+                throw new BadMessage(502, "not a status line");
+            }
+            boolean none = s[1].startsWith("1") || s[1].equals("204") || s[1].equals("304");
+            frame(head, none ? 0 : TO_THE_END);
+            if (none) {
+                bodyOver = true;
+            }
+            if (!s[1].startsWith("1")) {
+                return head;
+            }
+        }
+    }
+
+    private Head head() throws IOException, BadMessage {
+        int end = at;
+        while (true) {
+            for (; end + 3 < filled; end++) {
+                if (buffer[end] == '\r' && buffer[end + 1] == '\n' && buffer[end + 2] == '\r'
+                    && buffer[end + 3] == '\n') {
+                    String text = new String(buffer, at, end - at, StandardCharsets.ISO_8859_1);
+                    at = end + 4;
+                    return parse(text);
+                }
+            }
+            if (filled - at == buffer.length) {
+                throw new BadMessage(431, "the head is too large");
+            }
+            int seen = end - at;
+            if (!fill()) {
+                throw new IOException("the head ends early");
+            }
+            end = at + seen;
+        }
+    }
+
+    private static Head parse(String text) throws BadMessage {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            boolean lineEnd = c == '\r' && i + 1 < text.length() && text.charAt(i + 1) == '\n'
+                || c == '\n' && i > 0 && text.charAt(i - 1) == '\r';
+            if ((c < ' ' && c != '\t' || c == 127) && !lineEnd) {
+                throw new BadMessage(400, "a control character in the head");
+            }
+        }
+        String[] lines = text.split("\r\n", -1);
+        Head head = new Head(lines[0].split(" ", 3));
+        for (int i = 1; i < lines.length; i++) {
+            int colon = lines[i].indexOf(':');
+            if (colon <= 0 || !token(lines[i].substring(0, colon))) {
+                throw new BadMessage(400, "not a header field");
+            }
+            head.add(lines[i].substring(0, colon), lines[i].substring(colon + 1).trim());
+        }
+        return head;
+    }
+
+    private static boolean token(String word) {
+        for (int i = 0; i < word.length(); i++) {
+            char c = word.charAt(i);
+            boolean alphanumeric = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z';
+            if (!alphanumeric && "!#$%&'*+-.^_`|~".indexOf(c) < 0) {
+                return false;
+            }
+        }
+        return !word.isEmpty();
+    }
+
+    private void frame(Head head, long withoutLength) throws BadMessage {
+        String coding = head.only("Transfer-Encoding");
+        String length = head.only("Content-Length");
+        chunked = coding != null;
+        bodyOver = false;
+        if (chunked) {
+            if (length != null) {
+                throw new BadMessage(400, "both Transfer-Encoding and Content-Length");
+            }
+            if (!coding.equalsIgnoreCase("chunked")) {
+                throw new BadMessage(501, "a transfer coding other than chunked");
+            }
+            left = 0;
+        } else if (length != null) {
+            if (!length.matches("[0-9]{1,18}")) {
+                throw new BadMessage(400, "Content-Length is not a number");
+            }
+            left = Long.parseLong(length);
+            bodyOver = left == 0;
+        } else {
+            left = withoutLength;
+            bodyOver = left == 0;
+        }
+    }
+
+    /** Reads the whole body of the message whose head came last; on failure its buffers are given back. */
+    Body body(Buffers buffers) throws IOException, BadMessage {
+        Body body = new Body(buffers);
+        boolean whole = false;
+        try {
+            if (!chunked && left > Body.MOST && left != TO_THE_END) {
+                throw new BadMessage(413, "the body is too large");
+            }
+            while (more()) {
+                int n = (int) Math.min(left, filled - at);
+                if (body.length() + n > Body.MOST) {
+                    throw new BadMessage(413, "the body is too large");
+                }
+                body.add(buffer, at, n);
+                took(n);
+            }
+            whole = true;
+            return body;
+        } finally {
+            if (!whole) {
+                body.release();
+            }
+        }
+    }
+
+    /** The next line of a body of lines, without its end; null at the end of the body. */
+    String line(int longest) throws IOException, BadMessage {
+        StringBuilder line = new StringBuilder();
+        while (more()) {
+            byte b = buffer[at];
+            took(1);
+            if (b == '\n') {
+                return line.toString();
+            }
+            if (line.length() >= longest) {
+                throw new BadMessage(502, "a line is too long");
+            }
+            line.append((char) (b & 0xff));
+        }
+        return null;
+    }
+
+    /** Whether the body goes on; there is a byte of it in the buffer then. */
+    private boolean more() throws IOException, BadMessage {
+        if (!bodyOver && chunked && left == 0) {
+            left = chunkSize();
+            if (left == 0) {
+                while (!chunkLine().isEmpty()) {
+                    // Fields behind the last chunk: nothing here needs them.
+                }
+                bodyOver = true;
+            }
+        }
+        if (bodyOver) {
+            return false;
+        }
+        if (at == filled && !fill()) {
+            if (left == TO_THE_END) {
+                bodyOver = true;
+                return false;
+            }
+            throw new IOException("the body ends early");
+        }
+        return true;
+    }
+
+    private void took(int n) throws IOException, BadMessage {
+        at += n;
+        if (left == TO_THE_END) {
+            return;
+        }
+        left -= n;
+        if (left == 0) {
+            if (!chunked) {
+                bodyOver = true;
+            } else if (!chunkLine().isEmpty()) {
+                throw new BadMessage(400, "a chunk is longer than its size");
+            }
+        }
+    }
+
+    private long chunkSize() throws IOException, BadMessage {
+        String size = chunkLine().split(";", 2)[0].trim();
+        if (!size.matches("[0-9a-fA-F]{1,7}")) {
+            throw new BadMessage(400, "not the size of a chunk");
+        }
+        return Long.parseLong(size, 16);
+    }
+
+    private String chunkLine() throws IOException, BadMessage {
+        StringBuilder line = new StringBuilder();
+        while (true) {
+            char c = (char) (next() & 0xff);
+            if (c == '\n' && line.length() > 0 && line.charAt(line.length() - 1) == '\r') {
+                line.setLength(line.length() - 1);
+                return line.toString();
+            }
+            if (c == '\n' || line.length() >= CHUNK_LINE) {
+                throw new BadMessage(400, "not a line between chunks");
+            }
+            line.append(c);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Item.java
@@ -0,0 +1,132 @@
+package cottonlock.net;
+
+import cottonlock.decision.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A work item on its way through the sockets: what came of it, and who still needs its body. */
+final class Item {
+    final Client client;
+    final String method;
+    final String target;
+    final String requestId;
+    final String categoryName;
+    final String tenantName;
+    final String ticket;
+    final String contentType;
+    final Body body;
+    final int category;
+    final int tenant;
+    final boolean repeated;
+    /** By the module's clock: its client waits no longer. */
+    final long expiry;
+    private final AtomicBoolean claimed = new AtomicBoolean();
+    /** One for the answer that is owed, and one for each write of the body that is under way. */
+    private final AtomicInteger holds = new AtomicInteger(1);
+
+    /** The module's number for it, its hand-offs, and how many are out: the module's thread alone. */
+    long number;
+    final List<Item.HandOff> handOffs = new ArrayList<>(1);
+    int out;
+
+    Item(Client client, Head head, Body body, String requestId, String ticket, int category,
+         String categoryName, int tenant, String tenantName, boolean repeated, long expiry)
+        throws BadMessage {
+        this.client = client;
+        this.method = head.start[0];
+        this.target = head.start[1];
+        this.contentType = head.only("Content-Type");
+        this.requestId = requestId;
+        this.ticket = ticket;
+        this.body = body;
+        this.category = category;
+        this.categoryName = categoryName;
+        this.tenant = tenant;
+        this.tenantName = tenantName;
+        this.repeated = repeated;
+        this.expiry = expiry;
+    }
+
+    /** True for the one caller that may give the final answer, or note that nobody waits for it. */
+    boolean claim() {
+        if (!claimed.compareAndSet(false, true)) {
+            return false;
+        }
+        release();
+        return true;
+    }
+
+    boolean claimed() {
+        return claimed.get();
+    }
+
+    /** Keeps the body for a write; false when the work item has been answered. */
+    boolean hold() {
+        return holds.getAndUpdate(n -> n == 0 ? 0 : n + 1) > 0;
+    }
+
+    /** The last one to let go gives the body's buffers back. */
+    void release() {
+        if (holds.decrementAndGet() == 0) {
+            body.release();
+        }
+    }
+
+    /** One hand-off: it is settled once, whatever reaches it first. */
+    static final class HandOff {
+        final Item wi;
+        final int number;
+        private final ModuleActor module;
+        private Link link;
+        private boolean settled;
+
+        HandOff(Item wi, int number, ModuleActor module) {
+            this.wi = wi;
+            this.number = number;
+            this.module = module;
+        }
+
+        /** Binds it to the connection it will go out on; false if it has been settled before that. */
+        synchronized boolean attach(Link to) {
+            link = settled ? null : to;
+            return !settled;
+        }
+
+        /** The first outcome counts, and reaches the module; true for that one. */
+        boolean settle(Outcome outcome) {
+            synchronized (this) {
+                if (settled) {
+                    return false;
+                }
+                settled = true;
+                link = null;
+            }
+            module.settled(this, outcome);
+            return true;
+        }
+
+        synchronized boolean settled() {
+            return settled;
+        }
+
+        /** Gives it up, from the module's thread: its connection is closed before anything else happens. */
+        boolean abandon() {
+            Link closing;
+            synchronized (this) {
+                if (settled) {
+                    return false;
+                }
+                settled = true;
+                closing = link;
+                link = null;
+            }
+            // A repeat may be sent next: with this copy still out it would be a second one.
+            if (closing != null) {
+                closing.kill();
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Link.java
@@ -0,0 +1,179 @@
+package cottonlock.net;
+
+import cottonlock.decision.Outcome;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+
+/** One connection to a backend. Its thread connects and reads; the backend's actor writes on it later. */
+final class Link implements Runnable {
+    private final BackendActor backend;
+    private final InetSocketAddress address;
+    private final int connectLimit;
+    private final Buffers buffers;
+    private final HttpWriter writer;
+    private final Watchdog watchdog;
+    private final Clock clock;
+    private final Socket socket = new Socket();
+    private final Item.HandOff first;
+    /** When it last began to rest, for the actor. */
+    long restingSince;
+    private Item.HandOff current;
+    private boolean writing;
+    private boolean written;
+    private boolean ended;
+
+    Link(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
+         HttpWriter writer, Watchdog watchdog, Clock clock, Item.HandOff first) {
+        this.backend = backend;
+        this.address = address;
+        this.connectLimit = connectLimit;
+        this.buffers = buffers;
+        this.writer = writer;
+        this.watchdog = watchdog;
+        this.clock = clock;
+        this.first = first;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    @Override
+    public void run() {
+        byte[] buffer = null;
+        try {
+            if (first.attach(this)) {
+                current = first;
+                socket.setTcpNoDelay(true);
+                socket.connect(address, connectLimit);
+                buffer = buffers.take();
+                HttpReader reader = new HttpReader(socket, buffer);
+                if (send(first)) {
+                    while (reader.await() && exchange(reader)) {
+                        // One hand-off after the other.
+                    }
+                }
+            }
+        } catch (IOException | BadMessage e) {
+            // What was under way is settled below.
+        } finally {
+            end(buffer);
+        }
+    }
+
+    /** The one place where the connection, its buffer and its place among the sockets are given back. */
+    private void end(byte[] buffer) {
+        Sockets.close(socket);
+        if (buffer != null) {
+            buffers.give(buffer);
+        }
+        Item.HandOff broken = null;
+        synchronized (this) {
+            ended = true;
+            if (!writing) {
+                // While it is being written the writer knows better how far it got.
+                broken = current;
+                current = null;
+            }
+        }
+        if (broken != null) {
+            broken.settle(written ? Outcome.BROKEN_OFF : Outcome.NO_CONNECTION);
+        }
+        backend.ended(this);
+    }
+
+    /** Writes a hand-off; false when nothing more can go out on this connection. */
+    boolean send(Item.HandOff ho) {
+        synchronized (this) {
+            if (ended) {
+                return false;
+            }
+            current = ho;
+            writing = true;
+            written = false;
+        }
+        Outcome skipped = write(ho);
+        boolean over;
+        synchronized (this) {
+            writing = false;
+            written = skipped == null;
+            over = ended;
+            if (skipped != null || over) {
+                current = null;
+            }
+        }
+        if (skipped != null) {
+            ho.settle(skipped);
+            Sockets.close(socket);
+            return false;
+        }
+        if (over) {
+            // It went out whole, but the other side had ended: it may have been read before that.
+            ho.settle(Outcome.BROKEN_OFF);
+        }
+        return !over;
+    }
+
+    /** Writes it whole and returns null, or tells why its last byte was never written. */
+    private Outcome write(Item.HandOff ho) {
+        if (!ho.wi.hold()) {
+            return Outcome.NOT_SENT;
+        }
+        try {
+            long wait = Math.max(1, (ho.wi.expiry - clock.now()) / 10);
+            String host = address.getHostString() + ":" + address.getPort();
+            watchdog.write(socket, out -> writer.request(out, ho.wi, host, wait));
+            return null;
+        } catch (IOException e) {
+            return Outcome.NO_CONNECTION;
+        } finally {
+            ho.wi.release();
+        }
+    }
+
+    /** Reads one answer; false when the connection is to end. */
+    private boolean exchange(HttpReader reader) throws IOException, BadMessage {
+        Head head = reader.answer();
+        Body body = reader.body(buffers);
+        try {
+            Item.HandOff ho;
+            boolean keep = head.keepsAlive(head.start[0]);
+            synchronized (this) {
+                ho = current;
+                current = null;
+                keep &= !writing;
+            }
+            if (ho == null) {
+                return false;
+            }
+            pass(ho, head, body);
+            if (keep) {
+                backend.rests(this);
+            }
+            return keep;
+        } finally {
+            body.release();
+        }
+    }
+
+    private void pass(Item.HandOff ho, Head head, Body body) throws BadMessage {
+        int status = Integer.parseInt(head.start[1]);
+        boolean notRun = "1".equals(head.only("X-Not-Processed"));
+        if (status != 200) {
+            ho.settle((status == 503 || status == 504) && notRun ? Outcome.TURNED_AWAY : Outcome.ERROR);
+            return;
+        }
+        // Claimed first: the module must learn that the work item is over, by this hand-off.
+        boolean owed = ho.wi.claim();
+        ho.settle(Outcome.FINISHED);
+        if (owed) {
+            ho.wi.client.finish(200, null, null, body);
+        }
+    }
+
+    /** Ends the connection at once, from any thread. */
+    void kill() {
+        Sockets.close(socket);
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/ListWatch.java
@@ -0,0 +1,100 @@
+package cottonlock.net;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.concurrent.Semaphore;
+
+/** The list's actor: it watches the list of backends while asked to, one watch at a time. */
+final class ListWatch implements Runnable {
+    /** Milliseconds: discovery answers from within the network or not at all. */
+    private static final int CONNECT = 1_000;
+    /** Milliseconds without a byte: two and a half of the empty lines that come every two seconds. */
+    private static final long SILENCE = 5_000;
+    /** Milliseconds at least between watches where nobody decides when to ask again. */
+    private static final long AGAIN = 500;
+    /** A line with some thousand backends. */
+    private static final int LONGEST_LINE = 1 << 20;
+
+    private final InetSocketAddress address;
+    private final Directory directory;
+    private final boolean onlyWhenAsked;
+    private final ModuleActor module;
+    private final Buffers buffers;
+    private final Log log;
+    private final SplittableRandom random;
+    private final Semaphore asks = new Semaphore(0);
+    private long version;
+
+    ListWatch(InetSocketAddress address, Directory directory, long version, boolean onlyWhenAsked,
+              ModuleActor module, Buffers buffers, Log log, SplittableRandom random) {
+        this.address = address;
+        this.directory = directory;
+        this.version = version;
+        this.onlyWhenAsked = onlyWhenAsked;
+        this.module = module;
+        this.buffers = buffers;
+        this.log = log;
+        this.random = random;
+    }
+
+    /** From the module's thread: a watch is wanted; one that runs will do. */
+    void ask() {
+        asks.release();
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                if (onlyWhenAsked) {
+                    asks.acquire();
+                }
+                try {
+                    watch();
+                } catch (IOException | BadMessage | RuntimeException e) {
+                    log.info("list", "the watch ended: " + e.getMessage());
+                }
+                asks.drainPermits();
+                module.listFailed();
+                if (!onlyWhenAsked) {
+                    // All balancers lose their watch together; they must not come back together.
+                    Thread.sleep(AGAIN + random.nextLong(AGAIN));
+                }
+            }
+        } catch (InterruptedException e) {
+            // The proxy closes.
+        }
+    }
+
+    private void watch() throws IOException, BadMessage {
+        byte[] buffer = buffers.take();
+        try (Socket socket = new Socket()) {
+            socket.connect(address, CONNECT);
+            OutputStream out = socket.getOutputStream();
+            out.write(("GET /catalog/members?stream=1&index=" + version + " HTTP/1.1\r\nHost: "
+                + address.getHostString() + ":" + address.getPort() + "\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+            HttpReader reader = new HttpReader(socket, buffer);
+            reader.within(SILENCE);
+            Head head = reader.answer();
+            if (!head.start[1].equals("200")) {
+                throw new IOException("status " + head.start[1]);
+            }
+            for (String line = reader.line(LONGEST_LINE); line != null; line = reader.line(LONGEST_LINE)) {
+                if (!line.isBlank()) {
+                    Directory.News news = directory.read(Json.read(line));
+                    version = news.version();
+                    module.list(news, false);
+                }
+                reader.within(SILENCE);
+            }
+            throw new IOException("discovery ended it");
+        } finally {
+            buffers.give(buffer);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -0,0 +1,258 @@
+package cottonlock.net;
+
+import cottonlock.decision.Balancer;
+import cottonlock.decision.Member;
+import cottonlock.decision.Outcome;
+import cottonlock.decision.Outlet;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** The module's actor: its thread alone calls the module, and it waits for nobody but its mailbox. */
+final class ModuleActor implements Runnable, Outlet {
+    /** More than the sockets there are: each has a message or two under way at most. */
+    private static final int MAILBOX = 4_096;
+
+    private final BlockingQueue<Runnable> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    /** What the module's own answers lead to, after the call that made them. */
+    private final Deque<Runnable> next = new ArrayDeque<>();
+    private final Clock clock;
+    private final Function<Directory.Entry, BackendActor> actorOf;
+    private final Clerk clerk;
+    private final Log log;
+    private final Map<Long, Item> items = new HashMap<>();
+    private final Map<String, BackendActor> backends = new TreeMap<>();
+    private final PriorityQueue<Item> expiries =
+        new PriorityQueue<>(Comparator.comparingLong((Item wi) -> wi.expiry));
+    private Balancer balancer;
+    private ListWatch watch;
+    private Peers peers;
+    private long lastNumber;
+    private long wakeAt = Long.MAX_VALUE;
+
+    ModuleActor(Clock clock, Function<Directory.Entry, BackendActor> actorOf, Clerk clerk, Log log) {
+        this.clock = clock;
+        this.actorOf = actorOf;
+        this.clerk = clerk;
+        this.log = log;
+    }
+
+    /** Before the thread starts: the module, where its asks for the list go, and its messages to peers. */
+    void join(Balancer module, ListWatch list, Peers others) {
+        balancer = module;
+        watch = list;
+        peers = others;
+    }
+
+    @Override
+    public void run() {
+        guard(() -> balancer.start(clock.now()));
+        try {
+            while (true) {
+                Runnable message = next.poll();
+                if (message == null) {
+                    message = mailbox.poll(Math.max(0, untilDue()) * 100, TimeUnit.MICROSECONDS);
+                }
+                if (message != null) {
+                    guard(message);
+                }
+                guard(this::due);
+            }
+        } catch (InterruptedException e) {
+            // The proxy closes.
+        }
+    }
+
+    /** One message that fails must not end all that the others wait for. */
+    private void guard(Runnable message) {
+        try {
+            message.run();
+        } catch (RuntimeException e) {
+            log.warn("fault", "the module failed: " + e + " at " + List.of(e.getStackTrace()).get(0));
+        }
+    }
+
+    private long untilDue() {
+        Item first = expiries.peek();
+        return Math.min(wakeAt, first == null ? Long.MAX_VALUE : first.expiry) - clock.now();
+    }
+
+    private void due() {
+        long now = clock.now();
+        while (!expiries.isEmpty() && expiries.peek().expiry <= now) {
+            Item wi = expiries.poll();
+            for (Item.HandOff ho : wi.handOffs) {
+                if (ho.abandon()) {
+                    ended(ho, Outcome.TIMED_OUT);
+                }
+            }
+            // The module has given each its answer by now; this is for one that it lost in a fault.
+            if (items.containsKey(wi.number) && wi.out == 0) {
+                writeOff(wi.number);
+            }
+        }
+        if (now >= wakeAt) {
+            wakeAt = Long.MAX_VALUE;
+            balancer.wake(now);
+        }
+    }
+
+    private void put(Runnable message) {
+        try {
+            mailbox.put(message);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A client's request has been read whole. */
+    void arrive(Item wi) {
+        put(() -> {
+            wi.number = ++lastNumber;
+            items.put(wi.number, wi);
+            expiries.add(wi);
+            long now = clock.now();
+            balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated);
+        });
+    }
+
+    /** The client of a work item has left. */
+    void left(Item wi) {
+        put(() -> {
+            balancer.left(clock.now(), wi.number);
+            forget(wi);
+        });
+    }
+
+    /** A hand-off has been settled, by the thread that saw how it ended. */
+    void settled(Item.HandOff ho, Outcome outcome) {
+        put(() -> ended(ho, outcome));
+    }
+
+    private void ended(Item.HandOff ho, Outcome outcome) {
+        ho.wi.out--;
+        balancer.settled(clock.now(), ho.wi.number, ho.number, outcome, ho.wi.claimed());
+        forget(ho.wi);
+    }
+
+    private void forget(Item wi) {
+        if (wi.claimed() && wi.out == 0) {
+            items.remove(wi.number);
+        }
+    }
+
+    /** News of the list; cached: as this balancer last held it. */
+    void list(Directory.News news, boolean cached) {
+        put(() -> {
+            List<Member> members = new ArrayList<>();
+            Map<String, BackendActor> absent = news.whole() ? new TreeMap<>(backends) : new TreeMap<>();
+            for (Directory.Entry entry : news.entries()) {
+                Member m = entry.member();
+                members.add(m);
+                BackendActor actor = backends.get(m.id());
+                if (m.state() == Member.State.GONE) {
+                    absent.put(m.id(), actor);
+                    continue;
+                }
+                absent.remove(m.id());
+                if (actor == null && entry.dial() != null) {
+                    backends.put(m.id(), actorOf.apply(entry));
+                } else if (entry.dial() != null) {
+                    actor.listensAt(entry.dial());
+                }
+            }
+            balancer.list(clock.now(), members, news.whole(), cached);
+            absent.forEach((id, actor) -> {
+                backends.remove(id);
+                if (actor != null) {
+                    actor.leave();
+                }
+            });
+        });
+    }
+
+    void listFailed() {
+        put(() -> balancer.listFailed(clock.now()));
+    }
+
+    /** Another balancer of the tier has told something. */
+    void heard(byte[] message) {
+        put(() -> balancer.heard(clock.now(), message));
+    }
+
+    @Override
+    public void handOff(long number, String backend, long timeOut) {
+        Item wi = items.get(number);
+        Item.HandOff ho = new Item.HandOff(wi, wi.handOffs.size(), this);
+        wi.handOffs.add(ho);
+        wi.out++;
+        BackendActor actor = backends.get(backend);
+        if ((actor == null || !actor.handOff(ho)) && ho.abandon()) {
+            next.add(() -> ended(ho, Outcome.NO_CONNECTION));
+        }
+    }
+
+    @Override
+    public void recall(long number, int handOff) {
+        Item wi = items.get(number);
+        if (wi != null && wi.handOffs.get(handOff).abandon()) {
+            next.add(() -> ended(wi.handOffs.get(handOff), Outcome.RECALLED));
+        }
+    }
+
+    @Override
+    public void defer(long number, long comeBack) {
+        answer(number, 503, comeBack > 0 ? "Retry-After" : null,
+            String.format(java.util.Locale.ROOT, "%d.%04d", comeBack / 10_000, comeBack % 10_000));
+    }
+
+    @Override
+    public void writeOff(long number) {
+        answer(number, 502, null, null);
+    }
+
+    private void answer(long number, int status, String name, String value) {
+        Item wi = items.get(number);
+        if (wi != null && wi.claim()) {
+            clerk.write(wi.client, status, name, value);
+        }
+        if (wi != null) {
+            forget(wi);
+        }
+    }
+
+    @Override
+    public void wakeMe(long at) {
+        wakeAt = at;
+    }
+
+    @Override
+    public void askList() {
+        watch.ask();
+    }
+
+    @Override
+    public void probe(String backend) {
+        // The protocol has no probes.
+    }
+
+    @Override
+    public void tellPeers(byte[] message) {
+        peers.tell(message);
+    }
+
+    @Override
+    public void note(String line) {
+        log.info("module", line);
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -0,0 +1,102 @@
+package cottonlock.net;
+
+import cottonlock.setup.Assembly;
+import cottonlock.setup.Malformed;
+import cottonlock.setup.Settings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Semaphore;
+
+/** A load balancer on sockets: what an embedding program starts and closes. */
+public final class Proxy {
+    /** Descriptors for the program itself, discovery, peers and the listener. */
+    private static final int OWN_SOCKETS = 64;
+    /** Milliseconds: new connections still come for so long after the word to stop. */
+    private static final long SERVE_ON = 550;
+    /** Milliseconds between looks at whether all is answered. */
+    private static final long LOOK = 5;
+
+    private final List<Thread> threads = new ArrayList<>();
+    private final Listener listener;
+    private final Peers peers;
+    private final long longestExpiry;
+
+    /** Starts a proxy by its configuration file; it serves when this returns. */
+    public Proxy(Path configuration) throws IOException {
+        Config config = Config.read(configuration);
+        Settings settings = config.settings();
+        Assembly assembly = new Assembly(settings);
+        Log log = new Log(System.getLogger("cottonlock"));
+        Clock clock = new Clock();
+        SplittableRandom random = new SplittableRandom(config.seed());
+        int side = Math.max(2, (config.limit("sockets", 1024) - OWN_SOCKETS) / 2);
+        // An eighth of the memory: a buffer for each connection, the rest for bodies.
+        Buffers buffers = new Buffers(Math.max(64,
+            (config.limit("memory_mb", 192) << 20) / 8 / Buffers.SIZE));
+        HttpWriter writer = new HttpWriter(buffers);
+        Watchdog watchdog = new Watchdog();
+        Clerk clerk = new Clerk();
+        Semaphore sockets = new Semaphore(side);
+        long connect = settings.timeDown("Limits.ConnectTimeout") / 10;
+        long idle = settings.timeDown("Limits.ConnIdle") / 10;
+        ModuleActor module = new ModuleActor(clock, entry -> {
+            BackendActor actor = new BackendActor(entry.dial(), sockets, connect, idle, buffers, writer,
+                watchdog, clock, log);
+            Sockets.start("backend", actor);
+            return actor;
+        }, clerk, log);
+        Directory directory = new Directory(settings.words("Zones"), settings.words("Flavors"));
+        Directory.News known = config.known(directory);
+        ListWatch watch = new ListWatch(config.address("discovery"), directory, known.version(),
+            assembly.mustAsk(), module, buffers, log, random.split());
+        peers = new Peers(config.addressIfAny("peer_listen"), config.addresses("peers"),
+            config.addressIfAny("peers_all"), module, log);
+        module.join(assembly.balancer(module, random.nextLong()), watch, peers);
+        module.list(known, true);
+        Admission admission = new Admission(clock, assembly, settings);
+        InetSocketAddress listen = config.address("listen");
+        listener = new Listener(listen, side, (socket, from) -> new Client(socket, from, module,
+            admission, buffers, writer, watchdog, log), log);
+        longestExpiry = settings.each("Categories", "Expiry").stream()
+            .mapToLong(t -> (long) (Double.parseDouble(t) / 1000)).max().orElse(0);
+        threads.add(Sockets.start("module", module));
+        threads.add(Sockets.start("clerk", clerk));
+        threads.add(Sockets.start("watchdog", watchdog));
+        threads.add(Sockets.start("list", watch));
+        threads.add(Sockets.start("peers", peers));
+        threads.add(Sockets.start("listener", listener));
+    }
+
+    /** Serves on while clients still come, then answers what it has taken; returns when all is answered. */
+    public void drain() throws InterruptedException {
+        Thread.sleep(SERVE_ON);
+        listener.close();
+        long until = System.nanoTime() + longestExpiry * 1_000_000;
+        while (listener.busy() && System.nanoTime() < until) {
+            Thread.sleep(LOOK);
+        }
+    }
+
+    /** Ends it at once. */
+    public void close() {
+        listener.close();
+        peers.close();
+        threads.forEach(Thread::interrupt);
+    }
+
+    /** The port that it listens on. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Waits until it is closed. */
+    public void join() throws InterruptedException {
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/net/Watchdog.java
@@ -0,0 +1,49 @@
+package cottonlock.net;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Closes sockets whose writes take too long: a machine that has gone silent never takes them. */
+final class Watchdog implements Runnable {
+    /** How often it looks, in milliseconds: the limits are far longer. */
+    private static final long LOOK = 200;
+    /** Longer than any network here stalls for, shorter than the work of a minute piles up. */
+    private static final long LIMIT = 2_000_000_000L;
+
+    private final Map<Socket, Long> writing = new ConcurrentHashMap<>();
+
+    /** What is to be written. */
+    interface Write {
+        void to(OutputStream out) throws IOException;
+    }
+
+    /** Carries out a write that fails when it takes too long. */
+    void write(Socket socket, Write write) throws IOException {
+        writing.put(socket, System.nanoTime());
+        try {
+            write.to(socket.getOutputStream());
+        } finally {
+            writing.remove(socket);
+        }
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                Thread.sleep(LOOK);
+                long now = System.nanoTime();
+                writing.forEach((socket, since) -> {
+                    if (now - since > LIMIT) {
+                        Sockets.close(socket);
+                    }
+                });
+            }
+        } catch (InterruptedException e) {
+            // The proxy closes.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -0,0 +1,73 @@
+package cottonlock.setup;
+
+import cottonlock.decision.Balancer;
+import cottonlock.decision.Category;
+import cottonlock.decision.Outlet;
+import cottonlock.decision.Tenant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Builds the decision module from the settings of one balancer, for the bench and the proxy alike. */
+public final class Assembly {
+    public final List<Category> categories;
+    public final List<Tenant> tenants;
+    private final Settings settings;
+
+    public Assembly(Settings settings) {
+        this.settings = settings;
+        this.categories = categories(settings);
+        this.tenants = tenants(settings);
+    }
+
+    /** Whether changes of the list come only to those that ask for them. */
+    public boolean mustAsk() {
+        return settings.choice("MembershipMode", "automatic", "subscribe") == 1;
+    }
+
+    /** A module that answers through the given outlet. */
+    public Balancer balancer(Outlet outlet, long seed) {
+        Settings s = settings;
+        SplittableRandom random = new SplittableRandom(seed);
+        int balancers = s.count("FleetSize", 1);
+        boolean first = s.count("Stage", 0) == 0;
+        long longestComeBack = s.flag("Limits.RetryAfter", false) ? s.timeDown("Limits.MaxRetryAfter") : 0;
+        Balancer.Fleet fleet = new Balancer.Fleet(outlet, random.split(), tenants, balancers,
+            s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"),
+            s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
+            s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), balancers, first);
+        return new Balancer(outlet,
+            new Balancer.Intake(outlet, categories, tenants, first, balancers, longestComeBack),
+            line,
+            new Balancer.Lane(line, fleet),
+            new Balancer.Pick(fleet, random.split()),
+            new Balancer.HandOffs(outlet, line, fleet, s.count("Limits.MaxHandOffs", 1),
+                s.flag("Limits.Cancel", false)),
+            fleet);
+    }
+
+    private static List<Category> categories(Settings s) {
+        List<Category> list = new ArrayList<>();
+        int n = s.count("Categories.count", 0);
+        for (int i = 0; i < n; i++) {
+            String at = "Categories." + i + ".";
+            list.add(new Category(i, s.timeDown(at + "DueTime"), s.number(at + "Credit", 1),
+                s.number(at + "LateCredit", 0),
+                Category.Repeat.values()[s.choice(at + "Repeat", "safe", "keyed", "unsafe")],
+                Category.Scope.values()[s.choice(at + "KeyScope", "all", "zone", "cell")],
+                s.timeDown(at + "RepeatWindow")));
+        }
+        return list;
+    }
+
+    private static List<Tenant> tenants(Settings s) {
+        List<Tenant> list = new ArrayList<>();
+        int n = s.count("Projects.count", 0);
+        for (int i = 0; i < n; i++) {
+            String at = "Projects." + i + ".";
+            list.add(new Tenant(s.number(at + "Share", 0), s.number(at + "QuotaRps", 0)));
+        }
+        return list;
+    }
+}
--- a/src/main/java/cottonlock/bench/Settings.java
+++ b/src/main/java/cottonlock/setup/Settings.java
@@ -1,25 +1,35 @@
-package cottonlock.bench;
+package cottonlock.setup;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The settings of one instance, by path; what is not asked for is ignored. */
-final class Settings {
+public final class Settings {
+    /** Microseconds, the unit of the settings, in the module's: a tenth of a millisecond. */
+    public static final long MICROS = 100;
+
     private final Map<String, String> values = new HashMap<>();
 
-    void put(String pair) {
+    /** Takes a setting in the form path=value. */
+    public void put(String pair) {
         int equals = pair.indexOf('=');
         if (equals <= 0) {
             throw new Malformed("a setting is not of the form path=value: " + pair);
         }
-        values.put(pair.substring(0, equals), pair.substring(equals + 1));
+        put(pair.substring(0, equals), pair.substring(equals + 1));
+    }
+
+    public void put(String path, String value) {
+        values.put(path, value);
     }
 
-    String text(String path, String otherwise) {
+    public String text(String path, String otherwise) {
         return values.getOrDefault(path, otherwise);
     }
 
-    boolean flag(String path, boolean otherwise) {
+    public boolean flag(String path, boolean otherwise) {
         String value = values.get(path);
         if (value == null) {
             return otherwise;
@@ -31,7 +41,7 @@
         };
     }
 
-    double number(String path, double otherwise) {
+    public double number(String path, double otherwise) {
         String value = values.get(path);
         if (value == null) {
             return otherwise;
@@ -47,22 +57,37 @@
         throw new Malformed("setting " + path + " is not a number: " + value);
     }
 
-    int count(String path, int otherwise) {
+    public int count(String path, int otherwise) {
         return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, number(path, otherwise)));
     }
 
+    /** A list of plain values; empty where there is none. */
+    public List<String> words(String path) {
+        String value = text(path, "");
+        return value.isEmpty() ? List.of() : List.of(value.split(","));
+    }
+
+    /** The values of one field of each item of a list of objects. */
+    public List<String> each(String path, String field) {
+        List<String> list = new ArrayList<>();
+        for (int i = 0; i < count(path + ".count", 0); i++) {
+            list.add(text(path + "." + i + "." + field, ""));
+        }
+        return list;
+    }
+
     /** A time in tenths of a millisecond, cut to whole ones. */
-    long timeDown(String path) {
-        return (long) Math.floor(number(path, 0) / WireHost.MICROS);
+    public long timeDown(String path) {
+        return (long) Math.floor(number(path, 0) / MICROS);
     }
 
     /** A time in tenths of a millisecond, whole ones that cover it. */
-    long timeUp(String path) {
-        return (long) Math.ceil(number(path, 0) / WireHost.MICROS);
+    public long timeUp(String path) {
+        return (long) Math.ceil(number(path, 0) / MICROS);
     }
 
     /** A setting that must be one of a few words: the place of its value among them. */
-    int choice(String path, String... words) {
+    public int choice(String path, String... words) {
         String value = text(path, words[0]);
         for (int i = 0; i < words.length; i++) {
             if (words[i].equals(value)) {
