Tests of the proxy on loopback sockets; odd list lines left out; patience bounded

Tests play clients, backends, discovery and peers that misbehave, and check after each that all buffers are back. Changed on rereading: a client's patience counts up to its category's expiry (an endless one kept what is remembered of a work item as long); one odd host no longer costs the news of the others; only resting connections are closed for new ones; defaults where settings give no connect or idle time; closing an embedded proxy ends all it has open.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -30,6 +30,7 @@
             if (configuration == null) {
                 throw new Malformed("EDGE_CONFIG names no file");
             }
+            System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
             Proxy proxy = new Proxy(Path.of(configuration));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -3,25 +3,38 @@
 import cottonlock.decision.Category;
 import cottonlock.setup.Assembly;
 import cottonlock.setup.Settings;
+import java.util.Arrays;
 import java.util.List;
 
 /** Turns a client's request into a work item, or says what is wrong with it. */
 final class Admission {
     /** What passing the answer on may take, in tenths of a millisecond: a busy core's few milliseconds. */
     private static final long RESERVE = 100;
-    /** A longer patience is taken for this, in milliseconds: an hour. */
-    private static final long LONGEST = 3_600_000;
+    /** The patience of categories without an expiry, in tenths of a millisecond: a minute. */
+    private static final long LONGEST = 600_000;
 
     private final Clock clock;
     private final List<Category> categories;
     private final List<String> categoryNames;
     private final List<String> tenantNames;
+    /** A longer patience is taken for this: it would keep what is remembered of a work item for as long. */
+    private final long[] longest;
 
     Admission(Clock clock, Assembly assembly, Settings settings) {
         this.clock = clock;
         this.categories = assembly.categories;
         this.categoryNames = settings.each("Categories", "Name");
         this.tenantNames = settings.each("Projects", "Name");
+        this.longest = new long[categories.size()];
+        for (int i = 0; i < longest.length; i++) {
+            long expiry = settings.timeDown("Categories." + i + ".Expiry");
+            longest[i] = expiry > 0 ? expiry : LONGEST;
+        }
+    }
+
+    /** The longest that any work item is waited for, in milliseconds. */
+    long longest() {
+        return Arrays.stream(longest).max().orElse(0) / 10;
     }
 
     Item item(Client client, Head head, Body body) throws BadMessage {
@@ -62,7 +75,7 @@
         if (patience == null || !patience.matches("[0-9]{1,15}")) {
             throw new BadMessage(400, "no X-Timeout-Ms in whole milliseconds");
         }
-        long wait = Math.min(LONGEST, Long.parseLong(patience)) * 10 - RESERVE;
+        long wait = Math.min(longest[category], Long.parseLong(patience) * 10) - RESERVE;
         return new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
             tenant, tenantName, "1".equals(head.only("X-Retried")), now + wait);
     }
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -59,7 +59,7 @@
                 retire();
             }
         } catch (InterruptedException e) {
-            links.forEach(Link::kill);
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -88,6 +88,14 @@
         });
     }
 
+    /** The proxy closes: nothing that is out is waited for. */
+    void end() {
+        mailbox.offer(() -> {
+            leaving = true;
+            links.forEach(Link::kill);
+        });
+    }
+
     /** From a link: its hand-off is over and it may carry the next. */
     void rests(Link link) {
         put(() -> {
@@ -135,7 +143,7 @@
             ho.settle(Outcome.NO_CONNECTION);
             return;
         }
-        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, ho);
+        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, log, ho);
         links.add(link);
         try {
             Sockets.start("link", link);
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -211,9 +211,9 @@
         }
     }
 
-    /** When it last began to rest, by the monotonic clock; Long.MAX_VALUE while it does not. */
+    /** When it last began to rest, by the monotonic clock. */
     synchronized long restingSince() {
-        return wi != null || reading || closing ? Long.MAX_VALUE : restingSince;
+        return restingSince;
     }
 
     /** Whether a request is being read or a work item is under way. */
--- a/src/main/java/cottonlock/net/Directory.java
+++ b/src/main/java/cottonlock/net/Directory.java
@@ -17,10 +17,12 @@
     record Entry(Member member, InetSocketAddress dial) {
     }
 
+    private final Log log;
     private final List<String> zones;
     private final List<String> kinds;
 
-    Directory(List<String> zones, List<String> kinds) {
+    Directory(Log log, List<String> zones, List<String> kinds) {
+        this.log = log;
         this.zones = new ArrayList<>(zones);
         this.kinds = new ArrayList<>(kinds);
     }
@@ -31,10 +33,15 @@
         }
         List<Entry> entries = new ArrayList<>();
         for (Object host : hosts) {
-            if (!(host instanceof Map<?, ?> fields)) {
-                throw new Malformed("a host that is no object");
+            try {
+                if (!(host instanceof Map<?, ?> fields)) {
+                    throw new Malformed("a host that is no object");
+                }
+                entries.add(entry(fields));
+            } catch (Malformed e) {
+                // One odd line must not cost the news of all the others.
+                log.warn("list", "left out a host: " + e.getMessage());
             }
-            entries.add(entry(fields));
         }
         return new News(whole(map, "seq", "0"), "true".equals(map.get("whole")), entries);
     }
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** Parses HTTP/1.1 messages from one socket, strictly: what could be read in two ways is refused. */
 final class HttpReader {
@@ -81,7 +82,7 @@
     Head request() throws IOException, BadMessage {
         Head head = head();
         String[] s = head.start;
-        if (s.length != 3 || !token(s[0]) || !s[1].startsWith("/") || !s[2].startsWith("HTTP/")) {
+        if (s.length != 3 || !token(s[0]) || !s[1].matches("/[!-~]*") || !s[2].startsWith("HTTP/")) {
             throw new BadMessage(400, "not a request line");
         }
         if (!s[2].equals("HTTP/1.1") && !s[2].equals("HTTP/1.0")) {
@@ -115,6 +116,10 @@
     }
 
     private Head head() throws IOException, BadMessage {
+        // Some senders end a body with a line end too many.
+        while (at + 1 < filled && buffer[at] == '\r' && buffer[at + 1] == '\n') {
+            at += 2;
+        }
         int end = at;
         while (true) {
             for (; end + 3 < filled; end++) {
@@ -177,6 +182,9 @@
             if (length != null) {
                 throw new BadMessage(400, "both Transfer-Encoding and Content-Length");
             }
+            if (List.of(head.start).contains("HTTP/1.0")) {
+                throw new BadMessage(400, "a transfer coding in HTTP/1.0");
+            }
             if (!coding.equalsIgnoreCase("chunked")) {
                 throw new BadMessage(501, "a transfer coding other than chunked");
             }
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -14,6 +14,7 @@
     private final HttpWriter writer;
     private final Watchdog watchdog;
     private final Clock clock;
+    private final Log log;
     private final Socket socket = new Socket();
     private final Item.HandOff first;
     /** When it last began to rest, for the actor. */
@@ -24,7 +25,7 @@
     private boolean ended;
 
     Link(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
-         HttpWriter writer, Watchdog watchdog, Clock clock, Item.HandOff first) {
+         HttpWriter writer, Watchdog watchdog, Clock clock, Log log, Item.HandOff first) {
         this.backend = backend;
         this.address = address;
         this.connectLimit = connectLimit;
@@ -32,6 +33,7 @@
         this.writer = writer;
         this.watchdog = watchdog;
         this.clock = clock;
+        this.log = log;
         this.first = first;
     }
 
@@ -55,7 +57,9 @@
                     }
                 }
             }
-        } catch (IOException | BadMessage e) {
+        } catch (BadMessage e) {
+            log.warn("bad answer", e.getMessage() + ", from " + address);
+        } catch (IOException e) {
             // What was under way is settled below.
         } finally {
             end(buffer);
--- a/src/main/java/cottonlock/net/ListWatch.java
+++ b/src/main/java/cottonlock/net/ListWatch.java
@@ -28,6 +28,7 @@
     private final SplittableRandom random;
     private final Semaphore asks = new Semaphore(0);
     private long version;
+    private volatile Socket socket;
 
     ListWatch(InetSocketAddress address, Directory directory, long version, boolean onlyWhenAsked,
               ModuleActor module, Buffers buffers, Log log, SplittableRandom random) {
@@ -58,6 +59,9 @@
                 } catch (IOException | BadMessage | RuntimeException e) {
                     log.info("list", "the watch ended: " + e.getMessage());
                 }
+                if (Thread.interrupted()) {
+                    return;
+                }
                 asks.drainPermits();
                 module.listFailed();
                 if (!onlyWhenAsked) {
@@ -72,7 +76,8 @@
 
     private void watch() throws IOException, BadMessage {
         byte[] buffer = buffers.take();
-        try (Socket socket = new Socket()) {
+        try {
+            socket = new Socket();
             socket.connect(address, CONNECT);
             OutputStream out = socket.getOutputStream();
             out.write(("GET /catalog/members?stream=1&index=" + version + " HTTP/1.1\r\nHost: "
@@ -94,7 +99,16 @@
             }
             throw new IOException("discovery ended it");
         } finally {
+            Sockets.close(socket);
             buffers.give(buffer);
         }
     }
+
+    /** The proxy closes: its thread has been interrupted, and a read that it may be in ends. */
+    void close() {
+        Socket watching = socket;
+        if (watching != null) {
+            Sockets.close(watching);
+        }
+    }
 }
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -48,7 +48,8 @@
     private void take(Socket socket) {
         if (clients.size() >= most - 1) {
             // The client whose connection has rested longest will miss it least.
-            clients.stream().min(Comparator.comparingLong(Client::restingSince)).ifPresent(Client::close);
+            clients.stream().filter(client -> !client.busy())
+                .min(Comparator.comparingLong(Client::restingSince)).ifPresent(Client::close);
         }
         if (clients.size() >= most) {
             log.warn("too many clients", "closed a new connection unread; " + clients.size() + " are open");
@@ -86,6 +87,11 @@
         List.copyOf(clients).forEach(Client::close);
     }
 
+    /** Ends all connections at once. */
+    void abort() {
+        List.copyOf(clients).forEach(Client::abort);
+    }
+
     /** Whether any request is being read or any work item is under way. */
     boolean busy() {
         return clients.stream().anyMatch(Client::busy);
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -69,7 +69,7 @@
                 guard(this::due);
             }
         } catch (InterruptedException e) {
-            // The proxy closes.
+            backends.values().forEach(BackendActor::end);
         }
     }
 
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -17,12 +17,17 @@
     private static final int OWN_SOCKETS = 64;
     /** Milliseconds: new connections still come for so long after the word to stop. */
     private static final long SERVE_ON = 550;
+    /** Where the settings give none, in their microseconds: a far network's connects, a common idle time. */
+    private static final double CONNECT = 250_000;
+    private static final double IDLE = 15_000_000;
     /** Milliseconds between looks at whether all is answered. */
     private static final long LOOK = 5;
 
     private final List<Thread> threads = new ArrayList<>();
     private final Listener listener;
     private final Peers peers;
+    private final ListWatch watch;
+    private final Buffers buffers;
     private final long longestExpiry;
 
     /** Starts a proxy by its configuration file; it serves when this returns. */
@@ -35,23 +40,23 @@
         SplittableRandom random = new SplittableRandom(config.seed());
         int side = Math.max(2, (config.limit("sockets", 1024) - OWN_SOCKETS) / 2);
         // An eighth of the memory: a buffer for each connection, the rest for bodies.
-        Buffers buffers = new Buffers(Math.max(64,
+        buffers = new Buffers(Math.max(64,
             (config.limit("memory_mb", 192) << 20) / 8 / Buffers.SIZE));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
         Clerk clerk = new Clerk();
         Semaphore sockets = new Semaphore(side);
-        long connect = settings.timeDown("Limits.ConnectTimeout") / 10;
-        long idle = settings.timeDown("Limits.ConnIdle") / 10;
+        long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
+        long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
         ModuleActor module = new ModuleActor(clock, entry -> {
             BackendActor actor = new BackendActor(entry.dial(), sockets, connect, idle, buffers, writer,
                 watchdog, clock, log);
             Sockets.start("backend", actor);
             return actor;
         }, clerk, log);
-        Directory directory = new Directory(settings.words("Zones"), settings.words("Flavors"));
+        Directory directory = new Directory(log, settings.words("Zones"), settings.words("Flavors"));
         Directory.News known = config.known(directory);
-        ListWatch watch = new ListWatch(config.address("discovery"), directory, known.version(),
+        watch = new ListWatch(config.address("discovery"), directory, known.version(),
             assembly.mustAsk(), module, buffers, log, random.split());
         peers = new Peers(config.addressIfAny("peer_listen"), config.addresses("peers"),
             config.addressIfAny("peers_all"), module, log);
@@ -61,8 +66,7 @@
         InetSocketAddress listen = config.address("listen");
         listener = new Listener(listen, side, (socket, from) -> new Client(socket, from, module,
             admission, buffers, writer, watchdog, log), log);
-        longestExpiry = settings.each("Categories", "Expiry").stream()
-            .mapToLong(t -> (long) (Double.parseDouble(t) / 1000)).max().orElse(0);
+        longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("clerk", clerk));
         threads.add(Sockets.start("watchdog", watchdog));
@@ -84,8 +88,10 @@
     /** Ends it at once. */
     public void close() {
         listener.close();
+        listener.abort();
         peers.close();
         threads.forEach(Thread::interrupt);
+        watch.close();
     }
 
     /** The port that it listens on. */
@@ -93,6 +99,11 @@
         return listener.port();
     }
 
+    /** How many buffers of the pool are free. */
+    int freeBuffers() {
+        return buffers.left();
+    }
+
     /** Waits until it is closed. */
     public void join() throws InterruptedException {
         for (Thread thread : threads) {
--- a/src/main/java/cottonlock/setup/Settings.java
+++ b/src/main/java/cottonlock/setup/Settings.java
@@ -78,7 +78,12 @@
 
     /** A time in tenths of a millisecond, cut to whole ones. */
     public long timeDown(String path) {
-        return (long) Math.floor(number(path, 0) / MICROS);
+        return timeDown(path, 0);
+    }
+
+    /** The same, with the microseconds that stand in where none are given. */
+    public long timeDown(String path, double otherwise) {
+        return (long) Math.floor(number(path, otherwise) / MICROS);
     }
 
     /** A time in tenths of a millisecond, whole ones that cover it. */
--- /dev/null
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -0,0 +1,621 @@
+package cottonlock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.setup.Malformed;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.ConnectException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.lifecycle.AfterTry;
+
+/** A proxy on loopback sockets between stand-ins of clients, backends and discovery. */
+class ProxyTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    private static final String NOT_RUN =
+        "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    /** Closes the connection in place of an answer. */
+    private static final String CLOSE = "";
+    /** Never answers. */
+    private static final String SILENT = "silent";
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Proxy proxy;
+    private int buffersAtFirst;
+
+    /** What a backend's stand-in does with a request, whose lines it is given. */
+    interface Play {
+        String answer(List<String> request) throws Exception;
+    }
+
+    /** A stand-in that answers each request as its play says. */
+    private final class StandIn implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        final List<Socket> sockets = new CopyOnWriteArrayList<>();
+        final List<List<String>> requests = new CopyOnWriteArrayList<>();
+        volatile Play play;
+
+        StandIn(Play play) throws IOException {
+            this.play = play;
+            open.add(this);
+            Sockets.start("stand-in", () -> {
+                try {
+                    while (true) {
+                        Socket socket = server.accept();
+                        sockets.add(socket);
+                        Sockets.start("stand-in connection", () -> serve(socket));
+                    }
+                } catch (IOException e) {
+                    // The test is over.
+                }
+            });
+        }
+
+        private void serve(Socket socket) {
+            try (socket) {
+                BufferedReader in = new BufferedReader(
+                    new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                List<String> lines = new ArrayList<>();
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    if (!line.isEmpty()) {
+                        lines.add(line);
+                        continue;
+                    }
+                    char[] body = new char[Integer.parseInt(field(lines, "Content-Length", "0"))];
+                    for (int n = 0; n < body.length; n += in.read(body, n, body.length - n)) {
+                        // Until all of it has come.
+                    }
+                    lines.add(new String(body));
+                    List<String> request = List.copyOf(lines);
+                    lines.clear();
+                    requests.add(request);
+                    String answer = play.answer(request);
+                    if (answer.equals(CLOSE)) {
+                        return;
+                    }
+                    if (!answer.equals(SILENT)) {
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                }
+            } catch (Exception e) {
+                // Its connection has ended.
+            }
+        }
+
+        String host(String id) {
+            return "{\"host\":\"" + id + "\",\"dial\":\"127.0.0.1:" + server.getLocalPort() + "\",\"site\":"
+                + "\"z\",\"class\":\"k\",\"block\":0,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private static String field(List<String> lines, String name, String otherwise) {
+        return lines.stream().filter(line -> line.startsWith(name + ": "))
+            .map(line -> line.substring(name.length() + 2)).findFirst().orElse(otherwise);
+    }
+
+    private static String list(int version, boolean whole, String... hosts) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
+    }
+
+    private static Path config(String text) throws IOException {
+        Path file = Files.createTempFile("proxy", ".json");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, text);
+    }
+
+    private void start(int sockets, int discovery, String more, String... hosts) throws IOException {
+        proxy = new Proxy(config("{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + ",\"memory_mb\":64},"
+            + more + "\"known\":" + list(1, true, hosts) + ",\"settings\":{\"Categories\":["
+            + "{\"Name\":\"read\",\"DueTime\":800000,\"Expiry\":1500000,\"Repeat\":\"safe\"},"
+            + "{\"Name\":\"book\",\"DueTime\":800000,\"Expiry\":1500000,\"Repeat\":\"keyed\","
+            + "\"KeyScope\":\"zone\",\"RepeatWindow\":5000000},"
+            + "{\"Name\":\"once\",\"DueTime\":800000,\"Expiry\":1500000,\"Repeat\":\"unsafe\"}],"
+            + "\"Projects\":[{\"Name\":\"acme\",\"Share\":1.0,\"QuotaRps\":1000}],\"Stage\":1,"
+            + "\"Zones\":[\"z\"],\"Flavors\":[\"k\"],\"MembershipMode\":\"subscribe\",\"Limits\":{"
+            + "\"MaxHandOffs\":3,\"Cancel\":true,\"RetryAfter\":true,\"MaxRetryAfter\":2000000,"
+            + "\"ConnectTimeout\":150000,\"ConnIdle\":60000000},\"Obligations\":{\"AskWithin\":1000000}}}"));
+        buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
+    }
+
+    private void start(StandIn... backends) throws IOException {
+        String[] hosts = new String[backends.length];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = backends[i].host("b" + i);
+        }
+        start(256, 1, "", hosts);
+    }
+
+    /** After each test everything must have been given back. */
+    @AfterTry
+    void closesCleanly() throws Exception {
+        if (proxy != null) {
+            proxy.close();
+            proxy.join();
+        }
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+        if (proxy != null) {
+            eventually(() -> proxy.freeBuffers() == buffersAtFirst, "all buffers are back");
+        }
+        open.clear();
+        proxy = null;
+    }
+
+    private interface Check {
+        boolean holds() throws Exception;
+    }
+
+    private static void eventually(Check check, String what) throws Exception {
+        long until = System.nanoTime() + 4_000_000_000L;
+        while (!check.holds()) {
+            assertTrue(System.nanoTime() < until, "in time: " + what);
+            Thread.sleep(2);
+        }
+    }
+
+    private static String request(String category, String id, String more, String body) {
+        return (category.equals("read") ? "GET" : "POST") + " /" + category + "?sid=7 HTTP/1.1\r\nHost: origin"
+            + "\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + category + "\r\nX-Tenant-Id: acme\r\n"
+            + (category.equals("book") ? "Idempotency-Key: k" + id + "\r\n" : "")
+            + (more.contains("X-Timeout-Ms") ? "" : "X-Timeout-Ms: 1200\r\n") + more
+            + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", proxy.port());
+        socket.setSoTimeout(8_000);
+        open.add(socket);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** One whole answer: its head, an empty line and its body; what there is of it if the stream ends. */
+    private static String receive(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        int end = -1;
+        while (end < 0 || text.length() < end) {
+            int c = in.read();
+            if (c < 0) {
+                return text.toString();
+            }
+            text.append((char) c);
+            if (end < 0 && text.toString().endsWith("\r\n\r\n")) {
+                end = text.length() + Integer.parseInt(
+                    field(List.of(text.toString().split("\r\n")), "Content-Length", "0"));
+            }
+        }
+        return text.toString();
+    }
+
+    private String call(String request) throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, request);
+            return receive(socket);
+        }
+    }
+
+    private static int status(String answer) {
+        return answer.isEmpty() ? 0 : Integer.parseInt(answer.split(" ", 3)[1]);
+    }
+
+    @Example
+    void passesAWorkItemOnAndItsAnswerBack() throws Exception {
+        String large = "x".repeat(60_000);
+        StandIn backend = new StandIn(request -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "5;a=b\r\nhello\r\n" + Integer.toHexString(large.length()) + "\r\n" + large + "\r\n0\r\n\r\n");
+        start(backend);
+        try (Socket socket = connect()) {
+            for (int i = 0; i < 3; i++) {
+                send(socket, request("book", "id" + i, "", large));
+                String answer = receive(socket);
+                assertEquals(200, status(answer));
+                assertEquals("hello" + large, answer.substring(answer.indexOf("\r\n\r\n") + 4));
+            }
+            send(socket, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+            assertEquals(200, status(receive(socket)));
+        }
+        List<String> seen = backend.requests.get(2);
+        assertEquals("POST /book?sid=7 HTTP/1.1", seen.get(0));
+        assertEquals("id2", field(seen, "X-Request-ID", ""));
+        assertEquals("kid2", field(seen, "Idempotency-Key", ""));
+        int left = Integer.parseInt(field(seen, "X-Timeout-Ms", "0"));
+        assertTrue(left > 600 && left <= 1200, "time left: " + left);
+        assertEquals(large, seen.get(seen.size() - 1));
+        assertEquals(1, backend.sockets.size(), "a kept connection is used again");
+    }
+
+    @Example
+    void badRequestsGetAClearAnswerAndHarmNobody() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(backend);
+        String good = request("book", "g", "", "ab");
+        Map<String, Integer> bad = Map.ofEntries(
+            Map.entry("nonsense\r\n\r\n", 400), Map.entry("GET /read HTTP/3.0\r\nHost: x\r\n\r\n", 505),
+            Map.entry("GET /read HTTP/1.1\r\n\r\n", 400),
+            Map.entry("GET /read HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+            Map.entry("GET /read HTTP/1.1\r\nHost : x\r\n\r\n", 400),
+            Map.entry("GET /read HTTP/1.1\r\nHost: x\r\n folded\r\n\r\n", 400),
+            Map.entry("GET /re\u0001ad HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+            Map.entry("GET /read HTTP/1.1\r\nHost: x\r\nA: " + "a".repeat(9_000) + "\r\n\r\n", 431),
+            Map.entry(good.replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 2"), 400),
+            Map.entry(good.replace("Content-Length: 2", "Content-Length: +2"), 400),
+            Map.entry(good.replace("Content-Length: 2", "Content-Length: 70000"), 413),
+            Map.entry(good.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"), 400),
+            Map.entry(good.replace("Content-Length: 2", "Transfer-Encoding: gzip"), 501),
+            Map.entry(good.replace("Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\nxy\r\n"), 400),
+            Map.entry(good.replace("Content-Length: 2\r\n\r\nab",
+                "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"), 400),
+            Map.entry(good.replace("acme", "nobody"), 400), Map.entry(good.replace("book", "nothing"), 404),
+            Map.entry(good.replace("Class: book", "Class: once"), 400),
+            Map.entry(good.replace("X-Request-ID: g\r\n", ""), 400),
+            Map.entry(good.replace("X-Timeout-Ms: 1200", "X-Timeout-Ms: soon"), 400),
+            Map.entry(good.replace("Idempotency-Key: kg\r\n", ""), 400),
+            Map.entry(good.replace("POST", "DELETE"), 405));
+        for (Map.Entry<String, Integer> entry : bad.entrySet()) {
+            assertEquals(entry.getValue(), status(call(entry.getKey())), entry.getKey());
+        }
+        try (Socket half = connect()) {
+            send(half, good.substring(0, good.length() - 1));
+            assertEquals(0, backend.requests.size(), "nothing bad or half has been passed on");
+            assertEquals(200, status(call(good)));
+            assertEquals(408, status(receive(half)), "half a request ends in time");
+        }
+    }
+
+    @Example
+    void whatNeverRanIsFinishedElsewhereAndWhatBrokeIsNot() throws Exception {
+        String half = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha";
+        StandIn odd = new StandIn(request -> NOT_RUN);
+        StandIn good = new StandIn(request -> OK);
+        start(odd, good);
+        for (int i = 0; i < 12; i++) {
+            assertEquals(200, status(call(request("once", "r" + i, "", ""))));
+        }
+        odd.requests.clear();
+        odd.play = request -> {
+            odd.sockets.get(odd.sockets.size() - 1).getOutputStream().write(half.getBytes());
+            return CLOSE;
+        };
+        good.play = request -> {
+            good.sockets.get(good.sockets.size() - 1).getOutputStream().write(half.getBytes());
+            return CLOSE;
+        };
+        Set<Integer> statuses = new java.util.TreeSet<>();
+        for (int i = 0; i < 6; i++) {
+            statuses.add(status(call(request("once", "o" + i, "", ""))));
+        }
+        // Deferred is only what found no backend trusted any more, and went out to none.
+        assertTrue(statuses.contains(502) && !statuses.contains(200), "a broken answer never looks whole");
+        for (StandIn backend : List.of(odd, good)) {
+            List<String> ids = new ArrayList<>();
+            backend.requests.stream().filter(lines -> lines.get(0).startsWith("POST /once"))
+                .forEach(lines -> ids.add(field(lines, "X-Request-ID", "")));
+            assertEquals(Set.copyOf(ids).size(), ids.size(), "what is exclusive has been sent once");
+        }
+    }
+
+    @Example
+    void aSilentBackendCostsNoAnswer() throws Exception {
+        StandIn silent = new StandIn(request -> SILENT);
+        start(silent);
+        long before = System.nanoTime();
+        int status = status(call(request("once", "s", "X-Timeout-Ms: 400\r\n", "body")));
+        long took = (System.nanoTime() - before) / 1_000_000;
+        assertEquals(502, status, "it may have run");
+        assertTrue(took >= 350 && took < 450, "answered at its expiry: " + took);
+        eventually(() -> silent.sockets.get(0).isClosed(), "the hand-off's connection is closed");
+        assertEquals(1, silent.requests.size());
+    }
+
+    @Example
+    void aClientThatLeavesIsNoticedAndOwedNothing() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        StandIn backend = new StandIn(request -> {
+            arrived.incrementAndGet();
+            Thread.sleep(100);
+            return OK;
+        });
+        start(backend);
+        for (int i = 0; i < 5; i++) {
+            Socket socket = connect();
+            send(socket, request("read", "l" + i, "", ""));
+            int nth = i + 1;
+            eventually(() -> arrived.get() == nth, "handed off");
+            socket.close();
+        }
+        assertEquals(200, status(call(request("read", "after", "", ""))));
+        assertEquals(6, backend.requests.size(), "nothing is sent again for a client that has left");
+    }
+
+    @Example
+    void aKeptConnectionThatItsBackendClosedIsNotUsed() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(backend);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, status(call(request("once", "k" + i, "", "body"))));
+            backend.sockets.get(backend.sockets.size() - 1).close();
+            Thread.sleep(30);
+        }
+        assertEquals(5, backend.requests.size());
+    }
+
+    @Example
+    void theListIsFollowed() throws Exception {
+        StandIn one = new StandIn(request -> OK);
+        StandIn two = new StandIn(request -> OK);
+        AtomicInteger watches = new AtomicInteger();
+        StandIn discovery = new StandIn(request -> SILENT);
+        discovery.play = request -> {
+            if (watches.getAndIncrement() == 0) {
+                return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+            }
+            assertEquals("GET /catalog/members?stream=1&index=1 HTTP/1.1", request.get(0));
+            String odd = "{\"seq\":2,\"whole\":false,\"hosts\":[{\"host\":\"odd\",\"health\":\"green\"},"
+                + two.host("two") + "," + one.host("one").replace("active", "left") + "]}\n";
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
+                + Integer.toHexString(odd.length()) + "\r\n" + odd + "\r\n";
+        };
+        start(256, discovery.server.getLocalPort(), "", one.host("one"));
+        assertEquals(200, status(call(request("read", "a", "", ""))));
+        eventually(() -> {
+            call(request("read", "b", "", ""));
+            return !two.requests.isEmpty();
+        }, "the new backend gets work");
+        int before = one.requests.size();
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, status(call(request("read", "c" + i, "", ""))));
+        }
+        assertEquals(before, one.requests.size(), "the one that has left gets none");
+        two.close();
+        assertTrue(Set.of(502, 503).contains(status(call(request("read", "d", "", "")))));
+    }
+
+    @Example
+    void aProxyThatIsStoppedAnswersAllThatItHasTaken() throws Exception {
+        StandIn backend = new StandIn(request -> {
+            Thread.sleep(700);
+            return OK;
+        });
+        start(backend);
+        try (Socket early = connect(); Socket late = connect(); Socket resting = connect()) {
+            send(early, request("read", "early", "", ""));
+            Thread draining = Sockets.start("drain", () -> {
+                try {
+                    proxy.drain();
+                } catch (InterruptedException e) {
+                    // The test fails below.
+                }
+            });
+            Thread.sleep(200);
+            send(late, request("read", "late", "", ""));
+            assertEquals(200, status(call(request("read", "new", "", ""))), "clients still come");
+            String last = receive(late);
+            assertEquals(200, status(receive(early)));
+            assertEquals(200, status(last));
+            assertTrue(last.contains("Connection: close"), last);
+            assertEquals("", receive(resting), "one that rests is closed");
+            draining.join(500);
+            assertFalse(draining.isAlive(), "it leaves once all is answered");
+            assertThrows(ConnectException.class, this::connect);
+        }
+    }
+
+    @Example
+    void moreClientsThanSocketsAreServedInTurn() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(64 + 8, 1, "", backend.host("b"));
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Socket socket = connect();
+            sockets.add(socket);
+            send(socket, request("read", "m" + i, "", ""));
+            assertEquals(200, status(receive(socket)));
+        }
+        assertEquals("", receive(sockets.get(0)), "the one that rested longest has been closed");
+    }
+
+    @Example
+    void oddDatagramsAreDropped() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        try (DatagramSocket peer = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0));
+             DatagramSocket stranger = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+            DatagramSocket probe = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0));
+            int own = probe.getLocalPort();
+            probe.close();
+            String at = "\"127.0.0.1:" + peer.getLocalPort() + "\"";
+            start(256, 1, "\"peer_listen\":\"127.0.0.1:" + own + "\",\"peers\":[" + at + "],\"peers_all\":" + at
+                + ",", backend.host("b"));
+            SplittableRandom random = new SplittableRandom(1);
+            for (int length : new int[] {0, 1, 255, 256, 257, 9_000}) {
+                byte[] bytes = new byte[length];
+                random.nextBytes(bytes);
+                for (DatagramSocket from : List.of(peer, stranger)) {
+                    from.send(new DatagramPacket(bytes, length, InetAddress.getByName("127.0.0.1"), own));
+                }
+            }
+            assertEquals(200, status(call(request("read", "p", "", ""))));
+        }
+    }
+
+    @Example
+    void aBadConfigurationIsToldInOneLine() throws Exception {
+        for (String text : List.of("", "[1]", "{", "{\"settings\":{}}",
+            "{\"settings\":{},\"seed\":\"1\",\"discovery\":\"nowhere:1\"}",
+            "{\"settings\":{\"MembershipMode\":\"never\"},\"seed\":\"1\"}",
+            "{\"settings\":{\"FleetSize\":\"many\"},\"seed\":\"1\",\"discovery\":\"127.0.0.1:1\"}",
+            "{\"settings\":{},\"seed\":\"xyz\",\"discovery\":\"127.0.0.1:1\",\"listen\":\"127.0.0.1:0\"}")) {
+            Malformed fault = assertThrows(Malformed.class, () -> new Proxy(config(text)), text);
+            assertEquals(1, fault.getMessage().lines().count());
+        }
+        assertThrows(Malformed.class, () -> new Proxy(Path.of("/nowhere/config.json")));
+    }
+
+    /** Backends that do anything at any time: each work item has one whole answer in time all the same. */
+    @Property(seed = "20261201", tries = 8)
+    void theRulesHoldAmongBackendsThatMisbehave(@ForAll long seed, @ForAll @IntRange(min = 1, max = 4) int count)
+        throws Exception {
+        Map<String, AtomicInteger> sent = new ConcurrentHashMap<>();
+        List<String> broken = new CopyOnWriteArrayList<>();
+        StandIn[] backends = new StandIn[count];
+        for (int b = 0; b < count; b++) {
+            SplittableRandom random = new SplittableRandom(seed + b);
+            backends[b] = new StandIn(request -> {
+                String id = field(request, "X-Request-ID", "");
+                int times = sent.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
+                int what;
+                synchronized (random) {
+                    what = random.nextInt(14);
+                }
+                boolean neverRan = what == 0;
+                if (times > 1 && request.get(0).contains("/once") && !neverRan) {
+                    broken.add("sent again: " + id);
+                }
+                if (neverRan) {
+                    sent.get(id).decrementAndGet();
+                }
+                return switch (what) {
+                    case 0 -> NOT_RUN;
+                    case 1 -> CLOSE;
+                    case 2 -> SILENT;
+                    case 3 -> "HTTP/1.1 500 No\r\nContent-Length: 1\r\n\r\nx";
+                    case 4 -> "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nshort";
+                    case 5 -> "rubbish\r\n\r\n";
+                    case 6 -> OK + OK;
+                    default -> "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
+                };
+            });
+        }
+        start(backends);
+        List<Thread> clients = new ArrayList<>();
+        for (int c = 0; c < 4; c++) {
+            int client = c;
+            clients.add(Sockets.start("test client", () -> {
+                SplittableRandom random = new SplittableRandom(seed - client);
+                for (int i = 0; i < 15; i++) {
+                    String id = "c" + client + "i" + i;
+                    String category = List.of("read", "book", "once").get(random.nextInt(3));
+                    int patience = 40 + random.nextInt(200);
+                    String text = request(category, id, "X-Timeout-Ms: " + patience + "\r\n",
+                        category.equals("read") ? "" : "b".repeat(random.nextInt(20_000)));
+                    try (Socket socket = connect()) {
+                        socket.setSoTimeout(patience + 300);
+                        send(socket, text);
+                        if (random.nextInt(8) == 0) {
+                            continue;
+                        }
+                        String answer = receive(socket);
+                        int status = status(answer);
+                        boolean whole = answer.endsWith("\r\n\r\n" + id) || answer.endsWith("\r\n\r\nok");
+                        if (!Set.of(200, 502, 503).contains(status) || status == 200 && !whole) {
+                            broken.add(id + " got " + answer);
+                        }
+                    } catch (IOException e) {
+                        broken.add(id + ": " + e);
+                    }
+                }
+            }));
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        assertEquals(List.of(), broken);
+    }
+
+    /** However a message is cut on its way, it is read the same; and rubbish is refused, not stumbled over. */
+    @Property(seed = "20261201", tries = 60)
+    void messagesAreReadAlikeHoweverTheyAreCut(@ForAll long seed, @ForAll boolean spoilt) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        String body = "b".repeat(random.nextInt(20_000));
+        StringBuilder text = new StringBuilder("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int at = 0; at < body.length();) {
+            int n = Math.min(body.length() - at, 1 + random.nextInt(9_000));
+            text.append(Integer.toHexString(n)).append("\r\n").append(body, at, at + n).append("\r\n");
+            at += n;
+        }
+        text.append("0\r\nX: y\r\n\r\n");
+        for (int i = 0; spoilt && i < 3; i++) {
+            text.setCharAt(random.nextInt(text.length()), (char) random.nextInt(256));
+        }
+        Buffers buffers = new Buffers(40);
+        byte[] buffer = buffers.take();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+             Socket sender = new Socket("127.0.0.1", server.getLocalPort()); Socket socket = server.accept()) {
+            Sockets.start("sender", () -> {
+                try {
+                    for (int at = 0; at < text.length();) {
+                        int n = Math.min(text.length() - at, 1 + random.nextInt(3_000));
+                        send(sender, text.substring(at, at + n));
+                        at += n;
+                    }
+                    sender.shutdownOutput();
+                } catch (IOException e) {
+                    // The reader has refused it.
+                }
+            });
+            HttpReader reader = new HttpReader(socket, buffer);
+            try {
+                assertTrue(reader.await());
+                reader.within(3_000);
+                reader.request();
+                Body read = reader.body(buffers);
+                assertTrue(spoilt || read.length() == body.length());
+                read.release();
+            } catch (BadMessage | IOException e) {
+                assertTrue(spoilt, "a good message was refused: " + e);
+            }
+        }
+        buffers.give(buffer);
+        assertEquals(40, buffers.left());
+    }
+
+    @Property(seed = "20261201", tries = 300)
+    void jsonIsReadOrRefused(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        String good = "{\"a\":[1,-2.5e3,true,null,\"\\u0041\\n\"],\"b\":{\"c\":{}}}";
+        assertEquals("A\n", ((List<?>) ((Map<?, ?>) Json.read(good)).get("a")).get(4));
+        StringBuilder text = new StringBuilder(good);
+        text.setCharAt(random.nextInt(text.length()), (char) random.nextInt(128));
+        text.setLength(random.nextInt(text.length()));
+        assertThrows(IllegalArgumentException.class, () -> Json.read(text.toString()));
+        assertThrows(IllegalArgumentException.class, () -> Json.read("[".repeat(100_000)));
+    }
+}
