--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -6,21 +6,18 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 
 /** A backend's actor: the one owner of the connections to it, kept ones first. */
 final class BackendActor implements Runnable {
     /** More than the sockets there are: what the links tell always fits. */
-    private static final int MAILBOX = 2_048;
+    private static final int MOST = 4_096;
     /** Parts of the idle time after which a connection is retired, before the backend does it. */
     private static final double RETIRE = 0.8;
-    /** How often the resting connections are looked through, in milliseconds. */
-    private static final long LOOK = 500;
+    /** How often the resting connections are looked through, in microseconds. */
+    private static final long LOOK = 500_000;
 
-    private final BlockingQueue<Runnable> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    private final Mailbox mailbox;
     private final Semaphore sockets;
     private final int connectLimit;
     private final long retireAfter;
@@ -46,16 +43,14 @@
         this.watchdog = watchdog;
         this.clock = clock;
         this.log = log;
+        this.mailbox = new Mailbox(MOST, log);
     }
 
     @Override
     public void run() {
         try {
             while (!leaving || !links.isEmpty()) {
-                Runnable message = mailbox.poll(LOOK, TimeUnit.MILLISECONDS);
-                if (message != null) {
-                    message.run();
-                }
+                mailbox.next(LOOK);
                 retire();
             }
         } catch (InterruptedException e) {
@@ -98,7 +93,7 @@
 
     /** From a link: its hand-off is over and it may carry the next. */
     void rests(Link link) {
-        put(() -> {
+        mailbox.put(() -> {
             if (leaving || !link.address().equals(address)) {
                 link.kill();
             } else {
@@ -111,20 +106,12 @@
     /** From a link: it has given back all that it held. */
     void ended(Link link) {
         sockets.release();
-        put(() -> {
+        mailbox.put(() -> {
             links.remove(link);
             resting.remove(link);
         });
     }
 
-    private void put(Runnable message) {
-        try {
-            mailbox.put(message);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void send(Item.HandOff ho) {
         for (Link link = resting.pollLast(); link != null; link = resting.pollLast()) {
             if (!ho.attach(link)) {
--- a/src/main/java/cottonlock/net/Clock.java
+++ b/src/main/java/cottonlock/net/Clock.java
@@ -1,6 +1,6 @@
 package cottonlock.net;
 
-/** The module's time: tenths of a millisecond since 1970, read once at the start and monotonic from then on. */
+/** The module's time: tenths of a millisecond since 1970, read at the start, monotonic since then. */
 final class Clock {
     private final long started = System.currentTimeMillis() * 10;
     private final long from = System.nanoTime();
--- a/src/main/java/cottonlock/net/Config.java
+++ b/src/main/java/cottonlock/net/Config.java
@@ -43,7 +43,7 @@
 
     private static void put(Settings settings, String path, Object value) {
         if (value instanceof Map<?, ?> map) {
-            map.forEach((name, inner) -> put(settings, path.isEmpty() ? "" + name : path + "." + name, inner));
+            map.forEach((name, inner) -> put(settings, (path.isEmpty() ? "" : path + ".") + name, inner));
         } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
             settings.put(path + ".count", Integer.toString(list.size()));
             for (int i = 0; i < list.size(); i++) {
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -28,7 +28,12 @@
         this.log = log;
         this.server = new ServerSocket();
         server.setReuseAddress(true);
-        server.bind(address, BACKLOG);
+        try {
+            server.bind(address, BACKLOG);
+        } catch (IOException e) {
+            Sockets.close(server);
+            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/cottonlock/net/Mailbox.java
@@ -0,0 +1,60 @@
+package cottonlock.net;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** An actor's mailbox: bounded, and read by the actor's thread alone, one message after the other. */
+final class Mailbox implements Runnable {
+    private final BlockingQueue<Runnable> messages;
+    private final Log log;
+
+    Mailbox(int most, Log log) {
+        this.messages = new ArrayBlockingQueue<>(most);
+        this.log = log;
+    }
+
+    /** For senders that must not wait: false when it is full. */
+    boolean offer(Runnable message) {
+        return messages.offer(message);
+    }
+
+    /** For senders that may wait for their place. */
+    void put(Runnable message) {
+        try {
+            messages.put(message);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Carries out the next message, if one comes within so many microseconds. */
+    void next(long micros) throws InterruptedException {
+        Runnable message = messages.poll(Math.max(0, micros), TimeUnit.MICROSECONDS);
+        if (message != null) {
+            guard(message);
+        }
+    }
+
+    /** Carries out a message; one that fails must not end the actor, and all that others wait for. */
+    void guard(Runnable message) {
+        try {
+            message.run();
+        } catch (RuntimeException | Error e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            log.warn("fault", e + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+    }
+
+    /** An actor that does nothing of itself between its messages. */
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                guard(messages.take());
+            }
+        } catch (InterruptedException e) {
+            // The proxy closes.
+        }
+    }
+}
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -13,22 +13,23 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** The module's actor: its thread alone calls the module, and it waits for nobody but its mailbox. */
 final class ModuleActor implements Runnable, Outlet {
     /** More than the sockets there are: each has a message or two under way at most. */
-    private static final int MAILBOX = 4_096;
+    private static final int MOST = 4_096;
 
-    private final BlockingQueue<Runnable> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    /** Tenths of a millisecond until a wake that failed is tried again: seldom enough to harm nobody. */
+    private static final long AGAIN = 1_000;
+
+    private final Mailbox mailbox;
+    /** Writes the answers that the module gives of itself, for this thread waits for no client. */
+    private final Mailbox clerk;
     /** What the module's own answers lead to, after the call that made them. */
     private final Deque<Runnable> next = new ArrayDeque<>();
     private final Clock clock;
     private final Function<Directory.Entry, BackendActor> actorOf;
-    private final Clerk clerk;
     private final Log log;
     private final Map<Long, Item> items = new HashMap<>();
     private final Map<String, BackendActor> backends = new TreeMap<>();
@@ -38,13 +39,14 @@
     private ListWatch watch;
     private Peers peers;
     private long lastNumber;
-    private long wakeAt = Long.MAX_VALUE;
+    private long wakeAt;
 
-    ModuleActor(Clock clock, Function<Directory.Entry, BackendActor> actorOf, Clerk clerk, Log log) {
+    ModuleActor(Clock clock, Function<Directory.Entry, BackendActor> actorOf, Log log) {
         this.clock = clock;
         this.actorOf = actorOf;
-        this.clerk = clerk;
         this.log = log;
+        this.mailbox = new Mailbox(MOST, log);
+        this.clerk = new Mailbox(MOST, log);
     }
 
     /** Before the thread starts: the module, where its asks for the list go, and its messages to peers. */
@@ -56,35 +58,26 @@
 
     @Override
     public void run() {
-        guard(() -> balancer.start(clock.now()));
+        Thread writing = Sockets.start("clerk", clerk);
+        mailbox.guard(() -> balancer.start(clock.now()));
         try {
             while (true) {
-                Runnable message = next.poll();
-                if (message == null) {
-                    message = mailbox.poll(Math.max(0, untilDue()) * 100, TimeUnit.MICROSECONDS);
-                }
-                if (message != null) {
-                    guard(message);
+                if (next.isEmpty()) {
+                    mailbox.next(untilDue() * 100);
+                } else {
+                    mailbox.guard(next.poll());
                 }
-                guard(this::due);
+                mailbox.guard(this::due);
             }
         } catch (InterruptedException e) {
             backends.values().forEach(BackendActor::end);
-        }
-    }
-
-    /** One message that fails must not end all that the others wait for. */
-    private void guard(Runnable message) {
-        try {
-            message.run();
-        } catch (RuntimeException e) {
-            log.warn("fault", "the module failed: " + e + " at " + List.of(e.getStackTrace()).get(0));
+            writing.interrupt();
         }
     }
 
     private long untilDue() {
         Item first = expiries.peek();
-        return Math.min(wakeAt, first == null ? Long.MAX_VALUE : first.expiry) - clock.now();
+        return Math.min(wakeAt, first == null ? wakeAt : first.expiry) - clock.now();
     }
 
     private void due() {
@@ -102,22 +95,15 @@
             }
         }
         if (now >= wakeAt) {
-            wakeAt = Long.MAX_VALUE;
+            // The module sets its next time itself; if it failed on the way, it would never be woken again.
+            wakeAt = now + AGAIN;
             balancer.wake(now);
         }
     }
 
-    private void put(Runnable message) {
-        try {
-            mailbox.put(message);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** A client's request has been read whole. */
     void arrive(Item wi) {
-        put(() -> {
+        mailbox.put(() -> {
             wi.number = ++lastNumber;
             items.put(wi.number, wi);
             expiries.add(wi);
@@ -128,7 +114,7 @@
 
     /** The client of a work item has left. */
     void left(Item wi) {
-        put(() -> {
+        mailbox.put(() -> {
             balancer.left(clock.now(), wi.number);
             forget(wi);
         });
@@ -136,7 +122,7 @@
 
     /** A hand-off has been settled, by the thread that saw how it ended. */
     void settled(Item.HandOff ho, Outcome outcome) {
-        put(() -> ended(ho, outcome));
+        mailbox.put(() -> ended(ho, outcome));
     }
 
     private void ended(Item.HandOff ho, Outcome outcome) {
@@ -153,7 +139,7 @@
 
     /** News of the list; cached: as this balancer last held it. */
     void list(Directory.News news, boolean cached) {
-        put(() -> {
+        mailbox.put(() -> {
             List<Member> members = new ArrayList<>();
             Map<String, BackendActor> absent = news.whole() ? new TreeMap<>(backends) : new TreeMap<>();
             for (Directory.Entry entry : news.entries()) {
@@ -182,12 +168,12 @@
     }
 
     void listFailed() {
-        put(() -> balancer.listFailed(clock.now()));
+        mailbox.put(() -> balancer.listFailed(clock.now()));
     }
 
     /** Another balancer of the tier has told something. */
     void heard(byte[] message) {
-        put(() -> balancer.heard(clock.now(), message));
+        mailbox.put(() -> balancer.heard(clock.now(), message));
     }
 
     @Override
@@ -224,7 +210,10 @@
     private void answer(long number, int status, String name, String value) {
         Item wi = items.get(number);
         if (wi != null && wi.claim()) {
-            clerk.write(wi.client, status, name, value);
+            if (!clerk.offer(() -> wi.client.finish(status, name, value, null))) {
+                // So far behind that nobody would still wait: it ends without an answer.
+                wi.client.abort();
+            }
         }
         if (wi != null) {
             forget(wi);
@@ -248,7 +237,7 @@
 
     @Override
     public void tellPeers(byte[] message) {
-        peers.tell(message);
+        clerk.offer(() -> peers.tell(message));
     }
 
     @Override
--- a/src/main/java/cottonlock/net/Peers.java
+++ b/src/main/java/cottonlock/net/Peers.java
@@ -29,7 +29,7 @@
         this.log = log;
     }
 
-    /** From the module's thread: a datagram is sent or lost, never waited for. */
+    /** Sends a datagram, or loses it. */
     void tell(byte[] message) {
         if (socket == null || message.length > LONGEST) {
             return;
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -1,7 +1,6 @@
 package cottonlock.net;
 
 import cottonlock.setup.Assembly;
-import cottonlock.setup.Malformed;
 import cottonlock.setup.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -44,7 +43,6 @@
             (config.limit("memory_mb", 192) << 20) / 8 / Buffers.SIZE));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
-        Clerk clerk = new Clerk();
         Semaphore sockets = new Semaphore(side);
         long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
         long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
@@ -53,7 +51,7 @@
                 watchdog, clock, log);
             Sockets.start("backend", actor);
             return actor;
-        }, clerk, log);
+        }, log);
         Directory directory = new Directory(log, settings.words("Zones"), settings.words("Flavors"));
         Directory.News known = config.known(directory);
         watch = new ListWatch(config.address("discovery"), directory, known.version(),
@@ -68,7 +66,6 @@
             admission, buffers, writer, watchdog, log), log);
         longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
-        threads.add(Sockets.start("clerk", clerk));
         threads.add(Sockets.start("watchdog", watchdog));
         threads.add(Sockets.start("list", watch));
         threads.add(Sockets.start("peers", peers));
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -108,8 +108,9 @@
         }
 
         String host(String id) {
-            return "{\"host\":\"" + id + "\",\"dial\":\"127.0.0.1:" + server.getLocalPort() + "\",\"site\":"
-                + "\"z\",\"class\":\"k\",\"block\":0,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
+            return "{\"host\":\"" + id + "\",\"dial\":\"127.0.0.1:" + server.getLocalPort()
+                + "\",\"site\":\"z\",\"class\":\"k\",\"block\":0,"
+                + "\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
         }
 
         @Override
@@ -127,7 +128,8 @@
     }
 
     private static String list(int version, boolean whole, String... hosts) {
-        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":["
+            + String.join(",", hosts) + "]}";
     }
 
     private static Path config(String text) throws IOException {
@@ -189,8 +191,9 @@
     }
 
     private static String request(String category, String id, String more, String body) {
-        return (category.equals("read") ? "GET" : "POST") + " /" + category + "?sid=7 HTTP/1.1\r\nHost: origin"
-            + "\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + category + "\r\nX-Tenant-Id: acme\r\n"
+        return (category.equals("read") ? "GET" : "POST") + " /" + category + "?sid=7 HTTP/1.1\r\n"
+            + "Host: origin\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + category
+            + "\r\nX-Tenant-Id: acme\r\n"
             + (category.equals("book") ? "Idempotency-Key: k" + id + "\r\n" : "")
             + (more.contains("X-Timeout-Ms") ? "" : "X-Timeout-Ms: 1200\r\n") + more
             + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
@@ -279,9 +282,11 @@
             Map.entry(good.replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 2"), 400),
             Map.entry(good.replace("Content-Length: 2", "Content-Length: +2"), 400),
             Map.entry(good.replace("Content-Length: 2", "Content-Length: 70000"), 413),
-            Map.entry(good.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"), 400),
+            Map.entry(good.replace("Content-Length: 2",
+                "Content-Length: 2\r\nTransfer-Encoding: chunked"), 400),
             Map.entry(good.replace("Content-Length: 2", "Transfer-Encoding: gzip"), 501),
-            Map.entry(good.replace("Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\nxy\r\n"), 400),
+            Map.entry(good.replace("Content-Length: 2\r\n\r\nab",
+                "Transfer-Encoding: chunked\r\n\r\nxy\r\n"), 400),
             Map.entry(good.replace("Content-Length: 2\r\n\r\nab",
                 "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"), 400),
             Map.entry(good.replace("acme", "nobody"), 400), Map.entry(good.replace("book", "nothing"), 404),
@@ -462,8 +467,8 @@
             int own = probe.getLocalPort();
             probe.close();
             String at = "\"127.0.0.1:" + peer.getLocalPort() + "\"";
-            start(256, 1, "\"peer_listen\":\"127.0.0.1:" + own + "\",\"peers\":[" + at + "],\"peers_all\":" + at
-                + ",", backend.host("b"));
+            start(256, 1, "\"peer_listen\":\"127.0.0.1:" + own + "\",\"peers\":[" + at + "],"
+                + "\"peers_all\":" + at + ",", backend.host("b"));
             SplittableRandom random = new SplittableRandom(1);
             for (int length : new int[] {0, 1, 255, 256, 257, 9_000}) {
                 byte[] bytes = new byte[length];
@@ -491,7 +496,8 @@
 
     /** Backends that do anything at any time: each work item has one whole answer in time all the same. */
     @Property(seed = "20261201", tries = 8)
-    void theRulesHoldAmongBackendsThatMisbehave(@ForAll long seed, @ForAll @IntRange(min = 1, max = 4) int count)
+    void theRulesHoldAmongBackendsThatMisbehave(@ForAll long seed,
+                                                @ForAll @IntRange(min = 1, max = 4) int count)
         throws Exception {
         Map<String, AtomicInteger> sent = new ConcurrentHashMap<>();
         List<String> broken = new CopyOnWriteArrayList<>();
@@ -560,12 +566,13 @@
         assertEquals(List.of(), broken);
     }
 
-    /** However a message is cut on its way, it is read the same; and rubbish is refused, not stumbled over. */
+    /** However a message is cut on its way, it is read the same; rubbish is refused, not stumbled over. */
     @Property(seed = "20261201", tries = 60)
     void messagesAreReadAlikeHoweverTheyAreCut(@ForAll long seed, @ForAll boolean spoilt) throws Exception {
         SplittableRandom random = new SplittableRandom(seed);
         String body = "b".repeat(random.nextInt(20_000));
-        StringBuilder text = new StringBuilder("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        StringBuilder text = new StringBuilder("POST /x HTTP/1.1\r\nHost: h\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n");
         for (int at = 0; at < body.length();) {
             int n = Math.min(body.length() - at, 1 + random.nextInt(9_000));
             text.append(Integer.toHexString(n)).append("\r\n").append(body, at, at + n).append("\r\n");
@@ -578,7 +585,8 @@
         Buffers buffers = new Buffers(40);
         byte[] buffer = buffers.take();
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-             Socket sender = new Socket("127.0.0.1", server.getLocalPort()); Socket socket = server.accept()) {
+             Socket sender = new Socket("127.0.0.1", server.getLocalPort());
+             Socket socket = server.accept()) {
             Sockets.start("sender", () -> {
                 try {
                     for (int at = 0; at < text.length();) {
