--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -72,10 +72,10 @@
             throw new BadMessage(400, "no Idempotency-Key");
         }
         String patience = head.only("X-Timeout-Ms");
-        if (patience == null || !patience.matches("[0-9]{1,15}")) {
+        if (patience == null || !HttpReader.digits(patience)) {
             throw new BadMessage(400, "no X-Timeout-Ms in whole milliseconds");
         }
-        long wait = Math.min(longest[category], Long.parseLong(patience) * 10) - RESERVE;
+        long wait = Math.min(longest[category] / 10, Long.parseLong(patience)) * 10 - RESERVE;
         return new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
             tenant, tenantName, "1".equals(head.only("X-Retried")), now + wait);
     }
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -82,7 +82,7 @@
     Head request() throws IOException, BadMessage {
         Head head = head();
         String[] s = head.start;
-        if (s.length != 3 || !token(s[0]) || !s[1].matches("/[!-~]*") || !s[2].startsWith("HTTP/")) {
+        if (s.length != 3 || !token(s[0]) || !target(s[1]) || !s[2].startsWith("HTTP/")) {
             throw new BadMessage(400, "not a request line");
         }
         if (!s[2].equals("HTTP/1.1") && !s[2].equals("HTTP/1.0")) {
@@ -101,7 +101,7 @@
             Head head = head();
             String[] s = head.start;
             boolean version = s[0].equals("HTTP/1.1") || s[0].equals("HTTP/1.0");
-            if (s.length < 2 || !version || !s[1].matches("[1-5][0-9][0-9]")) {
+            if (s.length < 2 || !version || s[1].length() != 3 || !digits(s[1])) {
                 throw new BadMessage(502, "not a status line");
             }
             boolean none = s[1].startsWith("1") || s[1].equals("204") || s[1].equals("304");
@@ -120,53 +120,75 @@
         while (at + 1 < filled && buffer[at] == '\r' && buffer[at + 1] == '\n') {
             at += 2;
         }
-        int end = at;
+        int seen = 0;
         while (true) {
-            for (; end + 3 < filled; end++) {
-                if (buffer[end] == '\r' && buffer[end + 1] == '\n' && buffer[end + 2] == '\r'
-                    && buffer[end + 3] == '\n') {
-                    String text = new String(buffer, at, end - at, StandardCharsets.ISO_8859_1);
-                    at = end + 4;
+            for (; at + seen < filled; seen++) {
+                byte b = buffer[at + seen];
+                boolean afterReturn = seen > 0 && buffer[at + seen - 1] == '\r';
+                if (afterReturn != (b == '\n') || b >= 0 && b < ' ' && b != '\t' && b != '\r' && b != '\n'
+                    || b == 127) {
+                    throw new BadMessage(400, "a control character in the head");
+                }
+                if (b == '\n' && seen >= 3 && buffer[at + seen - 2] == '\n') {
+                    String text = new String(buffer, at, seen - 3, StandardCharsets.ISO_8859_1);
+                    at += seen + 1;
                     return parse(text);
                 }
             }
             if (filled - at == buffer.length) {
                 throw new BadMessage(431, "the head is too large");
             }
-            int seen = end - at;
             if (!fill()) {
                 throw new IOException("the head ends early");
             }
-            end = at + seen;
         }
     }
 
     private static Head parse(String text) throws BadMessage {
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            boolean lineEnd = c == '\r' && i + 1 < text.length() && text.charAt(i + 1) == '\n'
-                || c == '\n' && i > 0 && text.charAt(i - 1) == '\r';
-            if ((c < ' ' && c != '\t' || c == 127) && !lineEnd) {
-                throw new BadMessage(400, "a control character in the head");
-            }
-        }
-        String[] lines = text.split("\r\n", -1);
-        Head head = new Head(lines[0].split(" ", 3));
-        for (int i = 1; i < lines.length; i++) {
-            int colon = lines[i].indexOf(':');
-            if (colon <= 0 || !token(lines[i].substring(0, colon))) {
+        // Without patterns: until they are compiled, the first work items would wait on them for milliseconds.
+        int end = lineEnd(text, 0);
+        Head head = new Head(text.substring(0, end).split(" ", 3));
+        while (end < text.length()) {
+            int from = end + 2;
+            end = lineEnd(text, from);
+            int colon = text.indexOf(':', from);
+            if (colon <= from || colon >= end || !token(text.substring(from, colon))) {
                 throw new BadMessage(400, "not a header field");
             }
-            head.add(lines[i].substring(0, colon), lines[i].substring(colon + 1).trim());
+            head.add(text.substring(from, colon), text.substring(colon + 1, end).trim());
         }
         return head;
     }
 
+    private static int lineEnd(String text, int from) {
+        int end = text.indexOf('\r', from);
+        return end < 0 ? text.length() : end;
+    }
+
+    private static boolean target(String word) {
+        for (int i = 0; i < word.length(); i++) {
+            if (word.charAt(i) <= ' ' || word.charAt(i) >= 127) {
+                return false;
+            }
+        }
+        return word.startsWith("/");
+    }
+
+    /** Whether a word is a whole number without a sign, short enough for a long. */
+    static boolean digits(String word) {
+        for (int i = 0; i < word.length(); i++) {
+            if (word.charAt(i) < '0' || word.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return !word.isEmpty() && word.length() <= 18;
+    }
+
     private static boolean token(String word) {
         for (int i = 0; i < word.length(); i++) {
             char c = word.charAt(i);
-            boolean alphanumeric = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z';
-            if (!alphanumeric && "!#$%&'*+-.^_`|~".indexOf(c) < 0) {
+            boolean letter = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-';
+            if (!letter && (c < '0' || c > '9') && "!#$%&'*+.^_`|~".indexOf(c) < 0) {
                 return false;
             }
         }
@@ -190,7 +212,7 @@
             }
             left = 0;
         } else if (length != null) {
-            if (!length.matches("[0-9]{1,18}")) {
+            if (!digits(length)) {
                 throw new BadMessage(400, "Content-Length is not a number");
             }
             left = Long.parseLong(length);
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -199,7 +199,7 @@
     @Override
     public void defer(long number, long comeBack) {
         answer(number, 503, comeBack > 0 ? "Retry-After" : null,
-            String.format(java.util.Locale.ROOT, "%d.%04d", comeBack / 10_000, comeBack % 10_000));
+            comeBack / 10_000 + "." + Long.toString(10_000 + comeBack % 10_000).substring(1));
     }
 
     @Override
