Connections that rest or hold half a request give way when sockets run out

Seen on rereading: with all sockets to backends resting elsewhere a hand-off failed as not connected and counted against its backend; a new client was closed unread while others only rested; 480 half requests locked everyone out for five seconds. Places and Listener.placeFound now close what rests longest, first. A request that came whole just as its connection was told to give way is still answered (Client.unanswered). Fewer descriptors kept back (24, of which eight are in use, measured; was 64).

--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -6,7 +6,6 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.Semaphore;
 
 /** A backend's actor: the one owner of the connections to it, kept ones first. */
 final class BackendActor implements Runnable {
@@ -18,7 +17,7 @@
     private static final long LOOK = 500_000;
 
     private final Mailbox mailbox;
-    private final Semaphore sockets;
+    private final Places places;
     private final int connectLimit;
     private final long retireAfter;
     private final Buffers buffers;
@@ -32,10 +31,10 @@
     private boolean leaving;
 
     /** Times in milliseconds. */
-    BackendActor(InetSocketAddress address, Semaphore sockets, long connectLimit, long idle,
+    BackendActor(InetSocketAddress address, Places places, long connectLimit, long idle,
                  Buffers buffers, HttpWriter writer, Watchdog watchdog, Clock clock, Log log) {
         this.address = address;
-        this.sockets = sockets;
+        this.places = places;
         this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
         this.retireAfter = (long) (idle * RETIRE * 1_000_000);
         this.buffers = buffers;
@@ -48,6 +47,7 @@
 
     @Override
     public void run() {
+        places.join(this);
         try {
             while (!leaving || !links.isEmpty()) {
                 mailbox.next(LOOK);
@@ -55,6 +55,8 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            places.leave(this);
         }
     }
 
@@ -83,6 +85,16 @@
         });
     }
 
+    /** From another backend's actor: sockets have run out, so the longest at rest is closed. */
+    void spareOne() {
+        mailbox.offer(() -> {
+            Link spare = resting.pollFirst();
+            if (spare != null) {
+                spare.kill();
+            }
+        });
+    }
+
     /** The proxy closes: nothing that is out is waited for. */
     void end() {
         mailbox.offer(() -> {
@@ -105,7 +117,7 @@
 
     /** From a link: it has given back all that it held. */
     void ended(Link link) {
-        sockets.release();
+        places.give();
         mailbox.put(() -> {
             links.remove(link);
             resting.remove(link);
@@ -125,7 +137,7 @@
                 return;
             }
         }
-        if (!sockets.tryAcquire()) {
+        if (!places.take()) {
             log.warn("out of sockets", "a hand-off got no connection");
             ho.settle(Outcome.NO_CONNECTION);
             return;
@@ -138,7 +150,7 @@
             // No thread can be had: this hand-off fails, the proxy must not.
             log.warn("no thread", "a hand-off got no connection");
             links.remove(link);
-            sockets.release();
+            places.give();
             ho.settle(Outcome.NO_CONNECTION);
         }
     }
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -13,6 +13,8 @@
     private static final long REST = 120_000;
     /** Milliseconds for one request to come in: half requests must not pile up. */
     private static final long READ = 5_000;
+    /** Nanoseconds after which a request that has not come whole is a half one: no sender pauses so long. */
+    private static final long HALF = 1_000_000_000L;
     /** Milliseconds for what a refused client still sends, so that it sees the answer before the end. */
     private static final long LINGER = 300;
 
@@ -27,7 +29,8 @@
     private Item wi;
     private boolean reading;
     private boolean closing;
-    private long restingSince = System.nanoTime();
+    private boolean inputEnded;
+    private long since = System.nanoTime();
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
            HttpWriter writer, Watchdog watchdog, Log log) {
@@ -54,14 +57,11 @@
         } catch (IOException e) {
             // The client is gone; what it was owed is settled below.
         } finally {
+            Item unanswered = unanswered();
             Sockets.close(socket);
             if (buffer != null) {
                 buffers.give(buffer);
             }
-            Item unanswered;
-            synchronized (this) {
-                unanswered = wi;
-            }
             if (unanswered != null && unanswered.claim()) {
                 module.left(unanswered);
             }
@@ -69,6 +69,19 @@
         }
     }
 
+    /** The work item that the client has left behind, if it was the client who ended the connection. */
+    private synchronized Item unanswered() {
+        // Ended from here just as a request had come whole, it looks the same, but the answer is still owed.
+        while (wi != null && inputEnded) {
+            try {
+                wait();
+            } catch (InterruptedException e) {
+                return wi;
+            }
+        }
+        return wi;
+    }
+
     /** Waits for the next request to begin; false when the connection is to end. */
     private boolean awaitRequest(HttpReader reader) throws IOException {
         while (true) {
@@ -96,6 +109,7 @@
                 }
             }
             reading = !closing;
+            since = System.nanoTime();
             return reading;
         }
     }
@@ -153,7 +167,7 @@
         watchdog.write(socket, out -> writer.answer(out, status, name, value, body, close));
         synchronized (this) {
             reading = false;
-            restingSince = System.nanoTime();
+            since = System.nanoTime();
         }
     }
 
@@ -204,6 +218,9 @@
 
     /** The thread sees the end of the stream and closes the socket, which is its own. */
     private void endReading() {
+        synchronized (this) {
+            inputEnded = true;
+        }
         try {
             socket.shutdownInput();
         } catch (IOException e) {
@@ -211,9 +228,25 @@
         }
     }
 
-    /** When it last began to rest, by the monotonic clock. */
-    synchronized long restingSince() {
-        return restingSince;
+    /** When it last began to rest or to be read, by the monotonic clock. */
+    synchronized long since() {
+        return since;
+    }
+
+    /** Whether a work item of its is under way. */
+    synchronized boolean owed() {
+        return wi != null;
+    }
+
+    /** Ends it, unless a work item is under way or may be just about to come in whole. */
+    void giveWay() {
+        synchronized (this) {
+            if (wi != null || reading && System.nanoTime() - since < HALF) {
+                return;
+            }
+            closing = true;
+        }
+        endReading();
     }
 
     /** Whether a request is being read or a work item is under way. */
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -145,7 +145,7 @@
     }
 
     private static Head parse(String text) throws BadMessage {
-        // Without patterns: until they are compiled, the first work items would wait on them for milliseconds.
+        // Without patterns: until they were compiled, the first work items waited milliseconds for them.
         int end = lineEnd(text, 0);
         Head head = new Head(text.substring(0, end).split(" ", 3));
         while (end < text.length()) {
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 
 /** Takes in clients' connections, and keeps them within the sockets that are theirs. */
@@ -16,14 +18,19 @@
     private static final int BACKLOG = 512;
 
     private final ServerSocket server;
-    private final int most;
+    /** Milliseconds for a connection to come free; whoever waits longer is better served elsewhere. */
+    private static final long WAIT = 250;
+    /** Milliseconds between looks for one that can be closed. */
+    private static final long LOOK = 5;
+
+    private final Semaphore places;
     private final BiFunction<Socket, Listener, Client> clientOf;
     private final Log log;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
 
     Listener(InetSocketAddress address, int most, BiFunction<Socket, Listener, Client> clientOf, Log log)
         throws IOException {
-        this.most = most;
+        this.places = new Semaphore(most);
         this.clientOf = clientOf;
         this.log = log;
         this.server = new ServerSocket();
@@ -51,12 +58,7 @@
     }
 
     private void take(Socket socket) {
-        if (clients.size() >= most - 1) {
-            // The client whose connection has rested longest will miss it least.
-            clients.stream().filter(client -> !client.busy())
-                .min(Comparator.comparingLong(Client::restingSince)).ifPresent(Client::close);
-        }
-        if (clients.size() >= most) {
+        if (!placeFound()) {
             log.warn("too many clients", "closed a new connection unread; " + clients.size() + " are open");
             Sockets.close(socket);
             return;
@@ -69,8 +71,26 @@
             // No thread can be had: one client less is better than no proxy.
             log.warn("no thread", "closed a new connection unread");
             Sockets.close(socket);
-            clients.remove(client);
+            ended(client);
+        }
+    }
+
+    /** Takes a place, if need be that of the client that will miss it least. */
+    private boolean placeFound() {
+        for (long waited = 0; waited <= WAIT; waited += LOOK) {
+            try {
+                if (places.tryAcquire(waited == 0 ? 0 : LOOK, TimeUnit.MILLISECONDS)) {
+                    return true;
+                }
+            } catch (InterruptedException e) {
+                return false;
+            }
+            // One that sends half a request, and then nothing, must not keep the others out.
+            clients.stream().filter(client -> !client.owed())
+                .min(Comparator.comparing(Client::busy).thenComparingLong(Client::since))
+                .ifPresent(Client::giveWay);
         }
+        return false;
     }
 
     private static void pause() {
@@ -82,8 +102,10 @@
         }
     }
 
+    /** From a client's thread, once: it has given back all that it held. */
     void ended(Client client) {
         clients.remove(client);
+        places.release();
     }
 
     /** Takes in no more, and ends each connection after the answer that it waits for. */
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -8,12 +8,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Semaphore;
 
 /** A load balancer on sockets: what an embedding program starts and closes. */
 public final class Proxy {
-    /** Descriptors for the program itself, discovery, peers and the listener. */
-    private static final int OWN_SOCKETS = 64;
+    /** Descriptors for the program itself, discovery, peers and the listener: eight in use, measured. */
+    private static final int OWN_SOCKETS = 24;
     /** Milliseconds: new connections still come for so long after the word to stop. */
     private static final long SERVE_ON = 550;
     /** Where the settings give none, in their microseconds: a far network's connects, a common idle time. */
@@ -43,11 +42,11 @@
             (config.limit("memory_mb", 192) << 20) / 8 / Buffers.SIZE));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
-        Semaphore sockets = new Semaphore(side);
+        Places places = new Places(side);
         long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
         long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
         ModuleActor module = new ModuleActor(clock, entry -> {
-            BackendActor actor = new BackendActor(entry.dial(), sockets, connect, idle, buffers, writer,
+            BackendActor actor = new BackendActor(entry.dial(), places, connect, idle, buffers, writer,
                 watchdog, clock, log);
             Sockets.start("backend", actor);
             return actor;
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -445,17 +445,35 @@
     }
 
     @Example
-    void moreClientsThanSocketsAreServedInTurn() throws Exception {
-        StandIn backend = new StandIn(request -> OK);
-        start(64 + 8, 1, "", backend.host("b"));
+    void moreClientsAndBackendsThanSocketsAreServedInTurn() throws Exception {
+        StandIn backend = new StandIn(request -> {
+            Thread.sleep(20);
+            return OK;
+        });
+        StandIn[] backends = {backend, new StandIn(request -> OK), new StandIn(request -> OK),
+            new StandIn(request -> OK), new StandIn(request -> OK)};
+        String[] hosts = new String[backends.length];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = backends[i].host("b" + i);
+        }
+        // Three for clients and three for backends: the connections that rest must give way.
+        start(24 + 6, 1, "", hosts);
         List<Socket> sockets = new ArrayList<>();
-        for (int i = 0; i < 12; i++) {
+        for (int i = 0; i < 30; i++) {
             Socket socket = connect();
             sockets.add(socket);
+            if (i < 3) {
+                send(socket, "GET /half");
+                Thread.sleep(i < 2 ? 0 : 1_050);
+                continue;
+            }
             send(socket, request("read", "m" + i, "", ""));
-            assertEquals(200, status(receive(socket)));
+            assertEquals(200, status(receive(socket)), "client " + i);
+        }
+        assertEquals("", receive(sockets.get(0)), "half a request gives way too");
+        for (StandIn each : backends) {
+            assertFalse(each.requests.isEmpty(), "every backend has had work");
         }
-        assertEquals("", receive(sockets.get(0)), "the one that rested longest has been closed");
     }
 
     @Example
