Whole requests get an answer when buffers run out; tests of deaf and greedy ends

Seen on rereading: with the pool empty a request that had come whole was closed without an answer, which loses it; it now gets 500. The pool is bounded by the heap too: a third of it. New tests: a client that never reads and a machine that takes no connection hurt nobody else.

--- a/src/main/java/cottonlock/net/Buffers.java
+++ b/src/main/java/cottonlock/net/Buffers.java
@@ -19,10 +19,19 @@
         this.left = new Semaphore(most);
     }
 
+    /** All buffers are out, and stayed out for as long as one may wait. */
+    static final class NoneFree extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        NoneFree() {
+            super("no buffer is free");
+        }
+    }
+
     byte[] take() throws IOException {
         try {
             if (!left.tryAcquire(WAIT, TimeUnit.MILLISECONDS)) {
-                throw new IOException("no buffer is free");
+                throw new NoneFree();
             }
         } catch (InterruptedException e) {
             throw new IOException("interrupted while waiting for a buffer", e);
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -133,6 +133,10 @@
         } catch (SocketTimeoutException e) {
             refuse(new BadMessage(408, "half a request"), true);
             return false;
+        } catch (Buffers.NoneFree e) {
+            // Closed without an answer, what has come whole by now would be lost.
+            refuse(new BadMessage(500, e.getMessage()), true);
+            return false;
         }
         boolean keep = head.keepsAlive(head.start[2]);
         if (head.start[1].equals("/_health")) {
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -15,7 +15,7 @@
     private static final int OWN_SOCKETS = 24;
     /** Milliseconds: new connections still come for so long after the word to stop. */
     private static final long SERVE_ON = 550;
-    /** Where the settings give none, in their microseconds: a far network's connects, a common idle time. */
+    /** Where the settings give none, in their microseconds: a far network's connect, a common idle time. */
     private static final double CONNECT = 250_000;
     private static final double IDLE = 15_000_000;
     /** Milliseconds between looks at whether all is answered. */
@@ -37,9 +37,10 @@
         Clock clock = new Clock();
         SplittableRandom random = new SplittableRandom(config.seed());
         int side = Math.max(2, (config.limit("sockets", 1024) - OWN_SOCKETS) / 2);
-        // An eighth of the memory: a buffer for each connection, the rest for bodies.
-        buffers = new Buffers(Math.max(64,
-            (config.limit("memory_mb", 192) << 20) / 8 / Buffers.SIZE));
+        // An eighth of the memory, a third of the heap at most: one for each connection, the rest for bodies.
+        long memory = (long) config.limit("memory_mb", 192) << 20;
+        long bytes = Math.min(memory / 8, Runtime.getRuntime().maxMemory() / 3);
+        buffers = new Buffers((int) Math.max(2L * side, bytes / Buffers.SIZE));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
         Places places = new Places(side);
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -476,6 +476,53 @@
         }
     }
 
+    @Example
+    void whoNeverReadsHurtsNobodyElse() throws Exception {
+        StandIn backend = new StandIn(request -> "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"
+            + "x".repeat(60_000));
+        start(backend);
+        Socket never = connect();
+        Thread sender = Sockets.start("test client", () -> {
+            try {
+                for (int i = 0; i < 2_000; i++) {
+                    send(never, request("read", "n" + i, "", ""));
+                }
+            } catch (IOException e) {
+                // The proxy has closed the connection.
+            }
+        });
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, status(call(request("read", "other" + i, "", ""))));
+            Thread.sleep(20);
+        }
+        sender.join(7_000);
+        assertFalse(sender.isAlive(), "its connection has been closed");
+    }
+
+    @Example
+    void aMachineThatTakesNoConnectionCostsOneConnectLimit() throws Exception {
+        StandIn good = new StandIn(request -> OK);
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            for (int i = 0; i < 3; i++) {
+                Socket filling = new Socket();
+                open.add(filling);
+                try {
+                    filling.connect(deaf.getLocalSocketAddress(), 50);
+                } catch (IOException e) {
+                    // The queue of new connections is full: the next ones never come up.
+                }
+            }
+            start(256, 1, "", good.host("a"),
+                good.host("b").replace(":" + good.server.getLocalPort(), ":" + deaf.getLocalPort()));
+            for (int i = 0; i < 8; i++) {
+                long before = System.nanoTime();
+                assertEquals(200, status(call(request("once", "d" + i, "", "body"))));
+                long took = (System.nanoTime() - before) / 1_000_000;
+                assertTrue(took < 450, "took " + took);
+            }
+        }
+    }
+
     @Example
     void oddDatagramsAreDropped() throws Exception {
         StandIn backend = new StandIn(request -> OK);
