--- a/src/main/java/cottonlock/net/Body.java
+++ b/src/main/java/cottonlock/net/Body.java
@@ -36,15 +36,9 @@
         }
     }
 
-    /** Copies the body if it fits behind what the target already holds. */
-    boolean copyTo(byte[] target, int at) {
-        if (length > target.length - at || parts.size() > 1) {
-            return false;
-        }
-        if (length > 0) {
-            System.arraycopy(parts.get(0), 0, target, at, length);
-        }
-        return true;
+    /** Copies a body that fits behind what the target, a buffer, already holds. */
+    void copyTo(byte[] target, int at) {
+        System.arraycopy(parts.get(0), 0, target, at, length);
     }
 
     void writeTo(OutputStream out) throws IOException {
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -28,7 +28,7 @@
 
     /** The module's number for it, its hand-offs, and how many are out: the module's thread alone. */
     long number;
-    final List<Item.HandOff> handOffs = new ArrayList<>(1);
+    final List<HandOff> handOffs = new ArrayList<>(1);
     int out;
 
     Item(Client client, Head head, Body body, String requestId, String ticket, int category,
