--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -5,6 +5,8 @@
 import cottonlock.setup.Settings;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Turns a client's request into a work item, or says what is wrong with it. */
 final class Admission {
@@ -19,6 +21,7 @@
     private final List<String> tenantNames;
     /** A longer patience is taken for this: it would keep what is remembered of a work item for as long. */
     private final long[] longest;
+    private final Set<String> openIds = ConcurrentHashMap.newKeySet();
 
     Admission(Clock clock, Assembly assembly, Settings settings) {
         this.clock = clock;
@@ -76,7 +79,12 @@
             throw new BadMessage(400, "no X-Timeout-Ms in whole milliseconds");
         }
         long wait = Math.min(longest[category] / 10, Long.parseLong(patience)) * 10 - RESERVE;
-        return new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
-            tenant, tenantName, "1".equals(head.only("X-Retried")), now + wait);
+        Item item = new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
+            tenant, tenantName, "1".equals(head.only("X-Retried")), now + wait, openIds);
+        if (!openIds.add(requestId)) {
+            // Backends know a work item by its id: the other one would get this one's answer, or none.
+            throw new BadMessage(409, "the id of a work item that is under way");
+        }
+        return item;
     }
 }
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -9,14 +9,16 @@
  * its work item is out; answers are written by the thread that has them.
  */
 final class Client implements Runnable {
-    /** Milliseconds between requests: well past the minute that connections are commonly kept for. */
-    private static final long REST = 120_000;
-    /** Milliseconds for one request to come in: half requests must not pile up. */
-    private static final long READ = 5_000;
+    /** Milliseconds between requests: many clients ask once and stay, those in use ask within a second. */
+    private static final long REST = 4_000;
+    /** Milliseconds for one request to come in, from connecting for the first: half ones must not pile up. */
+    private static final long READ = 2_000;
     /** Nanoseconds after which a request that has not come whole is a half one: no sender pauses so long. */
     private static final long HALF = 1_000_000_000L;
     /** Milliseconds for what a refused client still sends, so that it sees the answer before the end. */
     private static final long LINGER = 300;
+    /** Bytes of it: what lies in the buffers of one connection; reading on through 60 MB costs the others. */
+    private static final int DROP = 256 << 10;
 
     private final Socket socket;
     private final Listener listener;
@@ -30,6 +32,7 @@
     private boolean reading;
     private boolean closing;
     private boolean inputEnded;
+    private boolean asked;
     private long since = System.nanoTime();
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
@@ -86,7 +89,7 @@
     private boolean awaitRequest(HttpReader reader) throws IOException {
         while (true) {
             try {
-                reader.within(REST);
+                reader.within(asked ? REST : READ);
                 if (!reader.await()) {
                     return false;
                 }
@@ -119,23 +122,28 @@
         Body body = null;
         Head head;
         try {
-            reader.within(READ);
+            if (asked) {
+                reader.within(READ);
+            }
+            asked = true;
             head = reader.request();
             if (head.lists("Expect", "100-continue")) {
                 watchdog.write(socket, out -> out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes()));
             }
             body = reader.body(buffers);
+            if (reader.stray()) {
+                body.release();
+                throw new BadMessage(400, "more than its length");
+            }
         } catch (BadMessage e) {
-            refuse(e, true);
-            socket.shutdownOutput();
-            drop(reader);
+            refuse(e, reader);
             return false;
         } catch (SocketTimeoutException e) {
-            refuse(new BadMessage(408, "half a request"), true);
+            refuse(new BadMessage(408, "half a request"), reader);
             return false;
         } catch (Buffers.NoneFree e) {
             // Closed without an answer, what has come whole by now would be lost.
-            refuse(new BadMessage(500, e.getMessage()), true);
+            refuse(new BadMessage(500, e.getMessage()), reader);
             return false;
         }
         boolean keep = head.keepsAlive(head.start[2]);
@@ -149,8 +157,8 @@
             item = admission.item(this, head, body);
         } catch (BadMessage e) {
             body.release();
-            refuse(e, !keep);
-            return keep;
+            refuse(e, reader);
+            return false;
         }
         synchronized (this) {
             wi = item;
@@ -161,9 +169,14 @@
         return true;
     }
 
-    private void refuse(BadMessage e, boolean close) throws IOException {
+    /** Ends the connection too: some send the same again at once, or hundreds of it in a row. */
+    private void refuse(BadMessage e, HttpReader reader) throws IOException {
         log.warn("bad request", e.getMessage() + ", from " + socket.getInetAddress().getHostAddress());
-        answer(e.status, null, null, null, close);
+        answer(e.status, null, null, null, true);
+        socket.shutdownOutput();
+        // Closed with bytes unread, the connection would take the answer with it.
+        reader.within(LINGER);
+        reader.drop(DROP);
     }
 
     private void answer(int status, String name, String value, Body body, boolean close)
@@ -175,12 +188,6 @@
         }
     }
 
-    /** Reads on a little: closed with bytes unread, the connection would take the answer with it. */
-    private void drop(HttpReader reader) throws IOException {
-        reader.within(LINGER);
-        reader.dropAll();
-    }
-
     /** The final answer to the work item under way, by whoever has claimed it. */
     void finish(int status, String name, String value, Body body) {
         boolean close;
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -41,6 +41,16 @@
         return at < filled || fill();
     }
 
+    /** Whether the next message, as far as it has come, can't be one: the length of the last was wrong. */
+    boolean stray() {
+        return at < filled && buffer[at] != '\r' && (buffer[at] < 'A' || buffer[at] > 'Z');
+    }
+
+    /** Whether something has come beyond the last message. */
+    boolean surplus() throws IOException {
+        return at < filled || in.available() > 0;
+    }
+
     private boolean fill() throws IOException {
         if (at == filled) {
             at = 0;
@@ -65,11 +75,14 @@
         return n > 0;
     }
 
-    /** Reads and drops what still comes, until the other side ends or the limit is up. */
-    void dropAll() throws IOException {
-        do {
+    /** Reads and drops what still comes, so many bytes at most, until the other side ends or time is up. */
+    void drop(int most) throws IOException {
+        int dropped = filled - at;
+        at = filled;
+        while (dropped < most && fill()) {
+            dropped += filled - at;
             at = filled;
-        } while (fill());
+        }
     }
 
     private byte next() throws IOException {
--- a/src/main/java/cottonlock/net/HttpWriter.java
+++ b/src/main/java/cottonlock/net/HttpWriter.java
@@ -74,6 +74,7 @@
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
             case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 501 -> "Not Implemented";
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -3,6 +3,7 @@
 import cottonlock.decision.Outcome;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -22,6 +23,8 @@
     final boolean repeated;
     /** By the module's clock: its client waits no longer. */
     final long expiry;
+    /** The ids of all work items that wait for their answer, its own among them. */
+    private final Set<String> openIds;
     private final AtomicBoolean claimed = new AtomicBoolean();
     /** One for the answer that is owed, and one for each write of the body that is under way. */
     private final AtomicInteger holds = new AtomicInteger(1);
@@ -32,8 +35,9 @@
     int out;
 
     Item(Client client, Head head, Body body, String requestId, String ticket, int category,
-         String categoryName, int tenant, String tenantName, boolean repeated, long expiry)
-        throws BadMessage {
+         String categoryName, int tenant, String tenantName, boolean repeated, long expiry,
+         Set<String> openIds) throws BadMessage {
+        this.openIds = openIds;
         this.client = client;
         this.method = head.start[0];
         this.target = head.start[1];
@@ -54,6 +58,7 @@
         if (!claimed.compareAndSet(false, true)) {
             return false;
         }
+        openIds.remove(requestId);
         release();
         return true;
     }
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -52,7 +52,7 @@
                 buffer = buffers.take();
                 HttpReader reader = new HttpReader(socket, buffer);
                 if (send(first)) {
-                    while (reader.await() && exchange(reader)) {
+                    while (reader.await() && expects() && exchange(reader)) {
                         // One hand-off after the other.
                     }
                 }
@@ -87,10 +87,19 @@
         backend.ended(this);
     }
 
+    /** Whether an answer is due; what comes unasked would be taken for the answer to the next hand-off. */
+    private synchronized boolean expects() {
+        if (current == null) {
+            ended = true;
+            log.warn("surplus", "an answer that was not asked for, from " + address);
+        }
+        return current != null;
+    }
+
     /** Writes a hand-off; false when nothing more can go out on this connection. */
     boolean send(Item.HandOff ho) {
         synchronized (this) {
-            if (ended) {
+            if (ended || unasked()) {
                 return false;
             }
             current = ho;
@@ -119,6 +128,15 @@
         return !over;
     }
 
+    /** Whether something lies there to be read already, which can't be the answer to what is sent next. */
+    private boolean unasked() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Writes it whole and returns null, or tells why its last byte was never written. */
     private Outcome write(Item.HandOff ho) {
         if (!ho.wi.hold()) {
@@ -152,6 +170,11 @@
                 return false;
             }
             pass(ho, head, body);
+            if (keep && reader.surplus()) {
+                // A second copy or noise: the next hand-off on this connection would be answered with it.
+                log.warn("surplus", "more than its answer, from " + address);
+                return false;
+            }
             if (keep) {
                 backend.rests(this);
             }
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -21,6 +21,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.ResourceBundle;
@@ -300,6 +301,7 @@
             Map.entry(good.replace("X-Request-ID: g\r\n", ""), 400),
             Map.entry(good.replace("X-Timeout-Ms: 1200", "X-Timeout-Ms: soon"), 400),
             Map.entry(good.replace("Idempotency-Key: kg\r\n", ""), 400),
+            Map.entry(good.replace("Content-Length: 2", "Content-Length: 1"), 400),
             Map.entry(good.replace("POST", "DELETE"), 405));
         for (Map.Entry<String, Integer> entry : bad.entrySet()) {
             assertEquals(entry.getValue(), status(call(entry.getKey())), entry.getKey());
@@ -312,6 +314,89 @@
         }
     }
 
+    @Example
+    void whoSendsNothingWholeOrOnlyBadThingsIsSoonRidOf() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(backend);
+        long before = System.nanoTime();
+        List<Socket> slow = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            slow.add(connect());
+        }
+        Socket half = slow.get(0);
+        Sockets.start("drips", () -> {
+            try {
+                for (char c : request("read", "drip", "", "").toCharArray()) {
+                    send(half, "" + c);
+                    Thread.sleep(50);
+                }
+            } catch (IOException | InterruptedException e) {
+                // It has been ended.
+            }
+        });
+        try (Socket bad = connect()) {
+            send(bad, request("read", "bad", "", "").replace("read", "nothing").repeat(300));
+            assertEquals(404, status(receive(bad)));
+            assertEquals("", receive(bad), "one answer, then the end");
+        }
+        assertEquals(408, status(receive(half)));
+        for (Socket silent : slow.subList(1, 30)) {
+            assertEquals("", receive(silent));
+        }
+        assertTrue(System.nanoTime() - before < 3_000_000_000L, "all within three seconds");
+        assertEquals(0, backend.requests.size());
+    }
+
+    @Example
+    void anIdThatIsUnderWayIsTakenOnlyOnce() throws Exception {
+        StandIn backend = new StandIn(request -> {
+            Thread.sleep(150);
+            return OK;
+        });
+        start(backend);
+        try (Socket first = connect()) {
+            send(first, request("once", "same", "", "body"));
+            eventually(() -> backend.requests.size() == 1, "handed off");
+            assertEquals(409, status(call(request("once", "same", "", "other"))));
+            assertEquals(200, status(receive(first)));
+            assertEquals(1, backend.requests.size());
+        }
+    }
+
+    @Example
+    void whatComesBehindAnAnswerAnswersNothingElse() throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        StandIn backend = new StandIn(request -> {
+            String id = field(request, "X-Request-ID", "");
+            String good = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
+            return count.incrementAndGet() % 3 == 0 ? good : "HTTP/1.1 103 Hints\r\n\r\n" + good + good;
+        });
+        start(backend);
+        List<String> wrong = new CopyOnWriteArrayList<>();
+        List<Thread> clients = new ArrayList<>();
+        for (int c = 0; c < 8; c++) {
+            int client = c;
+            clients.add(Sockets.start("test client", () -> {
+                try (Socket socket = connect()) {
+                    for (int i = 0; i < 150; i++) {
+                        String id = "c" + client + "i" + (1_000 + i);
+                        send(socket, request("read", id, "", ""));
+                        String answer = receive(socket);
+                        if (status(answer) == 200 && !answer.endsWith("\r\n\r\n" + id)) {
+                            wrong.add(id + " got " + answer);
+                        }
+                    }
+                } catch (IOException e) {
+                    wrong.add(e.toString());
+                }
+            }));
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        assertEquals(List.of(), wrong);
+    }
+
     @Example
     void whatNeverRanIsFinishedElsewhereAndWhatBrokeIsNot() throws Exception {
         String half = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha";
@@ -392,7 +477,7 @@
         Body body = new Body(buffers);
         body.add(new byte[10], 0, 10);
         Item wi = new Item(null, new Head(new String[] {"POST", "/once", "HTTP/1.1"}), body, "id", null, 0,
-            "once", 0, null, false, 0);
+            "once", 0, null, false, 0, new HashSet<>());
         assertTrue(wi.hold());
         assertTrue(wi.claim());
         assertFalse(wi.claim());
