--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -21,6 +21,7 @@
     private final List<String> tenantNames;
     /** A longer patience is taken for this: it would keep what is remembered of a work item for as long. */
     private final long[] longest;
+    private volatile long leaving = Long.MAX_VALUE;
     private final Set<String> openIds = ConcurrentHashMap.newKeySet();
 
     Admission(Clock clock, Assembly assembly, Settings settings) {
@@ -35,6 +36,11 @@
         }
     }
 
+    /** The proxy leaves in so many milliseconds: what comes from now on is answered before that. */
+    void endWithin(long millis) {
+        leaving = clock.now() + millis * 10;
+    }
+
     /** The longest that any work item is waited for, in milliseconds. */
     long longest() {
         return Arrays.stream(longest).max().orElse(0) / 10;
@@ -79,8 +85,10 @@
             throw new BadMessage(400, "no X-Timeout-Ms in whole milliseconds");
         }
         long wait = Math.min(longest[category] / 10, Long.parseLong(patience)) * 10 - RESERVE;
+        // Taken but unanswered when the program is killed, it would be lost.
+        long expiry = Math.min(now + wait, leaving - RESERVE);
         Item item = new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
-            tenant, tenantName, "1".equals(head.only("X-Retried")), now + wait, openIds);
+            tenant, tenantName, "1".equals(head.only("X-Retried")), expiry, openIds);
         if (!openIds.add(requestId)) {
             // Backends know a work item by its id: the other one would get this one's answer, or none.
             throw new BadMessage(409, "the id of a work item that is under way");
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -13,8 +13,13 @@
 public final class Proxy {
     /** Descriptors for the program itself, discovery, peers and the listener: eight in use, measured. */
     private static final int OWN_SOCKETS = 24;
-    /** Milliseconds: new connections still come for so long after the word to stop. */
-    private static final long SERVE_ON = 550;
+    /** Milliseconds of patience, at most, that whoever stops the program waits for, and how many more. */
+    private static final long WAITED_FOR = 3_000;
+    private static final long MORE = 700;
+    /** Milliseconds before that by which all is answered: time to leave in, also with little of a core. */
+    private static final long MARGIN = 300;
+    /** Milliseconds that the last work items taken have at least: twice what most of them need. */
+    private static final long LAST = 900;
     /** Where the settings give none, in their microseconds: a far network's connect, a common idle time. */
     private static final double CONNECT = 250_000;
     private static final double IDLE = 15_000_000;
@@ -24,6 +29,7 @@
     private final Path configuration;
     private final Log log;
     private final List<Thread> threads = new ArrayList<>();
+    private final Admission admission;
     private final Listener listener;
     private final Peers peers;
     private final ModuleActor module;
@@ -64,7 +70,7 @@
             config.addressIfAny("peers_all"), module, log);
         module.join(assembly.balancer(module, random.nextLong()), watch, peers);
         module.list(known, true);
-        Admission admission = new Admission(clock, assembly, settings);
+        admission = new Admission(clock, assembly, settings);
         InetSocketAddress listen = config.address("listen");
         listener = new Listener(listen, side, (socket, from) -> new Client(socket, from, module,
             admission, buffers, writer, watchdog, log), log);
@@ -91,9 +97,15 @@
         }
     }
 
-    /** Serves on while clients still come, then answers what it has taken; returns when all is answered. */
+    /**
+     * Serves on for as long as what comes can still be answered, then answers what it has taken; returns when
+     * all is answered. Clients whose front has nobody else to send them to would find nobody until the restart.
+     */
     public void drain() throws InterruptedException {
-        Thread.sleep(SERVE_ON);
+        long left = Math.min(WAITED_FOR, longestExpiry) + MORE - MARGIN;
+        long taking = Math.max(left / 2, left - LAST);
+        admission.endWithin(left);
+        Thread.sleep(taking);
         listener.close();
         long until = System.nanoTime() + longestExpiry * 1_000_000;
         while (listener.busy() && System.nanoTime() < until) {
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -590,10 +590,12 @@
     void aProxyThatIsStoppedAnswersAllThatItHasTaken() throws Exception {
         StandIn backend = new StandIn(request -> {
             Thread.sleep(700);
-            return OK;
+            return field(request, "X-Request-ID", "").equals("stuck") ? SILENT : OK;
         });
         start(backend);
-        try (Socket early = connect(); Socket late = connect(); Socket resting = connect()) {
+        try (Socket early = connect(); Socket late = connect(); Socket resting = connect();
+             Socket stuck = connect()) {
+            long before = System.nanoTime();
             send(early, request("read", "early", "", ""));
             Thread draining = Sockets.start("drain", () -> {
                 try {
@@ -605,11 +607,17 @@
             Thread.sleep(200);
             send(late, request("read", "late", "", ""));
             assertEquals(200, status(call(request("read", "new", "", ""))), "clients still come");
-            String last = receive(late);
             assertEquals(200, status(receive(early)));
+            send(early, request("once", "last", "", "body"));
+            send(stuck, request("once", "stuck", "X-Timeout-Ms: 1400\r\n", "body"));
+            assertEquals(200, status(receive(late)));
+            String last = receive(early);
             assertEquals(200, status(last));
             assertTrue(last.contains("Connection: close"), last);
             assertEquals("", receive(resting), "one that rests is closed");
+            assertEquals(502, status(receive(stuck)));
+            long took = (System.nanoTime() - before) / 1_000_000;
+            assertTrue(took < 2_100, "before the program is killed: " + took);
             draining.join(2_000);
             assertFalse(draining.isAlive(), "it leaves once all is answered");
             assertThrows(ConnectException.class, this::connect);
