--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -99,7 +99,7 @@
 
     /**
      * Serves on for as long as what comes can still be answered, then answers what it has taken; returns when
-     * all is answered. Clients whose front has nobody else to send them to would find nobody until the restart.
+     * all is answered. Clients whose front has nobody else for them would find nobody until the restart.
      */
     public void drain() throws InterruptedException {
         long left = Math.min(WAITED_FOR, longestExpiry) + MORE - MARGIN;
