Answers up to 1 MiB pass, ones that stop short end soon, links are not used past their idle time

BackendActor looked for links that had rested too long only every 0.5 s, and did not when it used one: a test with an idle time of 0.2 s shows it.

--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -13,7 +13,7 @@
     private static final int MOST = 4_096;
     /** Parts of the idle time after which a connection is retired, before the backend does it. */
     private static final double RETIRE = 0.8;
-    /** How often the resting connections are looked through, in microseconds. */
+    /** How often the resting connections are looked through at least, in microseconds. */
     private static final long LOOK = 500_000;
 
     private final Mailbox mailbox;
@@ -125,6 +125,8 @@
     }
 
     private void send(Item.HandOff ho) {
+        // Looked through now and then only, some had rested too long when they were used, and were reset.
+        retire();
         for (Link link = resting.pollLast(); link != null; link = resting.pollLast()) {
             if (!ho.attach(link)) {
                 resting.addLast(link);
--- a/src/main/java/cottonlock/net/Body.java
+++ b/src/main/java/cottonlock/net/Body.java
@@ -7,8 +7,10 @@
 
 /** The body of one message, kept in buffers of the pool until it is given back. */
 final class Body {
-    /** The protocol's limit. */
+    /** The protocol's limit, for what clients send. */
     static final int MOST = 64 << 10;
+    /** For answers: backends have sent six times the protocol's limit; more would crowd the pool's others. */
+    static final int MOST_OF_ANSWER = 1 << 20;
 
     private final Buffers buffers;
     private final List<byte[]> parts = new ArrayList<>(1);
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -130,7 +130,7 @@
             if (head.lists("Expect", "100-continue")) {
                 watchdog.write(socket, out -> out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes()));
             }
-            body = reader.body(buffers);
+            body = reader.body(buffers, Body.MOST);
             if (reader.stray()) {
                 body.release();
                 throw new BadMessage(400, "more than its length");
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -108,9 +108,14 @@
         return head;
     }
 
-    /** The head of the final answer; interim ones are passed over. */
-    Head answer() throws IOException, BadMessage {
+    /** The head of the final answer: milliseconds until one begins, and from then until all has come. */
+    Head answer(long begun, long whole) throws IOException, BadMessage {
         while (true) {
+            within(begun);
+            if (!await()) {
+                throw new IOException("the answer ends early");
+            }
+            within(whole);
             Head head = head();
             String[] s = head.start;
             boolean version = s[0].equals("HTTP/1.1") || s[0].equals("HTTP/1.0");
@@ -122,6 +127,7 @@
             if (none) {
                 bodyOver = true;
             }
+            // Interim ones are passed over; the final one may take as long as the work does.
             if (!s[1].startsWith("1")) {
                 return head;
             }
@@ -237,16 +243,16 @@
     }
 
     /** Reads the whole body of the message whose head came last; on failure its buffers are given back. */
-    Body body(Buffers buffers) throws IOException, BadMessage {
+    Body body(Buffers buffers, int most) throws IOException, BadMessage {
         Body body = new Body(buffers);
         boolean whole = false;
         try {
-            if (!chunked && left > Body.MOST && left != TO_THE_END) {
+            if (!chunked && left > most && left != TO_THE_END) {
                 throw new BadMessage(413, "the body is too large");
             }
             while (more()) {
                 int n = (int) Math.min(left, filled - at);
-                if (body.length() + n > Body.MOST) {
+                if (body.length() + n > most) {
                     throw new BadMessage(413, "the body is too large");
                 }
                 body.add(buffer, at, n);
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -7,6 +7,9 @@
 
 /** One connection to a backend. Its thread connects and reads; the backend's actor writes on it later. */
 final class Link implements Runnable {
+    /** Milliseconds from an answer's first byte to its last: backends write it in one go. */
+    private static final long WHOLE = 500;
+
     private final BackendActor backend;
     private final InetSocketAddress address;
     private final int connectLimit;
@@ -156,8 +159,10 @@
 
     /** Reads one answer; false when the connection is to end. */
     private boolean exchange(HttpReader reader) throws IOException, BadMessage {
-        Head head = reader.answer();
-        Body body = reader.body(buffers);
+        // One that stops short would hold its work item until nothing else can be tried any more.
+        Head head = reader.answer(0, WHOLE);
+        Body body = reader.body(buffers, Body.MOST_OF_ANSWER);
+        reader.within(0);
         try {
             Item.HandOff ho;
             boolean keep = head.keepsAlive(head.start[0]);
--- a/src/main/java/cottonlock/net/ListWatch.java
+++ b/src/main/java/cottonlock/net/ListWatch.java
@@ -97,8 +97,7 @@
                 + at.getHostString() + ":" + at.getPort() + "\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
             HttpReader reader = new HttpReader(socket, buffer);
-            reader.within(SILENCE);
-            Head head = reader.answer();
+            Head head = reader.answer(SILENCE, SILENCE);
             if (!head.start[1].equals("200")) {
                 throw new IOException("status " + head.start[1]);
             }
