Kept connections that break when used again stop the keeping for ten seconds

Backends had closed them without a word, or reset them at the next request. Each counts as perhaps run, and raises doubt in a sound backend. The close comes 5 to 20 ms after an answer or much later, so a short rest before use would not help.

--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -18,6 +18,7 @@
 
     private final Mailbox mailbox;
     private final Places places;
+    private final Keeping keeping;
     private final int connectLimit;
     private final long retireAfter;
     private final Buffers buffers;
@@ -31,10 +32,11 @@
     private boolean leaving;
 
     /** Times in milliseconds. */
-    BackendActor(InetSocketAddress address, Places places, long connectLimit, long idle,
+    BackendActor(InetSocketAddress address, Places places, Keeping keeping, long connectLimit, long idle,
                  Buffers buffers, HttpWriter writer, Watchdog watchdog, Clock clock, Log log) {
         this.address = address;
         this.places = places;
+        this.keeping = keeping;
         this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
         this.retireAfter = (long) (idle * RETIRE * 1_000_000);
         this.buffers = buffers;
@@ -106,7 +108,7 @@
     /** From a link: its hand-off is over and it may carry the next. */
     void rests(Link link) {
         mailbox.put(() -> {
-            if (leaving || !link.address().equals(address)) {
+            if (leaving || !link.address().equals(address) || !keeping.worthwhile()) {
                 link.kill();
             } else {
                 link.restingSince = System.nanoTime();
@@ -115,6 +117,11 @@
         });
     }
 
+    /** From a link: its hand-off, not its first, broke off so many nanoseconds after it was sent. */
+    void brokeWhenUsedAgain(long after) {
+        keeping.broke(after);
+    }
+
     /** From a link: it has given back all that it held. */
     void ended(Link link) {
         places.give();
@@ -127,6 +134,10 @@
     private void send(Item.HandOff ho) {
         // Looked through now and then only, some had rested too long when they were used, and were reset.
         retire();
+        if (!keeping.worthwhile()) {
+            resting.forEach(Link::kill);
+            resting.clear();
+        }
         for (Link link = resting.pollLast(); link != null; link = resting.pollLast()) {
             if (!ho.attach(link)) {
                 resting.addLast(link);
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -20,8 +20,9 @@
     private final Log log;
     private final Socket socket = new Socket();
     private final Item.HandOff first;
-    /** When it last began to rest, for the actor. */
+    /** When it last began to rest, for the actor; 0 before it first does. */
     long restingSince;
+    private long sentAt;
     private Item.HandOff current;
     private boolean writing;
     private boolean written;
@@ -76,8 +77,10 @@
             buffers.give(buffer);
         }
         Item.HandOff broken = null;
+        long after;
         synchronized (this) {
             ended = true;
+            after = System.nanoTime() - sentAt;
             if (!writing) {
                 // While it is being written the writer knows better how far it got.
                 broken = current;
@@ -85,6 +88,9 @@
             }
         }
         if (broken != null) {
+            if (broken != first && !broken.settled()) {
+                backend.brokeWhenUsedAgain(after);
+            }
             broken.settle(written ? Outcome.BROKEN_OFF : Outcome.NO_CONNECTION);
         }
         backend.ended(this);
@@ -106,6 +112,7 @@
                 return false;
             }
             current = ho;
+            sentAt = System.nanoTime();
             writing = true;
             written = false;
         }
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -54,11 +54,12 @@
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
         Places places = new Places(side);
+        Keeping keeping = new Keeping();
         long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
         long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
         module = new ModuleActor(clock, entry -> {
-            BackendActor actor = new BackendActor(entry.dial(), places, connect, idle, buffers, writer,
-                watchdog, clock, log);
+            BackendActor actor = new BackendActor(entry.dial(), places, keeping, connect, idle, buffers,
+                writer, watchdog, clock, log);
             Sockets.start("backend", actor);
             return actor;
         }, log);
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -403,6 +403,22 @@
         assertEquals(7, backend.sockets.size());
     }
 
+    @Example
+    void connectionsThatBreakWhenUsedAgainAreNotKeptForAWhile() throws Exception {
+        Map<Integer, AtomicInteger> uses = new ConcurrentHashMap<>();
+        StandIn backend = new StandIn(request -> OK);
+        backend.play = request -> {
+            int on = backend.sockets.size();
+            return uses.computeIfAbsent(on, n -> new AtomicInteger()).incrementAndGet() > 1 ? CLOSE : OK;
+        };
+        start(backend);
+        int broken = 0;
+        for (int i = 0; i < 20; i++) {
+            broken += status(call(request("once", "k" + i, "", "body"))) == 502 ? 1 : 0;
+        }
+        assertEquals(3, broken, "after the third none is used again");
+    }
+
     @Example
     void whatComesBehindAnAnswerAnswersNothingElse() throws Exception {
         AtomicInteger count = new AtomicInteger();
