Threads of connections are used again; health askers give way first; clients get more of the sockets

A trace: a hundred new connections a second ask GET /_health once and stay, fill the 180 places, are evicted after 0.6 s and come back, up to 409 accepts a second. The time was that of short-lived threads: thread dumps showed listener and module at 5% each. Ruled out: bad requests (no log line), the module.

--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -19,6 +19,7 @@
     private final Mailbox mailbox;
     private final Places places;
     private final Keeping keeping;
+    private final Workers workers;
     private final int connectLimit;
     private final long retireAfter;
     private final Buffers buffers;
@@ -32,11 +33,13 @@
     private boolean leaving;
 
     /** Times in milliseconds. */
-    BackendActor(InetSocketAddress address, Places places, Keeping keeping, long connectLimit, long idle,
-                 Buffers buffers, HttpWriter writer, Watchdog watchdog, Clock clock, Log log) {
+    BackendActor(InetSocketAddress address, Places places, Keeping keeping, Workers workers,
+                 long connectLimit, long idle, Buffers buffers, HttpWriter writer, Watchdog watchdog,
+                 Clock clock, Log log) {
         this.address = address;
         this.places = places;
         this.keeping = keeping;
+        this.workers = workers;
         this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
         this.retireAfter = (long) (idle * RETIRE * 1_000_000);
         this.buffers = buffers;
@@ -158,7 +161,7 @@
         Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, log, ho);
         links.add(link);
         try {
-            Sockets.start("link", link);
+            workers.serve(link);
         } catch (OutOfMemoryError e) {
             // No thread can be had: this hand-off fails, the proxy must not.
             log.warn("no thread", "a hand-off got no connection");
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -9,8 +9,8 @@
  * its work item is out; answers are written by the thread that has them.
  */
 final class Client implements Runnable {
-    /** Milliseconds between requests: many clients ask once and stay, those in use ask within a second. */
-    private static final long REST = 4_000;
+    /** Milliseconds between requests: many clients ask once and stay, and may be left after two seconds. */
+    private static final long REST = 2_200;
     /** Milliseconds for one request to come in, from connecting for the first: half ones must not pile up. */
     private static final long READ = 2_000;
     /** Nanoseconds after which a request that has not come whole is a half one: no sender pauses so long. */
@@ -33,6 +33,7 @@
     private boolean closing;
     private boolean inputEnded;
     private boolean asked;
+    private boolean worked;
     private long since = System.nanoTime();
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
@@ -162,6 +163,7 @@
         }
         synchronized (this) {
             wi = item;
+            worked = true;
             reading = false;
             closing |= !keep;
         }
@@ -244,6 +246,11 @@
         return since;
     }
 
+    /** Whether it has ever brought a work item. */
+    synchronized boolean worked() {
+        return worked;
+    }
+
     /** Whether a work item of its is under way. */
     synchronized boolean owed() {
         return wi != null;
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -25,13 +25,15 @@
 
     private final Semaphore places;
     private final BiFunction<Socket, Listener, Client> clientOf;
+    private final Workers workers;
     private final Log log;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
 
-    Listener(InetSocketAddress address, int most, BiFunction<Socket, Listener, Client> clientOf, Log log)
-        throws IOException {
+    Listener(InetSocketAddress address, int most, BiFunction<Socket, Listener, Client> clientOf,
+             Workers workers, Log log) throws IOException {
         this.places = new Semaphore(most);
         this.clientOf = clientOf;
+        this.workers = workers;
         this.log = log;
         this.server = new ServerSocket();
         server.setReuseAddress(true);
@@ -66,7 +68,7 @@
         Client client = clientOf.apply(socket, this);
         clients.add(client);
         try {
-            Sockets.start("client", client);
+            workers.serve(client);
         } catch (OutOfMemoryError e) {
             // No thread can be had: one client less is better than no proxy.
             log.warn("no thread", "closed a new connection unread");
@@ -85,9 +87,11 @@
             } catch (InterruptedException e) {
                 return false;
             }
-            // One that sends half a request, and then nothing, must not keep the others out.
+            // One that sends half a request, and then nothing, must not keep the others out; and a crowd that
+            // asks for nothing but our health must not push out those who bring work, however long at rest.
             clients.stream().filter(client -> !client.owed())
-                .min(Comparator.comparing(Client::busy).thenComparingLong(Client::since))
+                .min(Comparator.comparing(Client::busy).thenComparing(Client::worked)
+                    .thenComparingLong(Client::since))
                 .ifPresent(Client::giveWay);
         }
         return false;
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -13,6 +13,11 @@
 public final class Proxy {
     /** Descriptors for the program itself, discovery, peers and the listener: eight in use, measured. */
     private static final int OWN_SOCKETS = 24;
+    /** Part of the others that backends have: clients hold a third of all at most for requests. */
+    private static final double TO_BACKENDS = 0.375;
+    /** MB that the program takes by itself, and connections of clients that one more holds, measured. */
+    private static final int OWN_MEMORY = 48;
+    private static final int CLIENTS_A_MB = 6;
     /** Milliseconds of patience, at most, that whoever stops the program waits for, and how many more. */
     private static final long WAITED_FOR = 3_000;
     private static final long MORE = 700;
@@ -34,6 +39,7 @@
     private final Peers peers;
     private final ModuleActor module;
     private final ListWatch watch;
+    private final Workers workers = new Workers();
     private final Buffers buffers;
     private final long longestExpiry;
 
@@ -46,20 +52,23 @@
         log = new Log(System.getLogger("cottonlock"));
         Clock clock = new Clock();
         SplittableRandom random = new SplittableRandom(config.seed());
-        int side = Math.max(2, (config.limit("sockets", 1024) - OWN_SOCKETS) / 2);
+        int sockets = Math.max(4, config.limit("sockets", 1024) - OWN_SOCKETS);
+        int toBackends = Math.max(2, (int) (sockets * TO_BACKENDS));
+        int memoryMb = config.limit("memory_mb", 192);
+        int fromClients = Math.min(sockets - toBackends,
+            Math.max(16, (memoryMb - OWN_MEMORY) * CLIENTS_A_MB));
         // An eighth of the memory, a third of the heap at most: one for each connection, the rest for bodies.
-        long memory = (long) config.limit("memory_mb", 192) << 20;
-        long bytes = Math.min(memory / 8, Runtime.getRuntime().maxMemory() / 3);
-        buffers = new Buffers((int) Math.max(2L * side, bytes / Buffers.SIZE));
+        long bytes = Math.min(((long) memoryMb << 20) / 8, Runtime.getRuntime().maxMemory() / 3);
+        buffers = new Buffers((int) Math.max(fromClients + toBackends, bytes / Buffers.SIZE));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
-        Places places = new Places(side);
+        Places places = new Places(toBackends);
         Keeping keeping = new Keeping();
         long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
         long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
         module = new ModuleActor(clock, entry -> {
-            BackendActor actor = new BackendActor(entry.dial(), places, keeping, connect, idle, buffers,
-                writer, watchdog, clock, log);
+            BackendActor actor = new BackendActor(entry.dial(), places, keeping, workers, connect, idle,
+                buffers, writer, watchdog, clock, log);
             Sockets.start("backend", actor);
             return actor;
         }, log);
@@ -73,8 +82,8 @@
         module.list(known, true);
         admission = new Admission(clock, assembly, settings);
         InetSocketAddress listen = config.address("listen");
-        listener = new Listener(listen, side, (socket, from) -> new Client(socket, from, module,
-            admission, buffers, writer, watchdog, log), log);
+        listener = new Listener(listen, fromClients, (socket, from) -> new Client(socket, from, module,
+            admission, buffers, writer, watchdog, log), workers, log);
         longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
@@ -121,6 +130,7 @@
         peers.close();
         threads.forEach(Thread::interrupt);
         watch.close();
+        workers.close();
     }
 
     /** The port that it listens on. */
--- a/src/main/java/cottonlock/net/Sockets.java
+++ b/src/main/java/cottonlock/net/Sockets.java
@@ -13,9 +13,14 @@
     }
 
     static Thread start(String name, Runnable task) {
+        Thread thread = thread(name, task);
+        thread.start();
+        return thread;
+    }
+
+    static Thread thread(String name, Runnable task) {
         Thread thread = new Thread(null, task, name, STACK);
         thread.setDaemon(true);
-        thread.start();
         return thread;
     }
 
