--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -369,6 +369,23 @@
         }
     }
 
+    @Example
+    void connectionsOneAfterTheOtherNeedOneThread() throws Exception {
+        Workers workers = new Workers();
+        Set<Thread> threads = ConcurrentHashMap.newKeySet();
+        for (int i = 0; i < 20; i++) {
+            AtomicInteger done = new AtomicInteger();
+            workers.serve(() -> {
+                threads.add(Thread.currentThread());
+                done.incrementAndGet();
+            });
+            eventually(() -> done.get() == 1, "served");
+            Thread.sleep(5);
+        }
+        workers.close();
+        assertTrue(threads.size() < 5, "threads: " + threads.size());
+    }
+
     @Example
     void anIdThatIsUnderWayIsTakenOnlyOnce() throws Exception {
         StandIn backend = new StandIn(request -> {
