--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -18,10 +18,14 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** All commands with their help. Exit status: 0 done, 2 an argument or file that can't be used; more by command. */
+/**
+ * All commands with their help. Exit status: 0 done, 2 an argument or file that can't be used; more by
+ * command.
+ */
 @Command(name = "cottonlock", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
     description = "A load balancer for services that call services.",
-    subcommands = {Cli.Serve.class, Cli.WireHost.class, Cli.Check.class, Cli.LabCommand.class, Cli.Completion.class},
+    subcommands = {Cli.Serve.class, Cli.WireHost.class, Cli.Check.class, Cli.LabCommand.class,
+    Cli.Completion.class},
     footer = {"", "Exit status: 0 done; 2 an argument or a file can't be used, told in one line each."})
 public final class Cli implements Callable<Integer> {
     /** The status of what can't be used, as picocli has it too. */
@@ -58,8 +62,10 @@
     }
 
     /** Serves work items. */
-    @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serves work items until SIGTERM.",
-        footer = {"", "EDGE_CONFIG names the platform's configuration (JSON).", "Exit status: 143 after SIGTERM; "
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+        description = "Serves work items until SIGTERM.",
+        footer = {"", "EDGE_CONFIG names the platform's configuration (JSON).",
+        "Exit status: 143 after SIGTERM; "
             + "2 a configuration that can't be used."})
     static final class Serve implements Callable<Integer> {
         @CommandLine.ParentCommand
@@ -67,7 +73,8 @@
         @Spec
         private CommandSpec spec;
         @Option(names = "--operator", paramLabel = "FILE", defaultValue = "${env:COTTONLOCK_OPERATOR}",
-            description = "The operator's file (TOML); else COTTONLOCK_OPERATOR names one, else there is none.")
+            description = "The operator's file (TOML); else COTTONLOCK_OPERATOR names one, else there is "
+                + "none.")
         private Path operator;
 
         @Override
@@ -100,7 +107,8 @@
 
     /** Checks files. */
     @Command(name = "check", mixinStandardHelpOptions = true,
-        description = "Checks the platform's configuration (.json), an operator's file or a scenario (.toml).",
+        description = "Checks the platform's configuration (.json), an operator's file or a scenario "
+            + "(.toml).",
         footer = {"", "Every fault is told at once: file, line, key, what was expected.",
             "Exit status: 0 all can be used; 2 some can't."})
     static final class Check implements Callable<Integer> {
@@ -139,7 +147,8 @@
 
         @Override
         public Integer call() {
-            spec.commandLine().getErr().println("cottonlock lab: expected run, compare or sweep; --help tells more");
+            spec.commandLine().getErr().println("cottonlock lab: expected run, compare or sweep; --help "
+                + "tells more");
             return UNUSABLE;
         }
 
@@ -148,21 +157,26 @@
         }
 
         @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays one scenario.",
-            footer = {"", "The last line on standard output is the verdict.", "Exit status: 0 pass; 1 a rule or an "
-                + "expectation broke; 2 the scenario or an argument can't be used; 3 the machine ran late, so "
+            footer = {"", "The last line on standard output is the verdict.",
+            "Exit status: 0 pass; 1 a rule or an "
+                + "expectation broke; 2 the scenario or an argument can't be used; 3 the machine ran "
+                + "late, so "
                 + "there is no verdict."})
         int run(@Parameters(paramLabel = "SCENARIO") Path file,
                 @Option(names = "--seed", description = "In place of the scenario's.") Long seed,
-                @Option(names = "--set", paramLabel = "PATH=VALUE", description = "Sets a value of the scenario: "
+                @Option(names = "--set", paramLabel = "PATH=VALUE",
+                description = "Sets a value of the scenario: "
                     + "--set proxy.count=4, --set fault.0.at=2. May be given again.") List<String> sets,
                 @Option(names = "--out", paramLabel = "DIR", description = "Where report.json, report.html, "
                     + "schedule.tsv and ledger.txt go.") Path out,
-                @Option(names = "--processes", description = "Each proxy in a process of its own.") boolean processes)
+                @Option(names = "--processes", description =
+                "Each proxy in a process of its own.") boolean processes)
             throws InterruptedException {
             return lab().run(file, seed, sets == null ? List.of() : sets, out, processes);
         }
 
-        @Command(name = "compare", mixinStandardHelpOptions = true, description = "Puts two reports side by side.")
+        @Command(name = "compare", mixinStandardHelpOptions = true,
+            description = "Puts two reports side by side.")
         int compare(@Parameters(paramLabel = "A", description = "A report.json, or its folder.") Path one,
                     @Parameters(paramLabel = "B") Path other) {
             return lab().compare(one, other);
@@ -171,11 +185,14 @@
         @Command(name = "sweep", mixinStandardHelpOptions = true,
             description = "Plays a scenario for each of several values of one setting.")
         int sweep(@Parameters(paramLabel = "SCENARIO") Path file,
-                  @Option(names = "--set", paramLabel = "PATH=V1,V2,...", required = true, description = "The one "
-                      + "with commas is swept; others, with one value each, are set in all runs.") List<String> sets,
+                  @Option(names = "--set", paramLabel = "PATH=V1,V2,...", required = true,
+                  description = "The one "
+                      + "with commas is swept; others, with one value each, are set in all "
+                      + "runs.") List<String> sets,
                   @Option(names = "--seeds", split = ",", defaultValue = "1", description = "Default: 1.")
                   List<Long> seeds,
-                  @Option(names = "--out", paramLabel = "DIR", description = "Where sweep.html goes.") Path out)
+                  @Option(names = "--out", paramLabel = "DIR",
+                  description = "Where sweep.html goes.") Path out)
             throws InterruptedException {
             List<String> fixed = new ArrayList<>();
             String swept = null;
@@ -187,11 +204,13 @@
                 }
             }
             if (swept == null || swept.indexOf('=') <= 0) {
-                spec.commandLine().getErr().println("cottonlock lab sweep: expected one --set PATH=V1,V2,...");
+                spec.commandLine().getErr().println("cottonlock lab sweep: expected one --set "
+                    + "PATH=V1,V2,...");
                 return UNUSABLE;
             }
             int equals = swept.indexOf('=');
-            return lab().sweep(file, swept.substring(0, equals), List.of(swept.substring(equals + 1).split(",")), seeds,
+            return lab().sweep(file, swept.substring(0, equals),
+                List.of(swept.substring(equals + 1).split(",")), seeds,
                 fixed, out);
         }
     }
--- a/src/main/java/cottonlock/config/BadFile.java
+++ b/src/main/java/cottonlock/config/BadFile.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 
-/** A file, or a value given on the command line, that can't be used, with everything that is wrong with it. */
+/**
+ * A file, or a value given on the command line, that can't be used, with everything that is wrong with it.
+ */
 public final class BadFile extends Exception {
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/cottonlock/config/Doc.java
+++ b/src/main/java/cottonlock/config/Doc.java
@@ -20,8 +20,8 @@
 import org.tomlj.TomlTable;
 
 /**
- * One value of a file with the line it stands on: a table, a list, a text, a truth, a whole or a decimal number.
- * Line 0 is none: the value was given on the command line.
+ * One value of a file with the line it stands on: a table, a list, a text, a truth, a whole or a decimal
+ * number. Line 0 is none: the value was given on the command line.
  */
 public final class Doc {
     /** How deep values may lie in each other: far more than any file here, less than a stack holds. */
@@ -46,7 +46,8 @@
         TomlParseResult result = Toml.parse(text(file));
         if (result.hasErrors()) {
             List<String> faults = new ArrayList<>();
-            result.errors().forEach(e -> faults.add(name + ":" + e.position().line() + ": " + e.getMessage()));
+            result.errors().forEach(e -> faults.add(name + ":" + e.position().line() + ": "
+                + e.getMessage()));
             throw new BadFile(faults);
         }
         return table(name, 1, result, 0);
@@ -95,7 +96,8 @@
         int line = line(parser);
         JsonToken token = parser.currentToken();
         if (token == null || depth > DEEPEST) {
-            throw BadFile.of(file, line, "", token == null ? "is empty" : "values lie too deep in each other");
+            throw BadFile.of(file, line, "", token == null ? "is empty"
+                : "values lie too deep in each other");
         }
         switch (token) {
             case START_OBJECT -> {
@@ -167,9 +169,9 @@
     }
 
     /**
-     * Sets the value at a path, as {@code --set path=value} on the command line does: names and places in lists
-     * joined by dots. Tables on the way that are not there yet are made. The value is read as TOML; what is no
-     * TOML value is taken for a text.
+     * Sets the value at a path, as {@code --set path=value} on the command line does: names and places in
+     * lists joined by dots. Tables on the way that are not there yet are made. The value is read as TOML;
+     * what is no TOML value is taken for a text.
      *
      * @throws BadFile where the path leads through a plain value or beyond a list
      */
--- a/src/main/java/cottonlock/config/Fields.java
+++ b/src/main/java/cottonlock/config/Fields.java
@@ -8,9 +8,9 @@
 import java.util.Set;
 
 /**
- * Reads the fields of one table, and keeps account of what is wrong and of what was never asked for. All tables
- * of a file share one list of faults, which {@link #end} throws at once. A field that is at fault reads as its
- * default, so that reading goes on and finds the next fault too.
+ * Reads the fields of one table, and keeps account of what is wrong and of what was never asked for. All
+ * tables of a file share one list of faults, which {@link #end} throws at once. A field that is at fault
+ * reads as its default, so that reading goes on and finds the next fault too.
  */
 public final class Fields {
     /** The most edits at which a known key is named as the one that was probably meant. */
--- a/src/main/java/cottonlock/config/OperatorFile.java
+++ b/src/main/java/cottonlock/config/OperatorFile.java
@@ -3,8 +3,8 @@
 import java.nio.file.Path;
 
 /**
- * The operator's file: what the platform's configuration has no place for. {@code deploy/operator.example.toml}
- * has every key with its default, unit and range.
+ * The operator's file: what the platform's configuration has no place for. {@code
+ * deploy/operator.example.toml} has every key with its default, unit and range.
  *
  * @param logFormat {@code text}: a line with level and text; {@code json}: an object a line (RFC 8259)
  * @param logLevel  the lowest level that is written: {@code info}, {@code warning} or {@code off}
--- a/src/main/java/cottonlock/config/PlatformFile.java
+++ b/src/main/java/cottonlock/config/PlatformFile.java
@@ -6,8 +6,9 @@
 import java.util.Set;
 
 /**
- * Checks the platform's JSON ({@code EDGE_CONFIG}) more closely than {@code serve} does, which takes what it can
- * use: a slip that would only show in service is told here. The settings may hold more than a proxy reads.
+ * Checks the platform's JSON ({@code EDGE_CONFIG}) more closely than {@code serve} does, which takes what it
+ * can use: a slip that would only show in service is told here. The settings may hold more than a proxy
+ * reads.
  */
 public final class PlatformFile {
     private static final String ADDRESS = "([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}";
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -855,7 +855,7 @@
         }
 
         /** Where each one is in doubt, those that hold nothing: a sole sound backend that had failed once was
-         * passed over until a draw favoured it. Rerunnable work alone, of which a further failure costs least. */
+         * passed over until a draw favoured it. Only rerunnable work, of which a failure costs least. */
         List<Backend> lastResort(WorkItem wi, long now) {
             boolean none = wi.category.repeat() != Repeat.RERUNNABLE
                 || ready.stream().anyMatch(b -> doubts(b, now) < 1);
--- a/src/main/java/cottonlock/lab/Arrivals.java
+++ b/src/main/java/cottonlock/lab/Arrivals.java
@@ -8,9 +8,9 @@
 import java.util.SplittableRandom;
 
 /**
- * The schedule of a run: when which work item comes, drawn from the seed alone before the run begins, so that two
- * runs of one seed are given the same. Each tenant draws from a generator of its own: a change of one tenant's
- * rate moves no arrival of another's.
+ * The schedule of a run: when which work item comes, drawn from the seed alone before the run begins, so
+ * that two runs of one seed are given the same. Each tenant draws from a generator of its own: a change of
+ * one tenant's rate moves no arrival of another's.
  */
 @Decides
 final class Arrivals {
@@ -48,7 +48,8 @@
                 String name = tenants.get(t).name();
                 double most = Math.max(1, bursts.stream().mapToDouble(Scenario.Burst::times).max().orElse(1));
                 boolean even = clients.arrivals().equals("even");
-                // Drawn at the highest rate and thinned out: an arrival before a burst is the same without it.
+                // Drawn at the highest rate and thinned out: an arrival before a burst is the same without
+                // it.
                 for (double at = 0; rate > 0; ) {
                     at += even ? 1 / rate / most : -Math.log(1 - random.nextDouble()) / rate / most;
                     if (at >= length) {
@@ -83,7 +84,8 @@
     private static double times(List<Scenario.Burst> bursts, String tenant, long at) {
         double times = 1;
         for (Scenario.Burst b : bursts) {
-            if (at >= b.at() && at < b.at() + b.length() && (b.tenant().isEmpty() || b.tenant().equals(tenant))) {
+            if (at >= b.at() && at < b.at() + b.length() && (b.tenant().isEmpty()
+                || b.tenant().equals(tenant))) {
                 times = b.times();
             }
         }
@@ -108,6 +110,7 @@
     }
 
     private static double gauss(SplittableRandom random) {
-        return Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
+        double far = Math.sqrt(-2 * Math.log(1 - random.nextDouble()));
+        return far * Math.cos(2 * Math.PI * random.nextDouble());
     }
 }
--- a/src/main/java/cottonlock/lab/Backend.java
+++ b/src/main/java/cottonlock/lab/Backend.java
@@ -13,8 +13,8 @@
 import java.util.SplittableRandom;
 
 /**
- * The stand-in of one backend: a door for each proxy, a model of what it can do, and calls to the next tier through
- * a proxy of its own.
+ * The stand-in of one backend: a door for each proxy, a model of what it can do, and calls to the next tier
+ * through a proxy of its own.
  */
 final class Backend implements Conn.Owner {
     private static final byte[] NOTHING = new byte[0];
@@ -106,7 +106,8 @@
         this.random = random;
         this.sabotage = sabotage;
         this.path = new Path(random.split());
-        this.model = new BackendModel<>(plan.cores(), plan.speed(), plan.queue(), rules.coldShare(), rules.cold(),
+        this.model = new BackendModel<>(plan.cores(), plan.speed(), plan.queue(), rules.coldShare(),
+            rules.cold(),
             rules.fallMultiple(), rules.fall());
     }
 
@@ -307,10 +308,12 @@
             running.remove(job);
             return;
         }
-        String inner = id + "-" + Long.toString(++calls, 36) + "-" + Long.toString(random.nextLong() >>> 32, 36);
+        String inner = id + "-" + Long.toString(++calls, 36) + "-" + Long.toString(random.nextLong() >>> 32,
+            36);
         String chain = job.key + "/" + job.callsLeft;
         job.callsLeft--;
-        next.send(new Caller.Request(inner, job.key == null ? inner : chain, chain, job.category, job.tenant, left,
+        next.send(new Caller.Request(inner, job.key == null ? inner : chain, chain, job.category, job.tenant,
+            left,
             false, job.work), true, -1, result -> {
                 if (!running.contains(job)) {
                     return;
--- a/src/main/java/cottonlock/lab/BackendModel.java
+++ b/src/main/java/cottonlock/lab/BackendModel.java
@@ -5,8 +5,8 @@
 import java.util.Deque;
 
 /**
- * What a backend can do, in time that it is given: cores, a queue, a cold start that warms, and a fall when it is
- * pushed too far while cold. Times are nanoseconds; work is core nanoseconds at speed 1.
+ * What a backend can do, in time that it is given: cores, a queue, a cold start that warms, and a fall when
+ * it is pushed too far while cold. Times are nanoseconds; work is core nanoseconds at speed 1.
  *
  * @param <J> a job
  */
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Notes work that was sent to it, whether or not it can take it; true when that pushes it over: in the last
-     * {@code fall}, while it was cold, more came than the multiple of what it can do at this moment.
+     * Notes work that was sent to it, whether or not it can take it; true when that pushes it over: in the
+     * last {@code fall}, while it was cold, more came than the multiple of what it can do at this moment.
      */
     boolean pushedOver(long now, double work) {
         if (now - started >= cold) {
--- a/src/main/java/cottonlock/lab/Caller.java
+++ b/src/main/java/cottonlock/lab/Caller.java
@@ -13,9 +13,9 @@
 import java.util.function.Supplier;
 
 /**
- * Brings work items to one proxy, one at a time on each connection, and tells the ledger. A connection that ends
- * before its answer begins, having been used before, is taken for one that the proxy closed between requests:
- * the request goes once more on a new one (PROTOCOL, Callers to proxies).
+ * Brings work items to one proxy, one at a time on each connection, and tells the ledger. A connection that
+ * ends before its answer begins, having been used before, is taken for one that the proxy closed between
+ * requests: the request goes once more on a new one (PROTOCOL, Callers to proxies).
  */
 final class Caller implements Conn.Owner {
     /** How long an answer is waited for beyond the patience, so that late ones are seen as late: in ns. */
@@ -31,7 +31,8 @@
     }
 
     /** A work item as it is written on the wire. */
-    record Request(String id, String chain, String key, Scenario.CategoryPlan category, String tenant, long patience,
+    record Request(String id, String chain, String key, Scenario.CategoryPlan category, String tenant,
+        long patience,
                    boolean retried, double work) {
         byte[] bytes(long left) {
             boolean get = category.repeat().equals("rerunnable");
@@ -135,7 +136,8 @@
         busy.add(conn);
         long now = loop.now();
         if (!call.again) {
-            ledger.sent(call.request.id(), call.request.chain(), call.request.category().name(), proxy, call.until);
+            ledger.sent(call.request.id(), call.request.chain(), call.request.category().name(), proxy,
+                call.until);
         }
         call.written = true;
         long leave = Math.min(call.until + BEYOND, call.leaveAt);
@@ -181,7 +183,8 @@
         if (sabotage.equals("answer-late") && chance.nextInt(200) == 0) {
             now = call.until + 200_000_000L;
         }
-        int body = Arrays.hashCode(message.body()) + (sabotage.equals("wrong-answer") && chance.nextInt(200) == 0
+        int body = Arrays.hashCode(message.body()) + (sabotage.equals("wrong-answer")
+            && chance.nextInt(200) == 0
             ? 1 : 0);
         String status = message.start()[1];
         End end = status.equals("200") ? End.FINISHED
--- a/src/main/java/cottonlock/lab/Chart.java
+++ b/src/main/java/cottonlock/lab/Chart.java
@@ -62,17 +62,20 @@
         }
         for (int i = 0; i <= 4; i++) {
             double y = y(top * i / 4, top);
-            s.append(String.format(Locale.ROOT, "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" class=\"grid\"/>"
-                + "<text x=\"%d\" y=\"%.1f\" text-anchor=\"end\">%s</text>\n", LEFT, WIDTH - RIGHT, y, y, LEFT - 6,
+            s.append(String.format(Locale.ROOT,
+                "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" class=\"grid\"/>"
+                + "<text x=\"%d\" y=\"%.1f\" text-anchor=\"end\">%s</text>\n", LEFT, WIDTH - RIGHT, y, y,
+                LEFT - 6,
                 y + 4, number(top * i / 4)));
         }
-        for (int i = 0; i <= 10; i++) {
-            double at = low + (high - low) * i / 10;
+        double step = Math.max(round((high - low) / 12), high - low > 5 ? 1 : 0);
+        for (double at = Math.ceil(low / step) * step; at <= high * 1.0000001; at += step) {
             s.append(String.format(Locale.ROOT, "<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>\n",
-                x(at, low, high), HEIGHT - 8, number(at) + (i == 10 ? " " + xUnit : "")));
+                x(at, low, high), HEIGHT - 8, number(at) + (at == 0 ? "" : " " + xUnit)));
         }
         for (int i = 0; i < lines.size(); i++) {
-            s.append(path(lines.get(i).values, low, high, top, COLOURS[i % COLOURS.length], i >= COLOURS.length));
+            s.append(path(lines.get(i).values, low, high, top, COLOURS[i % COLOURS.length],
+                i >= COLOURS.length));
         }
         s.append("</svg>\n<p class=\"key\">");
         for (int i = 0; i < lines.size(); i++) {
--- a/src/main/java/cottonlock/lab/Clients.java
+++ b/src/main/java/cottonlock/lab/Clients.java
@@ -7,8 +7,9 @@
 import java.util.SplittableRandom;
 
 /**
- * The clients and the front that deals their connections out among the proxies of their room. Arrivals are open
- * loop: they come when the schedule has them, whatever became of those before. Latency counts from then.
+ * The clients and the front that deals their connections out among the proxies of their room. Arrivals are
+ * open loop: they come when the schedule has them, whatever became of those before. Latency counts from
+ * then.
  */
 final class Clients {
     /** Proxies that are tried for one send when connections don't come up. */
@@ -127,7 +128,8 @@
             });
     }
 
-    private void ended(Arrivals.Arrival a, Caller.Result result, int number, int retries, String key, long due,
+    private void ended(Arrivals.Arrival a, Caller.Result result, int number, int retries, String key,
+        long due,
                        long from, SplittableRandom chance) {
         long now = loop.now();
         switch (result.end()) {
@@ -162,7 +164,8 @@
             series.count(Series.Count.NO_ANSWER, loop.now() - from);
         }
         boolean late = loop.now() - from - a.at() > category.due();
-        double earned = end != Caller.End.FINISHED ? 0 : category.credit() * (late ? category.lateCredit() : 1);
+        double earned = end != Caller.End.FINISHED ? 0 : category.credit() * (late ? category.lateCredit()
+            : 1);
         series.credit(a.tenant(), a.at(), category.credit(), earned);
     }
 
--- a/src/main/java/cottonlock/lab/Conn.java
+++ b/src/main/java/cottonlock/lab/Conn.java
@@ -11,8 +11,8 @@
 import java.util.Deque;
 
 /**
- * One connection of a stand-in, with the network it goes over. It owns its channel and closes it in one place;
- * {@link Owner#ended} comes exactly once.
+ * One connection of a stand-in, with the network it goes over. It owns its channel and closes it in one
+ * place; {@link Owner#ended} comes exactly once.
  */
 final class Conn implements Loop.Ready {
     /** Whom a connection tells what happens on it. */
@@ -45,7 +45,10 @@
     private long outFree;
     /** What its owner knows it by. */
     Object of;
-    /** When the bytes that its owner is given left the other side: before the network's delay, if there is one. */
+    /**
+     * When the bytes that its owner is given left the other side: before the network's delay, if there is
+     * one.
+     */
     long cameAt;
 
     private Conn(Loop loop, SocketChannel channel, Owner owner, Path path, ByteBuffer buffer) {
--- a/src/main/java/cottonlock/lab/Discovery.java
+++ b/src/main/java/cottonlock/lab/Discovery.java
@@ -14,8 +14,8 @@
 
 /**
  * The stand-in of discovery for one tier: the list of its backends with versions, whole and as a watch, at an
- * address of its own for each proxy. It can be down, slow, stale or elsewhere. It tells the ledger when a proxy was
- * told that a backend leaves.
+ * address of its own for each proxy. It can be down, slow, stale or elsewhere. It tells the ledger when a
+ * proxy was told that a backend leaves.
  */
 final class Discovery implements Conn.Owner {
     /** Nanoseconds between empty lines of a watch at rest (PROTOCOL, Discovery). */
@@ -123,7 +123,8 @@
                 long born = b.startedAt == 0 || hidesStart ? 0 : wallStart + b.startedAt / 1_000_000;
                 hosts.append(hosts.length() == 0 ? "" : ",").append("{\"host\":\"").append(b.id)
                     .append("\",\"dial\":\"").append(dial.getHostString()).append(':').append(dial.getPort())
-                    .append("\",\"site\":\"").append(b.room).append("\",\"class\":\"std\",\"block\":0,\"health\":\"")
+                    .append("\",\"site\":\"").append(b.room)
+                    .append("\",\"class\":\"std\",\"block\":0,\"health\":\"")
                     .append((hides ? Health.ACTIVE : l.shown).name().toLowerCase(java.util.Locale.ROOT))
                     .append("\",\"share\":1.0,\"born_ms\":").append(born).append('}');
             }
@@ -207,7 +208,8 @@
     }
 
     private static byte[] chunk(String text) {
-        return (Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        return (Integer.toHexString(text.length()) + "\r\n" + text
+            + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
     }
 
     private void beat() {
@@ -304,7 +306,8 @@
         }
         watch.askedAt = loop.now();
         if (!target.contains("stream=1")) {
-            conn.write(HttpIn.answer(200, null, null, whole(watch.proxy).getBytes(StandardCharsets.ISO_8859_1)));
+            conn.write(HttpIn.answer(200, null, null,
+                whole(watch.proxy).getBytes(StandardCharsets.ISO_8859_1)));
         } else {
             long since = index(target);
             boolean whole = since <= 0 || since > version;
--- a/src/main/java/cottonlock/lab/Door.java
+++ b/src/main/java/cottonlock/lab/Door.java
@@ -14,9 +14,9 @@
 import java.util.Set;
 
 /**
- * A listening socket on loopback of which one proxy alone knows the address: so a stand-in knows who connects.
- * It can be open, shut (connects are refused, as by a process that has died) or walled up (connects never come
- * up, as with a machine that is cut off).
+ * A listening socket on loopback of which one proxy alone knows the address: so a stand-in knows who
+ * connects. It can be open, shut (connects are refused, as by a process that has died) or walled up
+ * (connects never come up, as with a machine that is cut off).
  */
 final class Door implements Loop.Ready {
     /** As many as a burst brings while the loop is busy elsewhere. */
--- a/src/main/java/cottonlock/lab/Experiment.java
+++ b/src/main/java/cottonlock/lab/Experiment.java
@@ -20,7 +20,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 
-/** One run of a scenario: builds the stand-ins and the proxies, plays the schedule and the faults, and ends all. */
+/**
+ * One run of a scenario: builds the stand-ins and the proxies, plays the schedule and the faults, and ends
+ * all.
+ */
 final class Experiment {
     /** Nanoseconds between the last proxy's start and the first arrival. */
     private static final long LEAD = 300_000_000L;
@@ -75,7 +78,8 @@
         descriptors();
         schedule = Arrivals.draw(scenario.seed, scenario.length, scenario.rooms.size(), scenario.tenants,
             scenario.categories, scenario.clients, scenario.bursts);
-        timeline = Timeline.draw(scenario.seed, scenario.faults, scenario.random, scenario.rooms, scenario.tiers);
+        timeline = Timeline.draw(scenario.seed, scenario.faults, scenario.random, scenario.rooms,
+            scenario.tiers);
         ledger = new Ledger(scenario.rules.grace(), scenario.rules.drain());
         series = new Series(scenario.tenants.size(), scenario.categories.size());
         folder = Files.createTempDirectory("cottonlock-lab");
@@ -111,7 +115,8 @@
             }
         }
         clients = new Clients(loop, ledger, series, scenario.clients,
-            scenario.tenants.stream().map(Scenario.TenantPlan::name).toList(), scenario.categories, callers, rooms);
+            scenario.tenants.stream().map(Scenario.TenantPlan::name).toList(), scenario.categories, callers,
+            rooms);
     }
 
     private String room(int number) {
@@ -134,8 +139,10 @@
         }
         long have = system.getMaxFileDescriptorCount();
         if (needed > have) {
-            throw new BadFile(List.of("this scenario needs some " + needed + " file descriptors, and the process may "
-                + "have " + have + ": fewer proxies or backends, a smaller proxy.sockets, or a higher limit"));
+            throw new BadFile(List.of("this scenario needs some " + needed
+                + " file descriptors, and the process may "
+                + "have " + have + ": fewer proxies or backends, a smaller proxy.sockets, or a higher "
+                + "limit"));
         }
     }
 
@@ -155,7 +162,8 @@
         Node[] self = new Node[1];
         if (!scenario.proxies.policy().equals("lanes")) {
             PlainProxy plain = new PlainProxy(loop, buffer, number, scenario.proxies.policy(),
-                scenario.proxies.maxHandOffs(), scenario.proxies.connectTimeout(), chance.split(), plainDials);
+                scenario.proxies.maxHandOffs(), scenario.proxies.connectTimeout(), chance.split(),
+                plainDials);
             discovery.servePlain(number, plain::list);
             self[0] = new Node(number, null, new Caller(loop, ledger, buffer, number,
                 () -> self[0].serving ? plain.address() : null, scenario.sabotage, chance.split()));
@@ -165,8 +173,10 @@
             Host[] at = new Host[1];
             Host host = new Host(name, scenario.proxies.processes(), folder, start -> {
                 try {
-                    return ProxyConfig.json(name, text(at[0].address()), text(discovery.address(number)), seed + start,
-                        discovery.whole(number), tier, fleet, scenario.proxies, scenario.rules, scenario.rooms,
+                    return ProxyConfig.json(name, text(at[0].address()), text(discovery.address(number)),
+                        seed + start,
+                        discovery.whole(number), tier, fleet, scenario.proxies, scenario.rules,
+                        scenario.rooms,
                         scenario.tenants, scenario.categories);
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
@@ -316,12 +326,15 @@
         try {
             switch (entry.kind()) {
                 case "slow" -> hit.forEach(b -> during(end, () -> b.slow(entry.amount()), () -> b.slow(1)));
-                case "errors" -> hit.forEach(b -> during(end, () -> b.errors = entry.amount(), () -> b.errors = 0));
+                case "errors" -> hit.forEach(b -> during(end, () -> b.errors = entry.amount(),
+                    () -> b.errors = 0));
                 case "pause" -> hit.forEach(b -> during(end, () -> b.pause(true), () -> b.pause(false)));
-                case "delay" -> hit.forEach(b -> during(end, () -> b.path.delay = (long) (entry.amount() * 1e6),
+                case "delay" -> hit.forEach(b -> during(end,
+                    () -> b.path.delay = (long) (entry.amount() * 1e6),
                     () -> b.path.delay = 0));
                 case "throttle" -> hit.forEach(b -> during(end,
-                    () -> b.path.bytesPerSecond = Math.max(1, (long) entry.amount()), () -> b.path.bytesPerSecond = 0));
+                    () -> b.path.bytesPerSecond = Math.max(1, (long) entry.amount()),
+                    () -> b.path.bytesPerSecond = 0));
                 case "resets" -> hit.forEach(b -> during(end, () -> b.path.resets = entry.amount(),
                     () -> b.path.resets = 0));
                 case "splits" -> hit.forEach(b -> during(end, () -> b.path.splits = entry.amount(),
@@ -350,10 +363,12 @@
                 }
                 case "discovery-slow" -> during(end, () -> discovery.slow((long) (entry.amount() * 1e6)),
                     () -> discovery.slow(0));
-                case "discovery-stale" -> during(end, () -> discovery.stale(true), () -> discovery.stale(false));
+                case "discovery-stale" -> during(end, () -> discovery.stale(true),
+                    () -> discovery.stale(false));
                 default -> {
                     discovery.move();
-                    nodes.stream().filter(n -> n.host != null && n.serving).forEach(n -> starters.submit(() -> {
+                    nodes.stream().filter(n -> n.host != null
+                        && n.serving).forEach(n -> starters.submit(() -> {
                         n.host.reload(n.starts);
                         return null;
                     }));
@@ -392,7 +407,8 @@
         Node own = ownProxies.get(backend.id);
         Runnable up = () -> quietly(() -> {
             backend.restart();
-            discoveries.get(Integer.parseInt(backend.id.substring(1, backend.id.indexOf('b')))).restarted(backend);
+            discoveries.get(Integer.parseInt(backend.id.substring(1,
+                backend.id.indexOf('b')))).restarted(backend);
         });
         if (own == null || own.host == null) {
             if (own != null) {
@@ -412,7 +428,8 @@
     }
 
     private void drain(Backend backend, Timeline.Entry entry) {
-        Discovery discovery = discoveries.get(Integer.parseInt(backend.id.substring(1, backend.id.indexOf('b'))));
+        Discovery discovery = discoveries.get(Integer.parseInt(backend.id.substring(1,
+            backend.id.indexOf('b'))));
         discovery.set(backend, Discovery.Health.LEAVING);
         long left = loop.now() + (long) entry.amount();
         loop.at(left, () -> {
--- a/src/main/java/cottonlock/lab/Host.java
+++ b/src/main/java/cottonlock/lab/Host.java
@@ -14,8 +14,9 @@
 import java.util.function.LongFunction;
 
 /**
- * Where one proxy runs: in the lab's own process, or in one of its own as {@code deploy/balancer.toml} starts it.
- * It keeps its address over restarts. All of it may wait, so none of it runs on the loop's thread.
+ * Where one proxy runs: in the lab's own process, or in one of its own as {@code deploy/balancer.toml}
+ * starts it. It keeps its address over restarts. All of it may wait, so none of it runs on the loop's
+ * thread.
  */
 final class Host {
     /** Milliseconds for a process to serve. */
@@ -45,7 +46,8 @@
 
     /**
      * A port that is this proxy's for the whole run, over its restarts. It is bound but not listened on: a
-     * listener that shares addresses, as the proxy's does, can have it all the same, and nobody else is given it.
+     * listener that shares addresses, as the proxy's does, can have it all the same, and nobody else is
+     * given it.
      */
     private static Socket reserve() throws IOException {
         Socket socket = new Socket();
@@ -96,7 +98,8 @@
             if (code.toString().endsWith(".jar")) {
                 java.nio.file.Path archive = code.resolveSibling("cottonlock.jsa");
                 if (Files.exists(archive)) {
-                    command.addAll(List.of("-Xshare:auto", "-XX:SharedArchiveFile=" + archive, "-Xlog:cds=off",
+                    command.addAll(List.of("-Xshare:auto", "-XX:SharedArchiveFile=" + archive,
+                        "-Xlog:cds=off",
                         "-Xlog:cds+dynamic=off"));
                 }
             }
@@ -111,7 +114,8 @@
         try (Socket socket = new Socket()) {
             socket.connect(address, 500);
             socket.setSoTimeout(500);
-            socket.getOutputStream().write("GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n".getBytes());
+            String ask = "GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(ask.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
             return new String(socket.getInputStream().readNBytes(12)).equals("HTTP/1.1 200");
         } catch (IOException e) {
             return false;
--- a/src/main/java/cottonlock/lab/HttpIn.java
+++ b/src/main/java/cottonlock/lab/HttpIn.java
@@ -100,7 +100,8 @@
             if (colon <= 0) {
                 throw new Unreadable("no field: " + lines[i]);
             }
-            fields.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).trim());
+            fields.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon
+                + 1).trim());
         }
         String length = fields.getOrDefault("content-length", "0");
         if (!length.matches("[0-9]{1,7}") || Integer.parseInt(length) > LONGEST_BODY
--- a/src/main/java/cottonlock/lab/Lab.java
+++ b/src/main/java/cottonlock/lab/Lab.java
@@ -101,8 +101,10 @@
     private void show(Experiment run, long second) {
         int last = (int) second - 1;
         Series series = run.series();
-        err.print(String.format(Locale.ROOT, "\r\u001b[K%3d/%d s  due %d  finished %d  deferred %d  written off %d  "
-            + "service %.3f", second, run.scenario().length / 1_000_000_000L, series.line(Series.Count.DUE).at(last),
+        err.print(String.format(Locale.ROOT,
+            "\r\u001b[K%3d/%d s  due %d  finished %d  deferred %d  written off %d  "
+            + "service %.3f", second, run.scenario().length / 1_000_000_000L,
+            series.line(Series.Count.DUE).at(last),
             series.line(Series.Count.FINISHED).at(last), series.line(Series.Count.DEFERRED).at(last),
             series.line(Series.Count.WRITTEN_OFF).at(last), series.service(last)));
         err.flush();
@@ -146,7 +148,8 @@
     }
 
     private void row(String name, String left, String right) {
-        out.printf(Locale.ROOT, "%-16s %14s %14s %14s%n", name, left, right, left.equals(right) ? "" : "differs");
+        out.printf(Locale.ROOT, "%-16s %14s %14s %14s%n", name, left, right, left.equals(right) ? ""
+            : "differs");
     }
 
     private static String shown(Double value) {
@@ -158,10 +161,11 @@
     }
 
     /**
-     * Plays a scenario once for each value of one setting and each seed, and prints a line for each value. With
-     * a folder, the curve goes there as sweep.html, and the reports into folders beside it.
+     * Plays a scenario once for each value of one setting and each seed, and prints a line for each value.
+     * With a folder, the curve goes there as sweep.html, and the reports into folders beside it.
      */
-    public int sweep(Path file, String path, List<String> values, List<Long> seeds, List<String> sets, Path folder)
+    public int sweep(Path file, String path, List<String> values, List<Long> seeds, List<String> sets,
+        Path folder)
         throws InterruptedException {
         List<String> figures = List.of("service", "worst_s", "p99_ms", "deferred", "written_off");
         double[][] means = new double[figures.size()][values.size()];
@@ -175,7 +179,8 @@
                 all.add(path + "=" + values.get(v));
                 StringBuilder verdicts = new StringBuilder();
                 for (Long seed : seeds) {
-                    Path own = folder == null ? null : folder.resolve(values.get(v).replaceAll("[^A-Za-z0-9.-]", "_")
+                    Path own = folder == null ? null
+                        : folder.resolve(values.get(v).replaceAll("[^A-Za-z0-9.-]", "_")
                         + "-" + seed);
                     Verdict verdict = play(file, seed, all, own, false);
                     verdicts.append(' ').append(verdict.word());
@@ -184,7 +189,8 @@
                         means[f][v] += verdict.figures.get(figures.get(f)) / seeds.size();
                     }
                 }
-                out.printf(Locale.ROOT, "%-16s %8.3f %8.3f %8.1f %9.0f %12.0f %s%n", values.get(v), means[0][v],
+                out.printf(Locale.ROOT, "%-16s %8.3f %8.3f %8.1f %9.0f %12.0f %s%n", values.get(v),
+                    means[0][v],
                     means[1][v], means[2][v], means[3][v], means[4][v], verdicts);
             }
             if (folder != null) {
@@ -206,11 +212,12 @@
         for (int i = 0; i < xs.length; i++) {
             xs[i] = numbers ? Double.parseDouble(values.get(i)) : i;
         }
-        StringBuilder page = new StringBuilder("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
-            + "<title>sweep</title>").append(Page.STYLE).append("</head><body><h1>")
+        StringBuilder page = new StringBuilder(Page.HEAD).append("<title>sweep</title>").append(Page.STYLE)
+            .append("</head><body><h1>")
             .append(Chart.text(file.getFileName() + ": " + path)).append("</h1>\n");
         if (!numbers) {
-            page.append("<p>Values along the axis: ").append(Chart.text(String.join(", ", values))).append("</p>\n");
+            page.append("<p>Values along the axis: ").append(Chart.text(String.join(", ",
+                values))).append("</p>\n");
         }
         for (int f = 0; f < figures.size(); f++) {
             page.append(new Chart(figures.get(f), "mean over the seeds", xs, "", List.of())
--- a/src/main/java/cottonlock/lab/Ledger.java
+++ b/src/main/java/cottonlock/lab/Ledger.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 /**
- * Sees every message that the stand-ins send and receive, and counts breaches of the four rules by itself: what a
- * proxy says of itself does not come here. It holds the rules' figures and nothing of how proxies decide. Times
- * are nanoseconds.
+ * Sees every message that the stand-ins send and receive, and counts breaches of the four rules by itself:
+ * what a proxy says of itself does not come here. It holds the rules' figures and nothing of how proxies
+ * decide. Times are nanoseconds.
  */
 @Decides
 final class Ledger {
@@ -120,7 +120,8 @@
         sends++;
         Long since = told.get(proxy + " " + backend);
         if (since != null && firstByte > since + drain + grace) {
-            breach(Rule.DRAINS, now, String.format(Locale.ROOT, "%s went to %s %.0f ms after n%d was told", id,
+            breach(Rule.DRAINS, now, String.format(Locale.ROOT, "%s went to %s %.0f ms after n%d was told",
+                id,
                 backend, (firstByte - since) / 1e6, proxy));
         }
         Entry e = items.get(id);
@@ -130,7 +131,8 @@
         }
         e.sends++;
         if (firstByte > Math.min(e.overAt, e.until) + grace) {
-            breach(Rule.LOST, now, String.format(Locale.ROOT, "%s was sent on to %s %.1f ms after it was over", id,
+            breach(Rule.LOST, now, String.format(Locale.ROOT,
+                "%s was sent on to %s %.1f ms after it was over", id,
                 backend, (firstByte - Math.min(e.overAt, e.until)) / 1e6));
         }
     }
@@ -144,7 +146,8 @@
         Effect first = effects.putIfAbsent(e.chain, new Effect(room, now));
         if (first != null) {
             twice.merge(e.category + " in " + room, 1, Integer::sum);
-            breach(Rule.TWICE, now, String.format(Locale.ROOT, "%s of %s ran in room %s, and %.0f ms before in %s",
+            breach(Rule.TWICE, now, String.format(Locale.ROOT,
+                "%s of %s ran in room %s, and %.0f ms before in %s",
                 id, e.category, room, (now - first.at) / 1e6, first.room));
         }
     }
--- a/src/main/java/cottonlock/lab/Loop.java
+++ b/src/main/java/cottonlock/lab/Loop.java
@@ -12,9 +12,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * One thread on which all stand-ins of a run live: sockets that are ready, tasks whose time has come, and tasks
- * from other threads, in this order. It keeps account of how late tasks ran, for a run on a machine that can't
- * keep up must give no verdict. Times are nanoseconds since the loop was made.
+ * One thread on which all stand-ins of a run live: sockets that are ready, tasks whose time has come, and
+ * tasks from other threads, in this order. It keeps account of how late tasks ran, for a run on a machine
+ * that can't keep up must give no verdict. Times are nanoseconds since the loop was made.
  */
 final class Loop {
     /** Microseconds: what is later is as bad as this. */
--- a/src/main/java/cottonlock/lab/PlainProxy.java
+++ b/src/main/java/cottonlock/lab/PlainProxy.java
@@ -13,9 +13,9 @@
 import java.util.SplittableRandom;
 
 /**
- * A baseline: a proxy that picks a backend from those that the list calls active by a plain policy, sends again
- * only what provably never ran, and knows nothing of lanes, quotas, doubt or cold starts. It shows what the
- * decisions of the real one are worth; no command serves with it.
+ * A baseline: a proxy that picks a backend from those that the list calls active by a plain policy, sends
+ * again only what provably never ran, and knows nothing of lanes, quotas, doubt or cold starts. It shows
+ * what the decisions of the real one are worth; no command serves with it.
  */
 final class PlainProxy implements Conn.Owner {
     /** Nanoseconds before the expiry at which it gives up: the way back. */
--- a/src/main/java/cottonlock/lab/ProxyConfig.java
+++ b/src/main/java/cottonlock/lab/ProxyConfig.java
@@ -17,7 +17,8 @@
      * @param known the list of backends as discovery tells it, as JSON
      * @param fleet how many proxies the tier has
      */
-    static String json(String name, String listen, String discovery, long seed, String known, int stage, int fleet,
+    static String json(String name, String listen, String discovery, long seed, String known, int stage,
+        int fleet,
                        Scenario.Proxies proxies, Scenario.Rules rules, List<String> rooms,
                        List<Scenario.TenantPlan> tenants, List<Scenario.CategoryPlan> categories)
         throws IOException {
--- a/src/main/java/cottonlock/lab/Report.java
+++ b/src/main/java/cottonlock/lab/Report.java
@@ -34,7 +34,8 @@
     }
 
     /** What the seed alone decides: alike, byte by byte, in every run of it. */
-    static void schedule(Path file, List<Arrivals.Arrival> arrivals, List<Timeline.Entry> faults) throws IOException {
+    static void schedule(Path file, List<Arrivals.Arrival> arrivals, List<Timeline.Entry> faults)
+        throws IOException {
         try (Writer out = Files.newBufferedWriter(file, StandardCharsets.UTF_8)) {
             out.write("# fault: at_ms\tfor_ms\tkind\tbackends\tproxy\tamount\n");
             for (Timeline.Entry fault : faults) {
@@ -137,7 +138,8 @@
         }
     }
 
-    private static void line(JsonGenerator json, String name, Series.Line line, int seconds) throws IOException {
+    private static void line(JsonGenerator json, String name, Series.Line line, int seconds)
+        throws IOException {
         json.writeArrayFieldStart(name);
         for (int s = 0; s < seconds; s++) {
             json.writeNumber(line.at(s));
@@ -146,7 +148,8 @@
     }
 
     /** What a comparison needs of a report. */
-    record Short(String file, String scenario, String policy, long seed, String verdict, Map<String, Double> figures) {
+    record Short(String file, String scenario, String policy, long seed, String verdict, Map<String,
+        Double> figures) {
     }
 
     /** Reads a report, or a folder with one, written by this version or an older one. */
@@ -181,7 +184,8 @@
             throw new IOException(file + ": expected a report of version " + VERSION + " or older, found "
                 + (version.isEmpty() ? "none" : version));
         }
-        return new Short(file.toString(), texts.getOrDefault("scenario", "?"), texts.getOrDefault("policy", "?"),
+        return new Short(file.toString(), texts.getOrDefault("scenario", "?"), texts.getOrDefault("policy",
+            "?"),
             Long.parseLong(texts.getOrDefault("seed", "0")), texts.getOrDefault("verdict", "?"), figures);
     }
 }
--- a/src/main/java/cottonlock/lab/Scenario.java
+++ b/src/main/java/cottonlock/lab/Scenario.java
@@ -12,8 +12,8 @@
 import java.util.TreeMap;
 
 /**
- * A scenario as read from its file, in parts: each part of the lab is given its own. docs/lab.md lists every key
- * with unit, range and default. Times are nanoseconds here, whatever the file's unit is.
+ * A scenario as read from its file, in parts: each part of the lab is given its own. docs/lab.md lists every
+ * key with unit, range and default. Times are nanoseconds here, whatever the file's unit is.
  */
 final class Scenario {
     private static final double ANY = Double.MAX_VALUE;
@@ -48,7 +48,8 @@
     }
 
     /** How the clients behave. */
-    record ClientPlan(String arrivals, List<Long> trace, double keep, int retries, double leave, long notice) {
+    record ClientPlan(String arrivals, List<Long> trace, double keep, int retries, double leave,
+        long notice) {
     }
 
     /** The rate of a tenant, or of all, is so many times the usual for a while. */
@@ -56,7 +57,8 @@
     }
 
     /** Something goes wrong at a time, for a while, with an amount that its kind gives a meaning. */
-    record Fault(long at, long length, String kind, int tier, String backend, String room, int proxy, int count,
+    record Fault(long at, long length, String kind, int tier, String backend, String room, int proxy,
+        int count,
                  double amount) {
     }
 
--- a/src/main/java/cottonlock/lab/Timeline.java
+++ b/src/main/java/cottonlock/lab/Timeline.java
@@ -7,10 +7,14 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 
-/** What goes wrong when, to whom: the scenario's faults and those drawn from the seed, before the run begins. */
+/**
+ * What goes wrong when, to whom: the scenario's faults and those drawn from the seed, before the run begins.
+ */
 @Decides
 final class Timeline {
-    /** Seconds that a rolling deployment has each backend leave and be gone, before it goes on to the next. */
+    /**
+     * Seconds that a rolling deployment has each backend leave and be gone, before it goes on to the next.
+     */
     private static final long LEAVING = 2_000_000_000L;
     private static final long GONE = 500_000_000L;
 
--- a/src/main/java/cottonlock/lab/Verdict.java
+++ b/src/main/java/cottonlock/lab/Verdict.java
@@ -7,14 +7,15 @@
 import java.util.TreeMap;
 
 /**
- * What a run comes to: figures by name, and each breach of a rule or a bound as a line. Pure: it is told figures
- * and judges them.
+ * What a run comes to: figures by name, and each breach of a rule or a bound as a line. Pure: it is told
+ * figures and judges them.
  */
 @cottonlock.decision.Decides
 final class Verdict {
     /** The figures in the order of the line; all but the decimal ones are counts. */
     static final List<String> KEYS = List.of("service", "sent", "finished", "deferred", "written_off", "late",
-        "lost", "twice", "drains", "cold", "p50_ms", "p99_ms", "worst_s", "unanswered", "retried", "sends_per_item",
+        "lost", "twice", "drains", "cold", "p50_ms", "p99_ms", "worst_s", "unanswered", "retried",
+        "sends_per_item",
         "behind_ms");
     private static final List<String> DECIMAL = List.of("service", "worst_s", "sends_per_item");
     private static final List<String> TENTHS = List.of("p50_ms", "p99_ms", "behind_ms");
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -73,7 +73,8 @@
         String tenantName = head.only("X-Tenant-Id");
         int tenant = tenantNames.isEmpty() ? 0 : tenantNames.indexOf(tenantName);
         if (tenant < 0) {
-            throw new BadMessage(400, tenantName == null ? "no X-Tenant-Id" : "unknown tenant in X-Tenant-Id");
+            throw new BadMessage(400, tenantName == null ? "no X-Tenant-Id"
+                : "unknown tenant in X-Tenant-Id");
         }
         String ticket = head.only("Idempotency-Key");
         if (ticket == null && categories.get(category).repeat() == Category.Repeat.TICKETED) {
--- a/src/test/java/cottonlock/ArchitectureTest.java
+++ b/src/test/java/cottonlock/ArchitectureTest.java
@@ -19,20 +19,24 @@
     @Example
     void decisionsAreFreeOfInputOutputClocksThreadsAndLoggers() {
         String[] far = {"java.net..", "java.nio", "java.nio.channels..", "java.nio.file..", "java.io..",
-            "java.util.concurrent..", "java.util.logging..", "java.lang.management..", "sun..", "com..", "org..",
+            "java.util.concurrent..", "java.util.logging..", "java.lang.management..", "sun..", "com..",
+            "org..",
             "picocli.."};
         noClasses().that().areAnnotatedWith(Decides.class).or().resideInAPackage("cottonlock.decision")
             .should().dependOnClassesThat().resideInAnyPackage(far).because("decisions do no input or output")
             .allowEmptyShould(false).check(all);
         noClasses().that().areAnnotatedWith(Decides.class).or().resideInAPackage("cottonlock.decision")
-            .should().dependOnClassesThat().belongToAnyOf(Thread.class, ThreadLocal.class, System.Logger.class,
+            .should().dependOnClassesThat().belongToAnyOf(Thread.class, ThreadLocal.class,
+            System.Logger.class,
                 java.util.Random.class, java.time.Clock.class, java.time.Instant.class)
-            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
+            "currentTimeMillis")
             .orShould().callMethod(Math.class, "random").because("time and chance are arguments")
             .check(all);
         classes().that().resideInAPackage("cottonlock.decision").should().onlyDependOnClassesThat()
             .resideInAnyPackage("cottonlock.decision", "java.lang..", "java.util", "java.util.function",
-                "java.util.stream", "java.nio.charset").because("the module needs the JDK's collections alone")
+                "java.util.stream", "java.nio.charset").because("the module needs the JDK's collections "
+                    + "alone")
             .check(all);
     }
 
@@ -57,7 +61,8 @@
     @Example
     void whatThePlatformStartsNeedsNoLibrary() {
         noClasses().that().resideInAnyPackage("cottonlock.net..", "cottonlock.setup", "cottonlock.bench",
-                "cottonlock.decision").should().dependOnClassesThat().resideInAnyPackage("com..", "org..", "picocli..")
+                "cottonlock.decision").should().dependOnClassesThat().resideInAnyPackage("com..", "org..",
+                "picocli..")
             .because("serve and wirehost load no library").check(all);
     }
 }
--- a/src/test/java/cottonlock/cli/CliTest.java
+++ b/src/test/java/cottonlock/cli/CliTest.java
@@ -68,13 +68,17 @@
         Files.delete(bad);
     }
 
-    /** The platform's start must stay as quick and small as it was: no library, and nothing of the command line. */
+    /**
+     * The platform's start must stay as quick and small as it was: no library, and nothing of the command
+     * line.
+     */
     @Example
     void serveByItselfLoadsNothingOfTheCommandLine() throws Exception {
         List<String> logged = List.of("-Xshare:off", "-Xlog:class+load:stdout");
         assertEquals(2, run(Map.of(), logged, "serve"));
         assertTrue(err.contains("EDGE_CONFIG names no file"), err);
-        for (String far : List.of("picocli", "tomlj", "fasterxml", "HdrHistogram", "cottonlock.cli", "cottonlock.lab",
+        for (String far : List.of("picocli", "tomlj", "fasterxml", "HdrHistogram", "cottonlock.cli",
+            "cottonlock.lab",
                 "cottonlock.config")) {
             assertFalse(out.contains(far), far + " is loaded");
         }
--- a/src/test/java/cottonlock/config/ConfigTest.java
+++ b/src/test/java/cottonlock/config/ConfigTest.java
@@ -36,10 +36,13 @@
 
     @Example
     void theOperatorsFileIsReadWithDefaults() throws Exception {
-        assertEquals(new OperatorFile("text", "info"), OperatorFile.read(Files.createTempFile("empty", ".toml")));
-        assertEquals(new OperatorFile("text", "info"), OperatorFile.read(Path.of("deploy/operator.example.toml")));
+        assertEquals(new OperatorFile("text", "info"), OperatorFile.read(Files.createTempFile("empty",
+            ".toml")));
+        assertEquals(new OperatorFile("text", "info"),
+            OperatorFile.read(Path.of("deploy/operator.example.toml")));
         assertEquals(List.of("F:2: log.format: expected one of text, json, found \"xml\"",
-                "F:3: log.levle: unknown key; did you mean level?", "F:4: lgo: unknown key; did you mean log?"),
+                "F:3: log.levle: unknown key; did you mean level?",
+                "F:4: lgo: unknown key; did you mean log?"),
             faults(".toml", "[log]\nformat = \"xml\"\nlevle = \"info\"\n[lgo]\n", OperatorFile::read));
         assertEquals(1, faults(".toml", "[log\n", OperatorFile::read).size());
         BadFile missing = assertThrows(BadFile.class, () -> OperatorFile.read(Path.of("no/such.toml")));
@@ -51,16 +54,17 @@
         String good = """
             {"name": "n0", "listen": "127.0.0.1:5000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
              "limits": {"memory_mb": 192, "sockets": 1024},
-             "known": {"seq": 0, "whole": true, "hosts": [{"host": "b0", "dial": "127.0.0.1:6000", "site": "a",
+             "known": {"seq": 0, "whole": true, "hosts": [{"host": "b0",
+               "dial": "127.0.0.1:6000", "site": "a",
                "health": "active", "share": 1.0, "born_ms": 0}]},
              "settings": {"Categories": [{"Name": "c", "DueTime": 500000, "Expiry": 2000000, "More": 1}],
                "Projects": [{"Name": "acme", "Share": 1.0, "QuotaRps": 100}], "FleetSize": 3}}
             """;
         assertEquals(List.of(), faults(".json", good, PlatformFile::check));
-        assertEquals(List.of("F:1: listen: expected an address of digits with a port, such as 127.0.0.1:5000, "
-                + "found \"localhost\"", "F:2: limits.sockets: expected a number from 64 to 1048576, found 3",
-                "F:4: known.hosts.0.health: expected one of active, leaving, left, found \"green\"",
-                "F:5: settings.Categories.0.Expiry: expected no less than DueTime"),
+        assertEquals(List.of("F:1: listen: expected an address of digits with a port, such as "
+                + "127.0.0.1:5000, found \"localhost\"", "F:2: limits.sockets: expected a number from 64 to 1048576, found 3",
+                "F:5: known.hosts.0.health: expected one of active, leaving, left, found \"green\"",
+                "F:6: settings.Categories.0.Expiry: expected no less than DueTime"),
             faults(".json", good.replace("127.0.0.1:5000", "localhost").replace("1024", "3")
                 .replace("\"health\": \"active\"", "\"health\": \"green\"").replace("2000000", "2000"),
                 PlatformFile::check));
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -91,7 +91,10 @@
         assertFalse(ids(ledger.fleet.lane(1)).contains(tried.get(2)));
     }
 
-    /** Found in a newcomer's first minute: one broken answer, and up to six sound ones were deferred behind it. */
+    /**
+     * Found in a newcomer's first minute: one broken answer, and up to six sound ones were deferred behind
+     * it.
+     */
     @Example
     void aSoleBackendThatFailedOnceGetsRerunnableWorkAtOnce() {
         for (int n = 0; n < 20; n++) {
--- a/src/test/java/cottonlock/lab/LabTest.java
+++ b/src/test/java/cottonlock/lab/LabTest.java
@@ -64,13 +64,15 @@
         Path folder = Files.createTempDirectory("lab");
         assertEquals(0, run(MIXED + DRAIN, folder), verdict() + err);
         assertTrue(verdict().matches("verdict: pass service=[01]\\.[0-9]{3} sent=[0-9]+ finished=[0-9]+ "
-            + "deferred=[0-9]+ written_off=[0-9]+ late=[0-9]+ lost=0 twice=0 drains=0 cold=0 p50_ms=.*"), verdict());
+            + "deferred=[0-9]+ written_off=[0-9]+ late=[0-9]+ lost=0 twice=0 drains=0 cold=0 p50_ms=.*"),
+            verdict());
         assertTrue(figure("finished") > 400, verdict());
         Report.Short report = Report.read(folder);
         assertEquals("pass", report.verdict());
         assertEquals(figure("sent"), report.figures().get("sent"));
         String page = Files.readString(folder.resolve("report.html"));
-        assertTrue(page.contains("<svg") && !page.contains("http") && !page.contains("<script"), "stands by itself");
+        assertTrue(page.contains("<svg") && !page.contains("http") && !page.contains("<script"),
+            "stands by itself");
         byte[] schedule = Files.readAllBytes(folder.resolve("schedule.tsv"));
         assertEquals(0, run(MIXED + DRAIN, folder), verdict() + err);
         assertArrayEquals(schedule, Files.readAllBytes(folder.resolve("schedule.tsv")));
@@ -116,13 +118,15 @@
 
     @Example
     void everyFaultCanBePlayedAndEndsWithEachWorkItemAnswered() throws Exception {
-        StringBuilder text = new StringBuilder(MIXED).append("[clients]\nretries = 1\nleave = 0.05\nkeep = 0.5\n");
+        StringBuilder text = new StringBuilder(MIXED)
+            .append("[clients]\nretries = 1\nleave = 0.05\nkeep = 0.5\n");
         for (String kind : Scenario.KINDS.keySet()) {
             String amount = Scenario.KINDS.get(kind);
             if (!kind.equals("proxy-kill")) {
                 text.append("[[fault]]\nkind = \"").append(kind).append("\"\nat = 0.5\nfor = 1\n")
                     .append(kind.startsWith("proxy") || kind.startsWith("disc") ? "" : "count = 1\n")
-                    .append(amount.isEmpty() ? "" : amount + " = " + (amount.equals("chance") ? "0.2" : "50") + "\n");
+                    .append(amount.isEmpty() ? "" : amount + " = " + (amount.equals("chance") ? "0.2" : "50")
+                    + "\n");
             }
         }
         int status = run(text.toString(), null, "seconds=4", "tier.0.backends=8");
@@ -157,7 +161,10 @@
         assertTrue(Files.readString(folder.resolve("report.json")).contains("\"interrupted\" : true"));
     }
 
-    /** The stand-ins' network does to a connection what a fault says; connects to a walled-up door never come up. */
+    /**
+     * The stand-ins' network does to a connection what a fault says; connects to a walled-up door never come
+     * up.
+     */
     @Example
     void aWalledUpDoorLetsNobodyInAndAnOpenOneAgain() throws Exception {
         Loop loop = new Loop();
--- a/src/test/java/cottonlock/lab/LedgerTest.java
+++ b/src/test/java/cottonlock/lab/LedgerTest.java
@@ -25,7 +25,8 @@
 
     private void counts(int lost, int twice, int drains, int cold) {
         assertEquals(List.of(lost, twice, drains, cold), List.of(ledger.count(Ledger.Rule.LOST),
-            ledger.count(Ledger.Rule.TWICE), ledger.count(Ledger.Rule.DRAINS), ledger.count(Ledger.Rule.COLD)),
+            ledger.count(Ledger.Rule.TWICE), ledger.count(Ledger.Rule.DRAINS),
+            ledger.count(Ledger.Rule.COLD)),
             ledger.lines().toString());
     }
 
--- a/src/test/java/cottonlock/lab/ScenarioTest.java
+++ b/src/test/java/cottonlock/lab/ScenarioTest.java
@@ -55,17 +55,21 @@
 
     @Example
     void allFaultsAreToldAtOnceWithLineKeyAndWhatWasExpected() throws Exception {
-        List<String> faults = faults(PLAIN.replace("backends = 3", "backend = 3").replace("rate = 100", "rate = -1")
+        List<String> faults = faults(PLAIN.replace("backends = 3", "backend = 3").replace("rate = 100",
+            "rate = -1")
             + "[[fault]]\nkind = \"slow\"\nat = 1\nbackend = \"t0b9\"\nfactor = 2\n"
             + "[[fault]]\nkind = \"slw\"\nat = 5\n[expect]\nservise = \">= 1\"\n");
         assertEquals(List.of("F:6: tier.0.backend: unknown key; did you mean backends?",
             "F:10: tenant.0.rate: expected a number from 0 to 1000000, found -1",
             "F:19: fault.0.backend: there is no backend t0b9; they are called t0b0 to t0b0"),
             faults.subList(0, 3));
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("F:22: fault.1.kind: expected one of crash, cut")),
+        assertTrue(faults.stream().anyMatch(f -> f.startsWith("F:22: fault.1.kind: expected one of crash, "
+            + "cut")),
             faults.toString());
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("F:23: fault.1.at: expected a time before the end")));
-        assertTrue(faults.stream().anyMatch(f -> f.startsWith("F:25: expect.servise: the verdict has no such")));
+        assertTrue(faults.stream().anyMatch(f -> f.startsWith("F:23: fault.1.at: expected a time before "
+            + "the end")));
+        assertTrue(faults.stream().anyMatch(f -> f.startsWith("F:25: expect.servise: the verdict has no "
+            + "such")));
     }
 
     @Example
@@ -74,8 +78,10 @@
             faults(PLAIN, "proxy.cuont=3"));
         assertEquals(List.of("--set tier.1.backends=3: 1: leads nowhere: expected a place below 1"),
             faults(PLAIN, "tier.1.backends=3"));
-        assertTrue(faults(PLAIN, "tier=[]").get(0).endsWith("expected one to three tables [[tier]], found 0"));
-        assertEquals(7, Scenario.read(file(PLAIN), List.of("tier.0.backends=7"), null).tiers.get(0).backends());
+        assertTrue(faults(PLAIN, "tier=[]").get(0)
+            .endsWith("expected one to three tables [[tier]], found 0"));
+        assertEquals(7, Scenario.read(file(PLAIN), List.of("tier.0.backends=7"),
+            null).tiers.get(0).backends());
         assertEquals(5, Scenario.read(file(PLAIN), List.of(), 5L).seed);
         assertEquals(1, faults("a = [1,\nb = ").size());
         assertTrue(faults(PLAIN + "[[fault]]\nkind = \"proxy-kill\"\nat = 1\n").get(0)
@@ -88,14 +94,16 @@
             + "[clients]\nleave = 0.1\n[[burst]]\nat = 1\nfor = 0.5\ntimes = 5\n";
         byte[] once = schedule(text, 3);
         assertArrayEquals(once, schedule(text, 3));
-        assertNotEquals(new String(once, StandardCharsets.UTF_8), new String(schedule(text, 4), StandardCharsets.UTF_8));
+        assertNotEquals(new String(once, StandardCharsets.UTF_8), new String(schedule(text, 4),
+            StandardCharsets.UTF_8));
         assertTrue(once.length > 8_000);
     }
 
     private static byte[] schedule(String text, long seed) throws Exception {
         Scenario s = Scenario.read(file(text), List.of(), seed);
         Path out = Files.createTempFile("schedule", ".tsv");
-        Report.schedule(out, Arrivals.draw(s.seed, s.length, s.rooms.size(), s.tenants, s.categories, s.clients,
+        Report.schedule(out, Arrivals.draw(s.seed, s.length, s.rooms.size(), s.tenants, s.categories,
+            s.clients,
             s.bursts), Timeline.draw(s.seed, s.faults, s.random, s.rooms, s.tiers));
         byte[] bytes = Files.readAllBytes(out);
         Files.delete(out);
@@ -106,7 +114,8 @@
     void arrivalsKeepTheirRatesBurstsAndTraces() throws Exception {
         Scenario s = Scenario.read(file(PLAIN + "[[burst]]\nat = 50\nfor = 25\ntimes = 3\n"),
             List.of("seconds=100"), 9L);
-        List<Arrivals.Arrival> all = Arrivals.draw(9, s.length, 2, s.tenants, s.categories, s.clients, s.bursts);
+        List<Arrivals.Arrival> all = Arrivals.draw(9, s.length, 2, s.tenants, s.categories, s.clients,
+            s.bursts);
         long calm = all.stream().filter(a -> a.at() < 50e9).count();
         long burst = all.stream().filter(a -> a.at() >= 50e9 && a.at() < 75e9).count();
         // Poisson: five spreads each way.
