--- a/src/main/java/cottonlock/lab/Chart.java
+++ b/src/main/java/cottonlock/lab/Chart.java
@@ -70,8 +70,9 @@
         }
         double step = Math.max(round((high - low) / 12), high - low > 5 ? 1 : 0);
         for (double at = Math.ceil(low / step) * step; at <= high * 1.0000001; at += step) {
-            s.append(String.format(Locale.ROOT, "<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>\n",
-                x(at, low, high), HEIGHT - 8, number(at) + (at == 0 ? "" : " " + xUnit)));
+            s.append(String.format(Locale.ROOT,
+                "<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>\n", x(at, low, high),
+                HEIGHT - 8, number(at) + (at == 0 ? "" : " " + xUnit)));
         }
         for (int i = 0; i < lines.size(); i++) {
             s.append(path(lines.get(i).values, low, high, top, COLOURS[i % COLOURS.length],
--- a/src/test/java/cottonlock/config/ConfigTest.java
+++ b/src/test/java/cottonlock/config/ConfigTest.java
@@ -62,7 +62,8 @@
             """;
         assertEquals(List.of(), faults(".json", good, PlatformFile::check));
         assertEquals(List.of("F:1: listen: expected an address of digits with a port, such as "
-                + "127.0.0.1:5000, found \"localhost\"", "F:2: limits.sockets: expected a number from 64 to 1048576, found 3",
+                + "127.0.0.1:5000, found \"localhost\"",
+                "F:2: limits.sockets: expected a number from 64 to 1048576, found 3",
                 "F:5: known.hosts.0.health: expected one of active, leaving, left, found \"green\"",
                 "F:6: settings.Categories.0.Expiry: expected no less than DueTime"),
             faults(".json", good.replace("127.0.0.1:5000", "localhost").replace("1024", "3")
