--- a/src/test/java/cottonlock/lab/LabTest.java
+++ b/src/test/java/cottonlock/lab/LabTest.java
@@ -148,6 +148,20 @@
         assertTrue(err.toString().contains("file descriptors"), err.toString());
     }
 
+    @Example
+    void aSweepPlaysEachValueAndDrawsItsCurve() throws Exception {
+        Path folder = Files.createTempDirectory("lab");
+        assertEquals(0, lab.sweep(ScenarioTest.file(MIXED), "tier.0.cores", List.of("1", "4"), List.of(1L),
+            List.of("late_limit_ms=1000", "seconds=1"), folder), err.toString());
+        List<String> lines = out.toString().lines().toList();
+        assertTrue(lines.get(1).startsWith("1 ") && lines.get(2).startsWith("4 "), out.toString());
+        assertTrue(Files.readString(folder.resolve("sweep.html")).contains("<svg"));
+        assertEquals("pass", Report.read(folder.resolve("4-1")).verdict());
+        assertEquals(2, lab.sweep(ScenarioTest.file(MIXED), "tier.0.coers", List.of("1"), List.of(1L), List.of(),
+            folder));
+        assertTrue(err.toString().contains("did you mean cores?"), err.toString());
+    }
+
     @Example
     void anInterruptedRunStillWritesItsReport() throws Exception {
         Experiment run = new Experiment(Scenario.read(ScenarioTest.file(MIXED), List.of("seconds=60"), null));
