--- a/src/test/java/cottonlock/lab/LabTest.java
+++ b/src/test/java/cottonlock/lab/LabTest.java
@@ -157,8 +157,8 @@
         assertTrue(lines.get(1).startsWith("1 ") && lines.get(2).startsWith("4 "), out.toString());
         assertTrue(Files.readString(folder.resolve("sweep.html")).contains("<svg"));
         assertEquals("pass", Report.read(folder.resolve("4-1")).verdict());
-        assertEquals(2, lab.sweep(ScenarioTest.file(MIXED), "tier.0.coers", List.of("1"), List.of(1L), List.of(),
-            folder));
+        assertEquals(2, lab.sweep(ScenarioTest.file(MIXED), "tier.0.coers", List.of("1"), List.of(1L),
+            List.of(), folder));
         assertTrue(err.toString().contains("did you mean cores?"), err.toString());
     }
 
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -307,7 +307,7 @@
             assertEquals(entry.getValue(), status(answer), entry.getKey());
             String fault = answer.substring(answer.indexOf("\r\n\r\n") + 4);
             assertTrue(fault.strip().length() > 5 && fault.lines().count() == 1, "one line: " + fault);
-            assertFalse(fault.contains("acme") || fault.contains("read"), "names nothing but the request's own");
+            assertFalse(fault.contains("acme") || fault.contains("read"), "names what others have");
         }
         try (Socket half = connect()) {
             send(half, good.substring(0, good.length() - 1));
