--- a/src/main/java/cottonlock/lab/Backend.java
+++ b/src/main/java/cottonlock/lab/Backend.java
@@ -241,7 +241,7 @@
         String patience = message.field("x-timeout-ms");
         job.until = now + 1_000_000L * (patience == null ? 60_000 : Long.parseLong(patience));
         job.callsLeft = plan.calls();
-        series.received(tier, id, now);
+        series.received(id, now);
         int proxy = ((Door) job.conn.of).proxy;
         ledger.received(job.firstByte, now, job.id, id, proxy);
         if (sabotage.equals("resend") && random.nextInt(20) == 0) {
@@ -258,7 +258,7 @@
             case BEGINS -> begin(job);
             case WAITS -> { }
             default -> {
-                series.refused(tier, id, now);
+                series.refused(id, now);
                 answer(job, 503, "X-Not-Processed", NOTHING);
             }
         }
@@ -334,7 +334,7 @@
         if (status == 200) {
             byte[] body = (job.id + " " + job.category.name()).getBytes(StandardCharsets.ISO_8859_1);
             ledger.made(job.id, Arrays.hashCode(body));
-            series.done(tier, id, loop.now());
+            series.done(id, loop.now());
             answer(job, 200, null, body);
         } else {
             answer(job, status, null, NOTHING);
--- a/src/main/java/cottonlock/lab/Clients.java
+++ b/src/main/java/cottonlock/lab/Clients.java
@@ -1,9 +1,7 @@
 package cottonlock.lab;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 
 /**
@@ -184,11 +182,4 @@
         List<Integer> choice = near.isEmpty() ? alive : near;
         return choice.isEmpty() ? -1 : choice.get(chance.nextInt(choice.size()));
     }
-
-    /** For reports: which categories there are. */
-    Map<String, Scenario.CategoryPlan> byName() {
-        Map<String, Scenario.CategoryPlan> map = new HashMap<>();
-        categories.forEach(c -> map.put(c.name(), c));
-        return map;
-    }
 }
--- a/src/main/java/cottonlock/lab/Conn.java
+++ b/src/main/java/cottonlock/lab/Conn.java
@@ -227,14 +227,6 @@
         return ended;
     }
 
-    InetSocketAddress local() {
-        try {
-            return (InetSocketAddress) channel.getLocalAddress();
-        } catch (IOException e) {
-            return null;
-        }
-    }
-
     /** Ends it with a FIN, after what is written has gone out. */
     void close() {
         closeAfterOut = true;
--- a/src/main/java/cottonlock/lab/Experiment.java
+++ b/src/main/java/cottonlock/lab/Experiment.java
@@ -384,7 +384,7 @@
                 case "garble" -> hit.forEach(b -> during(end, () -> b.path.garbles = entry.amount(),
                     () -> b.path.garbles = 0));
                 case "cut" -> hit.forEach(b -> during(end, () -> cut(b, true), () -> cut(b, false)));
-                case "crash" -> hit.forEach(b -> during(end, () -> b.die(false), () -> restart(b, false)));
+                case "crash" -> hit.forEach(b -> during(end, () -> b.die(false), () -> restart(b)));
                 case "drain" -> hit.forEach(b -> drain(b, entry));
                 case "proxy-kill" -> proxyKill(nodes.get(entry.proxy()), end);
                 case "proxy-term" -> proxyTerm(nodes.get(entry.proxy()), entry.length());
@@ -442,7 +442,7 @@
         quietly(() -> backend.cut(off));
     }
 
-    private void restart(Backend backend, boolean listed) {
+    private void restart(Backend backend) {
         if (backend.life != Backend.Life.DOWN) {
             return;
         }
@@ -480,7 +480,7 @@
                 backend.die(false);
             }
         });
-        loop.at(Math.max(loop.now() + entry.length(), left + GONE), () -> restart(backend, true));
+        loop.at(Math.max(loop.now() + entry.length(), left + GONE), () -> restart(backend));
     }
 
     /** A process of a proxy is killed, and is not there until it is started again. */
--- a/src/main/java/cottonlock/lab/Series.java
+++ b/src/main/java/cottonlock/lab/Series.java
@@ -101,15 +101,15 @@
         return backends.computeIfAbsent(backend, b -> new Work());
     }
 
-    void received(int tier, String backend, long now) {
+    void received(String backend, long now) {
         work(backend).received.add(second(now), 1);
     }
 
-    void done(int tier, String backend, long now) {
+    void done(String backend, long now) {
         work(backend).done.add(second(now), 1);
     }
 
-    void refused(int tier, String backend, long now) {
+    void refused(String backend, long now) {
         work(backend).refused.add(second(now), 1);
     }
 
