Where each client has its own balancer, lanes let in a part of what comes; few dear connections

Change: settings Workload and Fees tell the shape; Entry lets in what a lane may hold against the tenant's quota, and a balancer uses the first few of its lane, in an order of its own by highest hash and size, and closes what rests.

--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -53,6 +53,11 @@
         reply.start("listen", name).field(1).end();
     }
 
+    @Override
+    public void release(String backend) {
+        reply.start("release", name).field(backend).end();
+    }
+
     @Override
     public void probe(String backend) {
         reply.start("probe", name).field(backend).end();
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -10,6 +10,9 @@
     /** When this balancer learned that it drains or is gone; -1 while it is ready. */
     long leavingSince = -1;
     int out;
+    /** Whether a connection may be open to it, and since when nothing has been out on it. */
+    boolean connected;
+    long restsSince;
     /** How quickly its kind answers here, against all. */
     double pace = 1;
     /** Failures in a row. */
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -134,7 +134,7 @@
 
         /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
-                      int balancers, long longestComeBack) {
+                      int balancers, boolean alike, long longestComeBack) {
             this.outlet = outlet;
             this.categories = categories;
             this.first = first;
@@ -142,7 +142,7 @@
             this.quotas = new double[tenants.size()];
             this.tokens = new Tokens[tenants.size()];
             for (int t = 0; t < quotas.length; t++) {
-                quotas[t] = tenants.get(t).quota() / Math.max(1, balancers) / 10_000;
+                quotas[t] = tenants.get(t).quota() / Math.max(1, alike ? balancers : 1) / 10_000;
                 tokens[t] = new Tokens(Math.max(DEPTH, quotas[t] * 5_000) / 4);
             }
         }
@@ -229,14 +229,15 @@
         private long firstAt = -1;
 
         /** Bounded: whether this balancer may turn work away, not where others have worked on it. */
-        public Line(Fleet fleet, SplittableRandom random, int tenants, int balancers, boolean bounded) {
+        public Line(Fleet fleet, SplittableRandom random, List<Tenant> tenants, int balancers, boolean alike,
+                    boolean bounded) {
             this.fleet = fleet;
             this.random = random;
             this.balancers = Math.max(1, balancers);
             this.bounded = bounded;
-            lanes = new Entry[Math.max(1, tenants)];
+            lanes = new Entry[Math.max(1, tenants.size())];
             for (int t = 0; t < lanes.length; t++) {
-                lanes[t] = new Entry();
+                lanes[t] = new Entry(alike || t >= tenants.size() ? 0 : tenants.get(t).quota() / 10_000);
                 waiting.add(new ArrayDeque<>());
             }
         }
@@ -270,7 +271,7 @@
             // Two for each backend are never too many, as the balancers together send them. Each balancer's
             // part may be below one: it is then let in by chance, for many least rooms of one add up.
             if (sparse()) {
-                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now) / balancers, now);
+                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
@@ -323,7 +324,7 @@
 
         /** How fast work may enter a lane of which one balancer of many sees too little to count it: by
          * Little's law, what its backends may hold over the time that work stays there. */
-        private static final class Entry {
+        private final class Entry {
             /** The most tokens kept, and how many must be there for work over its quota. */
             private static final double DEPTH = 4;
             private static final double OVER = 3;
@@ -331,27 +332,45 @@
             private static final double MOST = 5;
             /** In five seconds what was learned fades by two thirds: a choked backend has rested by then. */
             private static final double FADE = 50_000;
+            /** Answers imagined at the start, and how much longer they took than would let all in. */
+            private static final int FEW = 4;
+            private static final double START = 1.3;
             private final Tokens tokens = new Tokens(DEPTH);
-            private double hold = 4;
+            private double hold = MOST;
             private double time;
             private long at = -1;
 
+            /** Where balancers carry unlike amounts, the tenant's quota over all of them; else 0. */
+            private final double quota;
+
+            Entry(double quota) {
+                this.quota = quota;
+            }
+
             boolean letsIn(WorkItem wi, double backends, long now) {
                 // A third of the due time stands in until answers are seen; slowness fades when they stop:
                 // where a flood had shut a lane, too few were let in to learn that it was over.
                 double usual = wi.category.dueTime() / 3.0;
+                if (quota > 0) {
+                    // Of one tenant a small balancer sees an answer in some seconds: all its tenants' stand in.
+                    usual = fleet.allStays.mean(now, 0, FEW, Math.min(usual, START * MOST * backends / quota));
+                }
                 double kept = at < 0 ? 1 : Math.exp((at - now) / FADE);
                 time = at < 0 ? usual : Math.min(time, usual + (time - usual) * kept);
                 hold = MOST - (MOST - hold) * kept;
                 at = now;
-                return tokens.take(now, hold * backends / Math.max(1, time), DEPTH, wi.overQuota ? OVER : 1);
+                double rate = hold * backends / Math.max(1, time);
+                // Where each client has a balancer of its own, they carry very unlike amounts: what all of them
+                // may let in is parted by what comes, not by their number.
+                return quota > 0 ? random.nextDouble() * quota < rate
+                    : tokens.take(now, rate / balancers, DEPTH, wi.overQuota ? OVER : 1);
             }
 
             void learn(Outcome outcome, long took, long due) {
                 // A quick failure must not pass for a quick answer: it would open the lane the wider the
                 // worse things go. Eight answers: fewer are chance, more tell too late.
                 double shown = outcome == Outcome.FINISHED ? took : Math.max(took, 2 * time);
-                time += (Math.min(shown, due) - time) / 8;
+                time += (Math.min(shown, quota > 0 ? 4 * due : due) - time) / 8;
                 hold = outcome == Outcome.TURNED_AWAY ? Math.max(1, hold * 0.9) : hold;
             }
         }
@@ -445,10 +464,12 @@
             double far = FAR * out / size;
             double spare = line.pressed(now) ? 0 : 1;
             boolean crowded = fleet.crowded(wi.tenant, FAR, now);
-            wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
+            int width = fleet.width(wi.tenant, now);
+            wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), width, wi, far, spare,
+                now);
             for (List<Backend> part : List.of(fleet.open, fleet.ready)) {
                 if (wi.candidates.isEmpty()) {
-                    wi.candidates = fleet.usable(part, wi, far, spare, now);
+                    wi.candidates = fleet.usable(part, width, wi, far, spare, now);
                 }
             }
             if (wi.candidates.isEmpty()) {
@@ -543,7 +564,7 @@
                     before.back(wi, now);
                 }
             } else if (!wi.anyOut()) {
-                if (mayRepeat(wi, now)) {
+                if (mayRepeat(wi, outcome, now)) {
                     before.before.take(wi, now);
                 } else {
                     before.back(wi, now);
@@ -551,14 +572,15 @@
             }
         }
 
-        private boolean mayRepeat(WorkItem wi, long now) {
+        private boolean mayRepeat(WorkItem wi, Outcome last, long now) {
             if (wi.handOffs.size() >= most || now >= wi.due) {
                 return false;
             }
-            if (wi.mayHaveRun() == null) {
+            boolean ran = wi.mayHaveRun() != null;
+            if (!ran && !(last == Outcome.TURNED_AWAY && fleet.balancers > 2 * fleet.ready.size())) {
                 return true;
             }
-            if (wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
+            if (ran && wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
                 return false;
             }
             repeats--;
@@ -624,6 +646,8 @@
         private static final int IMAGINED_STAYS = 10;
         /** A kind is never taken for more than so many times as quick or slow as its size says. */
         private static final double PACE = 5;
+        /** Backends that a balancer uses for each work item of a tenant in flight, where connections are dear. */
+        private static final double WIDE = 4;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -654,13 +678,15 @@
         /** How long hand-offs stay at each kind of backend, and at all. */
         private final Averages kindStays = new Averages(USUAL_SPAN);
         private final Averages allStays = new Averages(USUAL_SPAN);
+        private final double rest;
+        private final Comparator<Backend> own;
         private long latencySum;
         private long firstSent;
         private long latencyCount;
 
         public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, int balancers,
                      boolean mayTell, boolean mustAsk, long askWithin, double coldShare, long coldTime,
-                     double fallMultiple, long fall) {
+                     double fallMultiple, long fall, int me, double rest) {
             this.outlet = outlet;
             this.random = random;
             this.tenants = tenants;
@@ -672,6 +698,10 @@
             this.coldTime = coldTime;
             this.fallMultiple = fallMultiple;
             this.fall = fall;
+            this.rest = rest;
+            // The larger a backend, the more balancers have it first.
+            this.own = rest <= 0 ? Comparator.comparing(b -> b.id)
+                : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - me, b.id)) / b.size());
             tenants.forEach(t -> stays.add(new Ring(STAY_SPAN, 8)));
         }
 
@@ -723,6 +753,12 @@
             }
             double size = 0;
             long sent = 0;
+            for (Backend b : known.values()) {
+                if (rest > 0 && b.connected && b.out == 0 && now - b.restsSince > rest * ready.size()) {
+                    b.connected = false;
+                    outlet.release(b.id);
+                }
+            }
             for (Backend b : ready) {
                 double all = allStays.mean(now, 0, 1, 1);
                 double pace = all / kindStays.mean(now, b.member.kind(), IMAGINED_STAYS, all);
@@ -750,12 +786,13 @@
                 int tenant = t;
                 untaken.sort(Comparator.comparingLong((Backend b) -> Hash.of(tenant, b.id)).reversed());
                 List<Backend> lane = new ArrayList<>(untaken.subList(0, sizes[t]));
-                lane.sort(Comparator.comparing(b -> b.id));
+                lane.sort(own);
                 untaken.subList(0, sizes[t]).clear();
                 lanes.add(lane);
             }
             open.addAll(untaken);
-            open.sort(Comparator.comparing(b -> b.id));
+            open.sort(own);
+            ready.sort(own);
         }
 
         /** Each tenant's share of the ready backends, rounded, but one backend as long as there are any. */
@@ -808,11 +845,21 @@
             return Math.max(1, able);
         }
 
-        /** Those of the given backends that this work item may go to now. */
-        List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
+        /** How many backends of a lane this balancer uses: where connections are dear, no more than a few for
+         * each work item that its tenant has in flight. */
+        int width(int tenant, long now) {
+            return rest <= 0 || tenant >= stays.size() ? Integer.MAX_VALUE
+                : 1 + (int) (WIDE * stays.get(tenant).sum(now) / STAY_SPAN);
+        }
+
+        /** The first of the given backends that this work item may go to now, in this balancer's order. */
+        List<Backend> usable(List<Backend> part, int width, WorkItem wi, double far, double spare, long now) {
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
+                if (usable.size() >= width) {
+                    break;
+                }
                 if (b.out <= spare + far * size(b, now) && !wi.tried(b) && sameGroup(b, wi, ran, now)
                     && warmEnough(b, now) && trusted(b, now)) {
                     usable.add(b);
@@ -938,6 +985,7 @@
                 latencyCount = AT_START;
                 latencySum = AT_START * wi.category.dueTime() / 2;
             }
+            b.connected = true;
             b.out++;
             b.held.put(wi.id, wi);
             b.sent.add(now, 1);
@@ -993,6 +1041,7 @@
                 stays.get(wi.tenant).add(now, now - ho.sentAt);
             }
             b.out--;
+            b.restsSince = now;
             b.held.remove(wi.id);
         }
     }
--- a/src/main/java/cottonlock/decision/Hash.java
+++ b/src/main/java/cottonlock/decision/Hash.java
@@ -4,6 +4,11 @@
 final class Hash {
     private Hash() { }
 
+    /** The same as a number above 0 and below 1. */
+    static double part(int tenant, String id) {
+        return ((of(tenant, id) >>> 11) + 0.5) / (1L << 53);
+    }
+
     static long of(int tenant, String id) {
         long h = 0xcbf29ce484222325L ^ tenant;
         for (int i = 0; i < id.length(); i++) {
--- a/src/main/java/cottonlock/decision/Outlet.java
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -21,6 +21,9 @@
     /** Asks for the list of backends and for its changes from now on. */
     void askList();
 
+    /** Closes the connections to a backend on which nothing is out. */
+    void release(String backend);
+
     /** Asks a backend for its load report. */
     void probe(String backend);
 
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -90,6 +90,14 @@
         });
     }
 
+    /** From the module's thread: what rests is worth less than it costs. */
+    void release() {
+        mailbox.offer(() -> {
+            resting.forEach(Link::kill);
+            resting.clear();
+        });
+    }
+
     /** From another backend's actor: sockets have run out, so the longest at rest is closed. */
     void spareOne() {
         mailbox.offer(() -> {
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -230,6 +230,14 @@
         watch.ask();
     }
 
+    @Override
+    public void release(String backend) {
+        BackendActor actor = backends.get(backend);
+        if (actor != null) {
+            actor.release();
+        }
+    }
+
     @Override
     public void probe(String backend) {
         // The protocol has no probes.
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -25,6 +25,11 @@
         return settings.choice("MembershipMode", "automatic", "subscribe") == 1;
     }
 
+    /** Whether the balancers carry alike: not where each client has one of its own. */
+    private boolean alike() {
+        return !settings.text("Workload", "chain").equals("mesh");
+    }
+
     /** A module that answers through the given outlet. */
     public Balancer balancer(Outlet outlet, long seed) {
         Settings s = settings;
@@ -35,10 +40,11 @@
         Balancer.Fleet fleet = new Balancer.Fleet(outlet, random.split(), tenants, balancers,
             s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"),
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
-            s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
-        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), balancers, first);
+            s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"),
+            s.count("Me", 0), restOfConnections());
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, alike(), first);
         return new Balancer(outlet,
-            new Balancer.Intake(outlet, categories, tenants, first, balancers, longestComeBack),
+            new Balancer.Intake(outlet, categories, tenants, first, balancers, alike(), longestComeBack),
             line,
             new Balancer.Lane(line, fleet),
             new Balancer.Pick(fleet, random.split()),
@@ -47,6 +53,15 @@
             fleet);
     }
 
+    /** For each backend, the time after which a kept connection has cost as much as a new one, as the fees
+     * have it: the one counts for 100 backends, the other for each work item. 0 where keeping costs nothing. */
+    private double restOfConnections() {
+        double kept = settings.number("Fees.Connection", 0);
+        double quotas = tenants.stream().mapToDouble(Tenant::quota).sum();
+        return kept <= 0 || quotas <= 0 ? 0
+            : 100 * settings.number("Fees.Handshake", 0) / kept / quotas * 10_000;
+    }
+
     private static List<Category> categories(Settings s) {
         List<Category> list = new ArrayList<>();
         int n = s.count("Categories.count", 0);
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -81,10 +81,10 @@
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
         fleet = new Balancer.Fleet(this, random.split(), tenants, balancers, true, mustAsk, 100_000,
-            COLD_SHARE, COLD, FALL_MULTIPLE, FALL);
-        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants.size(), balancers, first);
+            COLD_SHARE, COLD, FALL_MULTIPLE, FALL, 0, 0);
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, true, first);
         balancer = new Balancer(this,
-            new Balancer.Intake(this, categories, tenants, first, balancers, 10_000), line,
+            new Balancer.Intake(this, categories, tenants, first, balancers, true, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
         balancer.start(now);
@@ -260,6 +260,11 @@
         asked++;
     }
 
+    @Override
+    public void release(String backend) {
+        assertTrue(listed.containsKey(backend), "closes connections to one that is not listed");
+    }
+
     @Override
     public void probe(String backend) {
         assertNotNull(listed.get(backend), "probe of a backend that no list has named");
