--- a/src/main/java/cottonlock/bench/WireHost.java
+++ b/src/main/java/cottonlock/bench/WireHost.java
@@ -205,9 +205,9 @@
         int tenant = in.index("Team", Math.max(1, i.tenants));
         in.skip("Object");
         long patience = Math.floorDiv(in.whole("Budget"), MICROS);
-        in.whole("Cost");
-        boolean repeated = (in.whole("Bitmap") & 2) != 0;
-        i.balancer.arrive(now, id, category, tenant, patience, repeated);
+        long cost = in.whole("Cost");
+        long bits = in.whole("Bitmap");
+        i.balancer.arrive(now, id, category, tenant, patience, (bits & 2) != 0, (bits & 1) != 0 ? cost : 0);
     }
 
     private void settled(Instance i) {
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -55,9 +55,10 @@
         outlet.wakeMe(now + TICK);
     }
 
-    /** A work item has come; its client waits for {@code patience}. */
-    public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated) {
-        intake.arrive(now, id, category, tenant, patience, repeated);
+    /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where it is not told. */
+    public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated,
+                       long hint) {
+        intake.arrive(now, id, category, tenant, patience, repeated, hint);
     }
 
     /** A hand-off has ended; {@code over} tells that the work item has had its final answer. */
@@ -147,8 +148,9 @@
             }
         }
 
-        void arrive(long now, long id, int category, int tenant, long patience, boolean repeated) {
-            WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now, now + patience);
+        void arrive(long now, long id, int category, int tenant, long patience, boolean repeated, long hint) {
+            WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now, now + patience,
+                hint);
             wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, repeated, now);
             take(wi, now);
         }
@@ -332,12 +334,15 @@
             private static final double MOST = 5;
             /** In five seconds what was learned fades by two thirds: a choked backend has rested by then. */
             private static final double FADE = 50_000;
-            /** Answers imagined at the start, and how much longer they took than would let all in. */
+            /** Answers imagined at the start. */
             private static final int FEW = 4;
-            private static final double START = 1.3;
+            /** The part let in at the start, and how much it grows in a tenth of a millisecond at most. */
+            private static final double START = 0.6;
+            private static final double UP = 1e-5;
             private final Tokens tokens = new Tokens(DEPTH);
             private double hold = MOST;
             private double time;
+            private double part = START;
             private long at = -1;
 
             /** Where balancers carry unlike amounts, the tenant's quota over all of them; else 0. */
@@ -353,16 +358,21 @@
                 double usual = wi.category.dueTime() / 3.0;
                 if (quota > 0) {
                     // Of one tenant a small balancer sees an answer in some seconds: all its tenants' stand in.
-                    usual = fleet.allStays.mean(now, 0, FEW, Math.min(usual, START * MOST * backends / quota));
+                    usual = fleet.allStays.mean(now, 0, FEW, Math.min(usual, MOST * backends / quota));
                 }
                 double kept = at < 0 ? 1 : Math.exp((at - now) / FADE);
                 time = at < 0 ? usual : Math.min(time, usual + (time - usual) * kept);
                 hold = MOST - (MOST - hold) * kept;
+                long waited = at < 0 ? 0 : now - at;
                 at = now;
                 double rate = hold * backends / Math.max(1, time);
                 // Where each client has a balancer of its own, they carry very unlike amounts: what all of them
                 // may let in is parted by what comes, not by their number.
-                return quota > 0 ? random.nextDouble() * quota < rate
+                part = Math.min(part + waited * UP, rate / quota);
+                // A client that tries again at once brings the same hint. Drawn from it, the answer is the same:
+                // with a new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
+                SplittableRandom draw = wi.hint > 0 ? new SplittableRandom(wi.hint) : random;
+                return quota > 0 ? draw.nextDouble() < part
                     : tokens.take(now, rate / balancers, DEPTH, wi.overQuota ? OVER : 1);
             }
 
@@ -668,6 +678,8 @@
         private final List<Backend> open = new ArrayList<>();
         private final List<Backend> ready = new ArrayList<>();
         private final long fall;
+        /** Whether the balancers carry alike, so that one can tell from itself what all hold. */
+        private final boolean alike;
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
@@ -686,7 +698,7 @@
 
         public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, int balancers,
                      boolean mayTell, boolean mustAsk, long askWithin, double coldShare, long coldTime,
-                     double fallMultiple, long fall, int me, double rest) {
+                     double fallMultiple, long fall, boolean alike, int me, double rest) {
             this.outlet = outlet;
             this.random = random;
             this.tenants = tenants;
@@ -698,6 +710,7 @@
             this.coldTime = coldTime;
             this.fallMultiple = fallMultiple;
             this.fall = fall;
+            this.alike = alike;
             this.rest = rest;
             // The larger a backend, the more balancers have it first.
             this.own = rest <= 0 ? Comparator.comparing(b -> b.id)
@@ -830,7 +843,7 @@
             double own = tenant < stays.size() ? stays.get(tenant).sum(now) : 0;
             own /= Math.max(1, lane(tenant).size());
             double all = stay.sum(now) / (double) ready.size();
-            return FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
+            return alike && FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
                 && random.nextDouble() * own > far * all;
         }
 
@@ -838,7 +851,7 @@
         double able(int tenant, double most, long now) {
             double held = stay.sum(now) * (double) balancers / STAY_SPAN;
             // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
-            double able = now - firstSent < STAY_SPAN ? 0 : Math.max(0, LEND * ready.size() - held / most);
+            double able = !alike || now - firstSent < STAY_SPAN ? 0 : Math.max(0, LEND * ready.size() - held / most);
             for (Backend b : lane(tenant)) {
                 able += b.streak >= 3 ? 0 : b.member.warmth(now, coldShare, coldTime);
             }
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -11,6 +11,8 @@
     final boolean repeated;
     final long arrived;
     final long expiry;
+    /** The work that it is thought to be, the same for each try of a client; 0 where that is not told. */
+    final long hint;
     /** An answer after this earns the late credit at most. */
     final long due;
     final List<HandOff> handOffs = new ArrayList<>(1);
@@ -26,13 +28,15 @@
     /** The backends that the lane stage leaves to the pick stage. */
     List<Backend> candidates = List.of();
 
-    WorkItem(long id, Category category, int tenant, boolean repeated, long arrived, long expiry) {
+    WorkItem(long id, Category category, int tenant, boolean repeated, long arrived, long expiry,
+             long hint) {
         this.id = id;
         this.category = category;
         this.tenant = tenant;
         this.repeated = repeated;
         this.arrived = arrived;
         this.expiry = expiry;
+        this.hint = hint;
         this.due = Math.min(expiry, arrived + category.dueTime());
     }
 
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -108,7 +108,7 @@
             items.put(wi.number, wi);
             expiries.add(wi);
             long now = clock.now();
-            balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated);
+            balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated, 0);
         });
     }
 
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -41,7 +41,7 @@
             s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"),
             s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
             s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"),
-            s.count("Me", 0), restOfConnections());
+            alike(), s.count("Me", 0), restOfConnections());
         Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, alike(), first);
         return new Balancer(outlet,
             new Balancer.Intake(outlet, categories, tenants, first, balancers, alike(), longestComeBack),
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -81,7 +81,7 @@
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
         fleet = new Balancer.Fleet(this, random.split(), tenants, balancers, true, mustAsk, 100_000,
-            COLD_SHARE, COLD, FALL_MULTIPLE, FALL, 0, 0);
+            COLD_SHARE, COLD, FALL_MULTIPLE, FALL, true, 0, 0);
         Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, true, first);
         balancer = new Balancer(this,
             new Balancer.Intake(this, categories, tenants, first, balancers, true, 10_000), line,
@@ -121,7 +121,7 @@
     long arrive(int category, int tenant, long patience) {
         long id = nextId++;
         items.put(id, new Item(categories.get(category), now + patience));
-        balancer.arrive(now, id, category, tenant, patience, id % 5 == 0);
+        balancer.arrive(now, id, category, tenant, patience, id % 5 == 0, 0);
         if (items.get(id).sent.size() > 0) {
             firstSent.computeIfAbsent(tenant, t -> new ArrayList<>()).add(items.get(id).sent.get(0).to.id());
         }
