--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -224,6 +224,9 @@
         /** What waits, by tenant; the tenants take turns. */
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
         private final Entry[] lanes;
+        /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
+        private final Averages hints = new Averages(100_000);
+        private final double quotas;
         private int turn;
         private double ceiling = 1e6;
         private long lowerAgainAt;
@@ -237,6 +240,7 @@
             this.random = random;
             this.balancers = Math.max(1, balancers);
             this.bounded = bounded;
+            this.quotas = tenants.stream().mapToDouble(Tenant::quota).sum() / 10_000;
             lanes = new Entry[Math.max(1, tenants.size())];
             for (int t = 0; t < lanes.length; t++) {
                 lanes[t] = new Entry(alike || t >= tenants.size() ? 0 : tenants.get(t).quota() / 10_000);
@@ -249,6 +253,9 @@
             if (firstAt < 0) {
                 firstAt = now;
             }
+            if (wi.hint > 0) {
+                hints.add(now, 0, wi.hint);
+            }
             Deque<WorkItem> own = waiting.get(wi.tenant);
             if (!bounded || own.isEmpty() && fits(wi, now)) {
                 enter(wi, now);
@@ -339,8 +346,10 @@
             /** The part let in at the start, and how much it grows in a tenth of a millisecond at most. */
             private static final double START = 0.6;
             private static final double UP = 1e-5;
+            /** Above its cores: 1.2 roots; a backend chokes at 4 to 7 of them in the mean of two seconds. */
+            private static final double ROOTS = 1.2;
             private final Tokens tokens = new Tokens(DEPTH);
-            private double hold = MOST;
+            private double hold = 1;
             private double time;
             private double part = START;
             private long at = -1;
@@ -356,16 +365,20 @@
                 // A third of the due time stands in until answers are seen; slowness fades when they stop:
                 // where a flood had shut a lane, too few were let in to learn that it was over.
                 double usual = wi.category.dueTime() / 3.0;
+                double most = MOST;
                 if (quota > 0) {
+                    // What the quotas ask of each backend, in cores: it may hold that and a few of its roots.
+                    double cores = quotas / Math.max(1, fleet.ready.size()) * hints.mean(now, 0, 0, 0);
+                    most = cores > 0 ? cores + ROOTS * Math.sqrt(cores) : MOST;
                     // Of one tenant a small balancer sees an answer in some seconds: all its tenants' stand in.
-                    usual = fleet.allStays.mean(now, 0, FEW, Math.min(usual, MOST * backends / quota));
+                    usual = fleet.stayNow(FEW, Math.min(usual, most * backends / quota), now);
                 }
                 double kept = at < 0 ? 1 : Math.exp((at - now) / FADE);
                 time = at < 0 ? usual : Math.min(time, usual + (time - usual) * kept);
-                hold = MOST - (MOST - hold) * kept;
+                hold = 1 - (1 - hold) * kept;
                 long waited = at < 0 ? 0 : now - at;
                 at = now;
-                double rate = hold * backends / Math.max(1, time);
+                double rate = hold * most * backends / Math.max(1, time);
                 // Where each client has a balancer of its own, they carry very unlike amounts: what all of them
                 // may let in is parted by what comes, not by their number.
                 part = Math.min(part + waited * UP, rate / quota);
@@ -381,7 +394,7 @@
                 // worse things go. Eight answers: fewer are chance, more tell too late.
                 double shown = outcome == Outcome.FINISHED ? took : Math.max(took, 2 * time);
                 time += (Math.min(shown, quota > 0 ? 4 * due : due) - time) / 8;
-                hold = outcome == Outcome.TURNED_AWAY ? Math.max(1, hold * 0.9) : hold;
+                hold = outcome == Outcome.TURNED_AWAY ? Math.max(0.2, hold * 0.9) : hold;
             }
         }
 
@@ -658,6 +671,8 @@
         private static final double PACE = 5;
         /** Backends that a balancer uses for each work item of a tenant in flight, where connections are dear. */
         private static final double WIDE = 4;
+        /** Part of the due time up to which a hand-off that is out counts as held. */
+        private static final double LONG = 0.6;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -686,6 +701,10 @@
         /** How long hand-offs stayed in the last seconds: by Little's law, how many were out. */
         private final List<Ring> stays = new ArrayList<>();
         private final Ring stay = new Ring(STAY_SPAN, 8);
+        /** What hand-offs have been out in the last seconds, added up at each look, and how many were sent. */
+        private final Ring heldTime = new Ring(STAY_SPAN, 8);
+        private final Ring sends = new Ring(STAY_SPAN, 8);
+        private long keptAt;
         private final Averages times = new Averages(USUAL_SPAN);
         /** How long hand-offs stay at each kind of backend, and at all. */
         private final Averages kindStays = new Averages(USUAL_SPAN);
@@ -767,6 +786,11 @@
             double size = 0;
             long sent = 0;
             for (Backend b : known.values()) {
+                for (WorkItem wi : b.held.values()) {
+                    // What never comes back, or far too late, counts as long as a slow answer.
+                    long age = now - wi.handOffs.get(wi.handOffs.size() - 1).sentAt;
+                    heldTime.add(now, age < LONG * wi.category.dueTime() ? now - keptAt : 0);
+                }
                 if (rest > 0 && b.connected && b.out == 0 && now - b.restsSince > rest * ready.size()) {
                     b.connected = false;
                     outlet.release(b.id);
@@ -782,6 +806,7 @@
                     sent += b.sent.sum(now);
                 }
             }
+            keptAt = now;
             sentPerSize = size > 0 ? sent / size : sentPerSize;
         }
 
@@ -923,6 +948,11 @@
                 .filter(b -> b.out == 0 && !wi.tried(b) && warmEnough(b, now)).toList();
         }
 
+        /** How long hand-offs stay, what is still out counted in, by Little's law; some imagined. */
+        double stayNow(int imagined, double time, long now) {
+            return (heldTime.sum(now) + imagined * time) / (sends.sum(now) + imagined);
+        }
+
         private double doubts(Backend b, long now) {
             return Math.max(b.failures.sum(now), Math.min(4, b.streak)) + Math.max(0, silence(b, now) - 3);
         }
@@ -1002,6 +1032,7 @@
             b.out++;
             b.held.put(wi.id, wi);
             b.sent.add(now, 1);
+            sends.add(now, 1);
             b.spacedFrom = now;
             b.spacing = 0.5 + random.nextDouble();
         }
