--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -225,7 +225,7 @@
         private final List<Deque<WorkItem>> waiting = new ArrayList<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
-        private final Averages hints = new Averages(100_000);
+        private final Averages hints = new Averages(300_000);
         private final double quotas;
         private int turn;
         private double ceiling = 1e6;
@@ -344,8 +344,8 @@
             /** Answers imagined at the start. */
             private static final int FEW = 4;
             /** The part let in at the start, and how much it grows in a tenth of a millisecond at most. */
-            private static final double START = 0.6;
-            private static final double UP = 1e-5;
+            private static final double START = 0.5;
+            private static final double UP = 5e-6;
             /** Above its cores: 1.2 roots; a backend chokes at 4 to 7 of them in the mean of two seconds. */
             private static final double ROOTS = 1.2;
             private final Tokens tokens = new Tokens(DEPTH);
@@ -673,6 +673,8 @@
         private static final double WIDE = 4;
         /** Part of the due time up to which a hand-off that is out counts as held. */
         private static final double LONG = 0.6;
+        /** Usual stays imagined for each tenant. */
+        private static final int FEW_STAYS = 3;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -705,6 +707,7 @@
         private final Ring heldTime = new Ring(STAY_SPAN, 8);
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
+        private final Averages laneStays = new Averages(STAY_SPAN);
         private final Averages times = new Averages(USUAL_SPAN);
         /** How long hand-offs stay at each kind of backend, and at all. */
         private final Averages kindStays = new Averages(USUAL_SPAN);
@@ -789,7 +792,7 @@
                 for (WorkItem wi : b.held.values()) {
                     // What never comes back, or far too late, counts as long as a slow answer.
                     long age = now - wi.handOffs.get(wi.handOffs.size() - 1).sentAt;
-                    heldTime.add(now, age < LONG * wi.category.dueTime() ? now - keptAt : 0);
+                    heldTime.add(now, age < LONG * wi.category.dueTime() ? Math.min(age, now - keptAt) : 0);
                 }
                 if (rest > 0 && b.connected && b.out == 0 && now - b.restsSince > rest * ready.size()) {
                     b.connected = false;
@@ -868,7 +871,12 @@
             double own = tenant < stays.size() ? stays.get(tenant).sum(now) : 0;
             own /= Math.max(1, lane(tenant).size());
             double all = stay.sum(now) / (double) ready.size();
-            return alike && FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
+            if (!alike) {
+                // Each carries another part of the tenants: how long work stays compares, how much is held not.
+                double usual = laneStays.mean(now, tenants.size(), 0, 0);
+                return random.nextDouble() * laneStays.mean(now, tenant, FEW_STAYS, usual) > far * usual;
+            }
+            return FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
                 && random.nextDouble() * own > far * all;
         }
 
@@ -1077,6 +1085,10 @@
                 default -> { }
             }
             stay.add(now, now - ho.sentAt);
+            if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
+                laneStays.add(now, tenants.size(), now - ho.sentAt);
+                laneStays.add(now, wi.tenant, now - ho.sentAt);
+            }
             if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
                 kindStays.add(now, b.member.kind(), now - ho.sentAt);
                 allStays.add(now, 0, now - ho.sentAt);
