--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -10,6 +10,8 @@
     /** When this balancer learned that it drains or is gone; -1 while it is ready. */
     long leavingSince = -1;
     int out;
+    /** Whose lane it is in; the number of tenants where in none. */
+    int lane;
     /** Whether a connection may be open to it, and since when nothing has been out on it. */
     boolean connected;
     long restsSince;
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -490,7 +490,7 @@
             int width = fleet.width(wi.tenant, now);
             wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), width, wi, far, spare,
                 now);
-            for (List<Backend> part : List.of(fleet.open, fleet.ready)) {
+            for (List<Backend> part : List.of(fleet.open, crowded ? fleet.calm(now) : fleet.ready)) {
                 if (wi.candidates.isEmpty()) {
                     wi.candidates = fleet.usable(part, width, wi, far, spare, now);
                 }
@@ -673,7 +673,7 @@
         private static final double WIDE = 4;
         /** Part of the due time up to which a hand-off that is out counts as held. */
         private static final double LONG = 0.6;
-        /** Usual stays imagined for each tenant. */
+        /** Usual stays imagined for each lane. */
         private static final int FEW_STAYS = 3;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
@@ -707,7 +707,7 @@
         private final Ring heldTime = new Ring(STAY_SPAN, 8);
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
-        private final Averages laneStays = new Averages(STAY_SPAN);
+        private final Averages laneStays = new Averages(USUAL_SPAN);
         private final Averages times = new Averages(USUAL_SPAN);
         /** How long hand-offs stay at each kind of backend, and at all. */
         private final Averages kindStays = new Averages(USUAL_SPAN);
@@ -829,9 +829,11 @@
                 List<Backend> lane = new ArrayList<>(untaken.subList(0, sizes[t]));
                 lane.sort(own);
                 untaken.subList(0, sizes[t]).clear();
+                lane.forEach(b -> b.lane = tenant);
                 lanes.add(lane);
             }
             open.addAll(untaken);
+            open.forEach(b -> b.lane = tenants.size());
             open.sort(own);
             ready.sort(own);
         }
@@ -873,13 +875,23 @@
             double all = stay.sum(now) / (double) ready.size();
             if (!alike) {
                 // Each carries another part of the tenants: how long work stays compares, how much is held not.
-                double usual = laneStays.mean(now, tenants.size(), 0, 0);
-                return random.nextDouble() * laneStays.mean(now, tenant, FEW_STAYS, usual) > far * usual;
+                return random.nextDouble() * laneStay(tenant, now) > far * laneStays.mean(now, 0, 0, 0);
             }
             return FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
                 && random.nextDouble() * own > far * all;
         }
 
+        /** How long work stays at the backends of a lane, whoever sends it there. */
+        private double laneStay(int lane, long now) {
+            return laneStays.mean(now, 1 + lane, FEW_STAYS, laneStays.mean(now, 0, 0, 0));
+        }
+
+        /** Where a crowded lane spills to: what is no more crowded than usual. */
+        List<Backend> calm(long now) {
+            double usual = laneStays.mean(now, 0, 0, 0);
+            return alike ? ready : ready.stream().filter(b -> laneStay(b.lane, now) <= usual).toList();
+        }
+
         /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
         double able(int tenant, double most, long now) {
             double held = stay.sum(now) * (double) balancers / STAY_SPAN;
@@ -1086,8 +1098,8 @@
             }
             stay.add(now, now - ho.sentAt);
             if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
-                laneStays.add(now, tenants.size(), now - ho.sentAt);
-                laneStays.add(now, wi.tenant, now - ho.sentAt);
+                laneStays.add(now, 0, now - ho.sentAt);
+                laneStays.add(now, 1 + b.lane, now - ho.sentAt);
             }
             if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
                 kindStays.add(now, b.member.kind(), now - ho.sentAt);
