--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -674,7 +674,7 @@
         /** Part of the due time up to which a hand-off that is out counts as held. */
         private static final double LONG = 0.6;
         /** Usual stays imagined for each lane. */
-        private static final int FEW_STAYS = 3;
+        private static final int FEW_STAYS = 1;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -875,7 +875,7 @@
             double all = stay.sum(now) / (double) ready.size();
             if (!alike) {
                 // Each carries another part of the tenants: how long work stays compares, how much is held not.
-                return random.nextDouble() * laneStay(tenant, now) > far * laneStays.mean(now, 0, 0, 0);
+                return random.nextDouble() * laneStay(tenant, now) > laneStays.mean(now, 0, 0, 0);
             }
             return FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
                 && random.nextDouble() * own > far * all;
