--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -28,7 +28,10 @@
 public final class Balancer {
     /** How often silence, waiting and the list are looked at: well under any due time, cheap in CPU. */
     private static final long TICK = 250;
+    /** Called so much too late, the balancer itself has stood still. */
+    private static final long STILL = 1_000;
 
+    private long wakeAt = Long.MAX_VALUE - STILL;
     private final Outlet outlet;
     private final Intake intake;
     private final Line line;
@@ -52,17 +55,29 @@
 
     /** The balancer starts; the list that it last held follows through {@link #list}. */
     public void start(long now) {
-        outlet.wakeMe(now + TICK);
+        wakeAt = now + TICK;
+        outlet.wakeMe(wakeAt);
+    }
+
+    /** After a standstill of its own the balancer doubts its clock: what waited is no silence of others. */
+    private void doubtClock(long now) {
+        if (now > wakeAt + STILL) {
+            intake.stood(now, now - wakeAt);
+            fleet.stood(now);
+            wakeAt = now;
+        }
     }
 
     /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where it is not told. */
     public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated,
                        long hint) {
+        doubtClock(now);
         intake.arrive(now, id, category, tenant, patience, repeated, hint);
     }
 
     /** A hand-off has ended; {@code over} tells that the work item has had its final answer. */
     public void settled(long now, long id, int handOff, Outcome outcome, boolean over) {
+        doubtClock(now);
         handOffs.settled(now, id, handOff, outcome, over);
     }
 
@@ -94,11 +109,13 @@
 
     /** The time asked for by {@link Outlet#wakeMe} has come. */
     public void wake(long now) {
+        doubtClock(now);
         fleet.keepList(now);
         handOffs.rescue(now);
         fleet.tell();
         line.tidy(now);
-        outlet.wakeMe(now + TICK);
+        wakeAt = now + TICK;
+        outlet.wakeMe(wakeAt);
     }
 
     /** One link of the chain. */
@@ -132,6 +149,10 @@
         /** Each tenant's quota at this balancer, for each tenth of a millisecond, and what is left of it. */
         private final double[] quotas;
         private final Tokens[] tokens;
+        /** The longest patience seen of each category; when the balancer last stood still, and for how long. */
+        private final long[] longest;
+        private long stoodAt = -1;
+        private long stoodFor;
 
         /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
@@ -140,6 +161,7 @@
             this.categories = categories;
             this.first = first;
             this.longestComeBack = longestComeBack;
+            this.longest = new long[categories.size()];
             this.quotas = new double[tenants.size()];
             this.tokens = new Tokens[tenants.size()];
             for (int t = 0; t < quotas.length; t++) {
@@ -148,9 +170,17 @@
             }
         }
 
+        void stood(long now, long time) {
+            stoodAt = now;
+            stoodFor = time;
+        }
+
         void arrive(long now, long id, int category, int tenant, long patience, boolean repeated, long hint) {
-            WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now, now + patience,
-                hint);
+            // What came during a standstill has waited as much as its patience lacks of the longest seen.
+            longest[category] = Math.max(longest[category], patience);
+            long waited = now == stoodAt ? Math.min(stoodFor, longest[category] - patience) : 0;
+            WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now - waited,
+                now + patience, hint);
             wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, repeated, now);
             take(wi, now);
         }
@@ -467,6 +497,8 @@
     public static final class Lane extends Stage {
         /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
         private static final double FAR = 1.25;
+        /** How much longer than usual work may stay in a lane: 1.25 let small lanes choke, 1 spilled at rest. */
+        private static final double CROWD = 1.1;
 
         private final Line line;
         private final Fleet fleet;
@@ -486,8 +518,8 @@
             }
             double far = FAR * out / size;
             double spare = line.pressed(now) ? 0 : 1;
-            boolean crowded = fleet.crowded(wi.tenant, FAR, now);
-            int width = fleet.width(wi.tenant, now);
+            boolean crowded = fleet.crowded(wi.tenant, CROWD, now);
+            int width = fleet.width(wi.tenant);
             wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), width, wi, far, spare,
                 now);
             for (List<Backend> part : List.of(fleet.open, crowded ? fleet.calm(now) : fleet.ready)) {
@@ -574,7 +606,8 @@
             ho.out = false;
             ho.neverRan = outcome.neverRan();
             fleet.settled(ho, wi, outcome, now);
-            if (outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
+            // In the batch after a standstill, times tell of the balancer and not of the backends.
+            if (now != fleet.stoodAt && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
                 line.learn(wi, outcome, now - ho.sentAt, now);
             }
             boolean wasEnded = wi.ended;
@@ -663,14 +696,12 @@
         private static final double FEW = 2;
         /** So full of what backends may hold, the fleet lends none to lanes; 0.6 left quiet lanes short. */
         private static final double LEND = 0.75;
-        /** Held by each backend on average, this is never a crowd. */
-        private static final double FREE = 2;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
         private static final int IMAGINED_STAYS = 10;
         /** A kind is never taken for more than so many times as quick or slow as its size says. */
         private static final double PACE = 5;
         /** Backends that a balancer uses for each work item of a tenant in flight, where connections are dear. */
-        private static final double WIDE = 4;
+        private static final int WIDE = 1;
         /** Part of the due time up to which a hand-off that is out counts as held. */
         private static final double LONG = 0.6;
         /** Usual stays imagined for each lane. */
@@ -701,12 +732,12 @@
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
         /** How long hand-offs stayed in the last seconds: by Little's law, how many were out. */
-        private final List<Ring> stays = new ArrayList<>();
         private final Ring stay = new Ring(STAY_SPAN, 8);
         /** What hand-offs have been out in the last seconds, added up at each look, and how many were sent. */
         private final Ring heldTime = new Ring(STAY_SPAN, 8);
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
+        private long stoodAt = -1;
         private final Averages laneStays = new Averages(USUAL_SPAN);
         private final Averages times = new Averages(USUAL_SPAN);
         /** How long hand-offs stay at each kind of backend, and at all. */
@@ -714,6 +745,8 @@
         private final Averages allStays = new Averages(USUAL_SPAN);
         private final double rest;
         private final Comparator<Backend> own;
+        /** Hand-offs that are out, by tenant. */
+        private final Map<Integer, Integer> out = new HashMap<>();
         private long latencySum;
         private long firstSent;
         private long latencyCount;
@@ -737,7 +770,13 @@
             // The larger a backend, the more balancers have it first.
             this.own = rest <= 0 ? Comparator.comparing(b -> b.id)
                 : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - me, b.id)) / b.size());
-            tenants.forEach(t -> stays.add(new Ring(STAY_SPAN, 8)));
+        }
+
+        /** What is out has not been silent while nobody listened; for long stays look no further back. */
+        void stood(long now) {
+            stoodAt = now;
+            keptAt = now;
+            known.values().forEach(b -> b.quietSince = now);
         }
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
@@ -866,19 +905,12 @@
             return tenant < lanes.size() ? lanes.get(tenant) : open;
         }
 
-        /** Whether the lane counts as unusable for this work item: by chance, so that what stays keeps its
-         * backends at the given multiple of what all hold. One balancer of many sees next to nothing in
-         * flight: that a lane chokes shows only in how long work stays there. */
+        /** Whether the lane counts as unusable for this work item: by chance, so that work stays there no more
+         * than the given multiple of what is usual. One balancer of many sees next to nothing in flight: that a
+         * lane chokes shows only in how long work stays there. */
         boolean crowded(int tenant, double far, long now) {
-            double own = tenant < stays.size() ? stays.get(tenant).sum(now) : 0;
-            own /= Math.max(1, lane(tenant).size());
-            double all = stay.sum(now) / (double) ready.size();
-            if (!alike) {
-                // Each carries another part of the tenants: how long work stays compares, how much is held not.
-                return random.nextDouble() * laneStay(tenant, now) > laneStays.mean(now, 0, 0, 0);
-            }
-            return FEW * balancers > ready.size() && own * balancers > FREE * STAY_SPAN
-                && random.nextDouble() * own > far * all;
+            return FEW * balancers > ready.size()
+                && random.nextDouble() * laneStay(tenant, now) > far * laneStays.mean(now, 0, 0, 0);
         }
 
         /** How long work stays at the backends of a lane, whoever sends it there. */
@@ -889,7 +921,7 @@
         /** Where a crowded lane spills to: what is no more crowded than usual. */
         List<Backend> calm(long now) {
             double usual = laneStays.mean(now, 0, 0, 0);
-            return alike ? ready : ready.stream().filter(b -> laneStay(b.lane, now) <= usual).toList();
+            return ready.stream().filter(b -> laneStay(b.lane, now) <= usual).toList();
         }
 
         /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
@@ -905,9 +937,8 @@
 
         /** How many backends of a lane this balancer uses: where connections are dear, no more than a few for
          * each work item that its tenant has in flight. */
-        int width(int tenant, long now) {
-            return rest <= 0 || tenant >= stays.size() ? Integer.MAX_VALUE
-                : 1 + (int) (WIDE * stays.get(tenant).sum(now) / STAY_SPAN);
+        int width(int tenant) {
+            return rest <= 0 ? Integer.MAX_VALUE : 1 + WIDE * out.getOrDefault(tenant, 0);
         }
 
         /** The first of the given backends that this work item may go to now, in this balancer's order. */
@@ -1049,6 +1080,7 @@
                 latencySum = AT_START * wi.category.dueTime() / 2;
             }
             b.connected = true;
+            out.merge(wi.tenant, 1, Integer::sum);
             b.out++;
             b.held.put(wi.id, wi);
             b.sent.add(now, 1);
@@ -1069,7 +1101,7 @@
             }
             switch (outcome) {
                 case FINISHED -> {
-                    if (slow(wi, now - ho.sentAt, now)) {
+                    if (now != stoodAt && slow(wi, now - ho.sentAt, now)) {
                         // A backend that has slowed down still answers, and would draw work for as long as it
                         // does: an answer far later than usual counts against it.
                         b.failures.add(now, 1);
@@ -1097,7 +1129,7 @@
                 default -> { }
             }
             stay.add(now, now - ho.sentAt);
-            if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
+            if (now != stoodAt && (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT)) {
                 laneStays.add(now, 0, now - ho.sentAt);
                 laneStays.add(now, 1 + b.lane, now - ho.sentAt);
             }
@@ -1105,9 +1137,7 @@
                 kindStays.add(now, b.member.kind(), now - ho.sentAt);
                 allStays.add(now, 0, now - ho.sentAt);
             }
-            if (wi.tenant < stays.size()) {
-                stays.get(wi.tenant).add(now, now - ho.sentAt);
-            }
+            out.merge(wi.tenant, -1, Integer::sum);
             b.out--;
             b.restsSince = now;
             b.held.remove(wi.id);
