--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -374,8 +374,8 @@
             /** Answers imagined at the start. */
             private static final int FEW = 4;
             /** The part let in at the start, and how much it grows in a tenth of a millisecond at most. */
-            private static final double START = 0.5;
-            private static final double UP = 5e-6;
+            private static final double START = 0.6;
+            private static final double UP = 7e-6;
             /** Above its cores: 1.2 roots; a backend chokes at 4 to 7 of them in the mean of two seconds. */
             private static final double ROOTS = 1.2;
             private final Tokens tokens = new Tokens(DEPTH);
@@ -415,7 +415,9 @@
                 // A client that tries again at once brings the same hint. Drawn from it, the answer is the same:
                 // with a new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
                 SplittableRandom draw = wi.hint > 0 ? new SplittableRandom(wi.hint) : random;
-                return quota > 0 ? draw.nextDouble() < part
+                // What can't end by its due time any more is worth its late credit at most, or nothing.
+                double worth = now + time / 2 < wi.due ? 1 : wi.due < wi.expiry ? wi.category.lateCredit() : 0;
+                return quota > 0 ? draw.nextDouble() < part * worth
                     : tokens.take(now, rate / balancers, DEPTH, wi.overQuota ? OVER : 1);
             }
 
