--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -156,7 +156,7 @@
 
         /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
-                      int balancers, boolean alike, long longestComeBack) {
+                      Shape shape, long longestComeBack) {
             this.outlet = outlet;
             this.categories = categories;
             this.first = first;
@@ -165,7 +165,7 @@
             this.quotas = new double[tenants.size()];
             this.tokens = new Tokens[tenants.size()];
             for (int t = 0; t < quotas.length; t++) {
-                quotas[t] = tenants.get(t).quota() / Math.max(1, alike ? balancers : 1) / 10_000;
+                quotas[t] = tenants.get(t).quota() / (shape.alike() ? shape.balancers() : 1) / 10_000;
                 tokens[t] = new Tokens(Math.max(DEPTH, quotas[t] * 5_000) / 4);
             }
         }
@@ -264,16 +264,15 @@
         private long firstAt = -1;
 
         /** Bounded: whether this balancer may turn work away, not where others have worked on it. */
-        public Line(Fleet fleet, SplittableRandom random, List<Tenant> tenants, int balancers, boolean alike,
-                    boolean bounded) {
+        public Line(Fleet fleet, SplittableRandom random, List<Tenant> tenants, Shape shape, boolean bounded) {
             this.fleet = fleet;
             this.random = random;
-            this.balancers = Math.max(1, balancers);
+            this.balancers = shape.balancers();
             this.bounded = bounded;
             this.quotas = tenants.stream().mapToDouble(Tenant::quota).sum() / 10_000;
             lanes = new Entry[Math.max(1, tenants.size())];
             for (int t = 0; t < lanes.length; t++) {
-                lanes[t] = new Entry(alike || t >= tenants.size() ? 0 : tenants.get(t).quota() / 10_000);
+                lanes[t] = new Entry(shape.alike() || t >= tenants.size() ? 0 : tenants.get(t).quota() / 10_000);
                 waiting.add(new ArrayDeque<>());
             }
         }
@@ -635,7 +634,7 @@
                 return false;
             }
             boolean ran = wi.mayHaveRun() != null;
-            if (!ran && !(last == Outcome.TURNED_AWAY && fleet.balancers > 2 * fleet.ready.size())) {
+            if (!ran && !(last == Outcome.TURNED_AWAY && fleet.shape.balancers() > 2 * fleet.ready.size())) {
                 return true;
             }
             if (ran && wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
@@ -692,7 +691,7 @@
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
-        /** Four seconds: a few answers of each tenant even at many balancers, yet soon enough for a lane. */
+        /** Four seconds: a few answers of each tenant even at many shape.balancers(), yet soon enough for a lane. */
         private static final long STAY_SPAN = 40_000;
         /** With a part of two backends or more, what a balancer has in flight tells it enough. */
         private static final double FEW = 2;
@@ -716,36 +715,24 @@
         private final Outlet outlet;
         private final SplittableRandom random;
         private final List<Tenant> tenants;
-        private final int balancers;
-        private final boolean mayTell;
-        private final boolean mustAsk;
-        private final long askWithin;
-        private final double coldShare;
-        private final long coldTime;
-        private final double fallMultiple;
+        private final Shape shape;
+        private final Cold cold;
         final Map<String, Backend> known = new TreeMap<>();
         private final List<List<Backend>> lanes = new ArrayList<>();
         private final List<Backend> open = new ArrayList<>();
         private final List<Backend> ready = new ArrayList<>();
-        private final long fall;
-        /** Whether the balancers carry alike, so that one can tell from itself what all hold. */
-        private final boolean alike;
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
-        /** How long hand-offs stayed in the last seconds: by Little's law, how many were out. */
-        private final Ring stay = new Ring(STAY_SPAN, 8);
         /** What hand-offs have been out in the last seconds, added up at each look, and how many were sent. */
         private final Ring heldTime = new Ring(STAY_SPAN, 8);
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
         private long stoodAt = -1;
-        private final Averages laneStays = new Averages(USUAL_SPAN);
         private final Averages times = new Averages(USUAL_SPAN);
-        /** How long hand-offs stay at each kind of backend, and at all. */
-        private final Averages kindStays = new Averages(USUAL_SPAN);
-        private final Averages allStays = new Averages(USUAL_SPAN);
-        private final double rest;
+        /** How long hand-offs stay: at 0 anywhere, at odd numbers by lane, at even ones by kind of backend. */
+        private final Averages stays = new Averages(USUAL_SPAN);
+        /** The order in which this balancer takes backends where it uses only some of a lane. */
         private final Comparator<Backend> own;
         /** Hand-offs that are out, by tenant. */
         private final Map<Integer, Integer> out = new HashMap<>();
@@ -753,25 +740,15 @@
         private long firstSent;
         private long latencyCount;
 
-        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, int balancers,
-                     boolean mayTell, boolean mustAsk, long askWithin, double coldShare, long coldTime,
-                     double fallMultiple, long fall, boolean alike, int me, double rest) {
+        public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, Shape shape, Cold cold) {
             this.outlet = outlet;
             this.random = random;
             this.tenants = tenants;
-            this.balancers = Math.max(1, balancers);
-            this.mayTell = mayTell;
-            this.mustAsk = mustAsk;
-            this.askWithin = askWithin;
-            this.coldShare = coldShare;
-            this.coldTime = coldTime;
-            this.fallMultiple = fallMultiple;
-            this.fall = fall;
-            this.alike = alike;
-            this.rest = rest;
-            // The larger a backend, the more balancers have it first.
-            this.own = rest <= 0 ? Comparator.comparing(b -> b.id)
-                : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - me, b.id)) / b.size());
+            this.shape = shape;
+            this.cold = cold;
+            // The larger a backend, the more shape.balancers() have it first.
+            this.own = shape.rest() <= 0 ? Comparator.comparing(b -> b.id)
+                : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - shape.me(), b.id)) / b.size());
         }
 
         /** What is out has not been silent while nobody listened; for long stays look no further back. */
@@ -789,7 +766,7 @@
             for (Member m : members) {
                 Backend b = known.get(m.id());
                 if (b == null) {
-                    b = new Backend(m, fall);
+                    b = new Backend(m, cold.fall());
                     known.put(m.id(), b);
                 } else if (m.startedAt() > b.member.startedAt()) {
                     // A new process: what the old one did says nothing about it.
@@ -805,7 +782,7 @@
                 }
             }
             layLanes();
-            if (mustAsk) {
+            if (shape.mustAsk()) {
                 failedAsks = 0;
                 askAt = Long.MAX_VALUE;
                 if (cached) {
@@ -816,9 +793,9 @@
 
         void listFailed(long now) {
             failedAsks++;
-            // Twice as long after each failure, spread at random: all balancers ask after the same trouble,
+            // Twice as long after each failure, spread at random: all shape.balancers() ask after the same trouble,
             // and calls that wait in turn behind each other fail again. A quarter of what is allowed at most.
-            long wait = Math.min(askWithin / 4, 1_000L << Math.min(8, failedAsks));
+            long wait = Math.min(shape.askWithin() / 4, 1_000L << Math.min(8, failedAsks));
             askAt = now + wait / 2 + random.nextLong(Math.max(1, wait / 2));
         }
 
@@ -835,17 +812,17 @@
                     long age = now - wi.handOffs.get(wi.handOffs.size() - 1).sentAt;
                     heldTime.add(now, age < LONG * wi.category.dueTime() ? Math.min(age, now - keptAt) : 0);
                 }
-                if (rest > 0 && b.connected && b.out == 0 && now - b.restsSince > rest * ready.size()) {
+                if (shape.rest() > 0 && b.connected && b.out == 0 && now - b.restsSince > shape.rest() * ready.size()) {
                     b.connected = false;
                     outlet.release(b.id);
                 }
             }
             for (Backend b : ready) {
-                double all = allStays.mean(now, 0, 1, 1);
-                double pace = all / kindStays.mean(now, b.member.kind(), IMAGINED_STAYS, all);
-                // Squared, as much of a stay is often the tiers behind, which are alike for all.
+                double all = stays.mean(now, 0, 1, 1);
+                double pace = all / stays.mean(now, 2 + 2 * b.member.kind(), IMAGINED_STAYS, all);
+                // Squared, as much of a stay is often the tiers behind, which are shape.alike() for all.
                 b.pace = Math.max(1 / PACE, Math.min(PACE, pace * pace));
-                if (b.member.warmth(now, coldShare, coldTime) >= 1) {
+                if (cold.warmth(b.member, now) >= 1) {
                     size += b.size();
                     sent += b.sent.sum(now);
                 }
@@ -911,28 +888,28 @@
          * than the given multiple of what is usual. One balancer of many sees next to nothing in flight: that a
          * lane chokes shows only in how long work stays there. */
         boolean crowded(int tenant, double far, long now) {
-            return FEW * balancers > ready.size()
-                && random.nextDouble() * laneStay(tenant, now) > far * laneStays.mean(now, 0, 0, 0);
+            return FEW * shape.balancers() > ready.size()
+                && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
         }
 
         /** How long work stays at the backends of a lane, whoever sends it there. */
         private double laneStay(int lane, long now) {
-            return laneStays.mean(now, 1 + lane, FEW_STAYS, laneStays.mean(now, 0, 0, 0));
+            return stays.mean(now, 1 + 2 * lane, FEW_STAYS, stays.mean(now, 0, 0, 0));
         }
 
         /** Where a crowded lane spills to: what is no more crowded than usual. */
         List<Backend> calm(long now) {
-            double usual = laneStays.mean(now, 0, 0, 0);
+            double usual = stays.mean(now, 0, 0, 0);
             return ready.stream().filter(b -> laneStay(b.lane, now) <= usual).toList();
         }
 
         /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
         double able(int tenant, double most, long now) {
-            double held = stay.sum(now) * (double) balancers / STAY_SPAN;
+            double held = heldTime.sum(now) * (double) shape.balancers() / STAY_SPAN;
             // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
-            double able = !alike || now - firstSent < STAY_SPAN ? 0 : Math.max(0, LEND * ready.size() - held / most);
+            double able = !shape.alike() || now - firstSent < STAY_SPAN ? 0 : Math.max(0, LEND * ready.size() - held / most);
             for (Backend b : lane(tenant)) {
-                able += b.streak >= 3 ? 0 : b.member.warmth(now, coldShare, coldTime);
+                able += b.streak >= 3 ? 0 : cold.warmth(b.member, now);
             }
             return Math.max(1, able);
         }
@@ -940,7 +917,7 @@
         /** How many backends of a lane this balancer uses: where connections are dear, no more than a few for
          * each work item that its tenant has in flight. */
         int width(int tenant) {
-            return rest <= 0 ? Integer.MAX_VALUE : 1 + WIDE * out.getOrDefault(tenant, 0);
+            return shape.rest() <= 0 ? Integer.MAX_VALUE : 1 + WIDE * out.getOrDefault(tenant, 0);
         }
 
         /** The first of the given backends that this work item may go to now, in this balancer's order. */
@@ -971,12 +948,12 @@
 
         /** The listed size, less while cold, and by how quickly its kind answers. */
         double size(Backend b, long now) {
-            return Math.max(1e-3, b.size() * b.member.warmth(now, coldShare, coldTime) * b.pace);
+            return Math.max(1e-3, b.size() * cold.warmth(b.member, now) * b.pace);
         }
 
         /** Keeps a cold backend within this balancer's part of what may be sent to it in any window. */
         private boolean warmEnough(Backend b, long now) {
-            double warmth = b.member.warmth(now, coldShare, coldTime);
+            double warmth = cold.warmth(b.member, now);
             if (warmth >= 1) {
                 return true;
             }
@@ -985,11 +962,11 @@
                 b.spacedFrom = now;
                 b.spacing = random.nextDouble();
             }
-            // Half the multiple: what warm backends are sent is at times more than they can do. All balancers
+            // Half the multiple: what warm backends are sent is at times more than they can do. All shape.balancers()
             // together may send it one until it is known what warm ones get. Spaced in time, for one from
-            // each of hundreds of balancers in the first moment pushed a cold backend over.
-            double part = fallMultiple / 2 * warmth * sentPerSize * b.size();
-            return (now - b.spacedFrom) * Math.max(part, 1.0 / balancers) >= fall * b.spacing;
+            // each of hundreds of shape.balancers() in the first moment pushed a cold backend over.
+            double part = cold.multiple() / 2 * warmth * sentPerSize * b.size();
+            return (now - b.spacedFrom) * Math.max(part, 1.0 / shape.balancers()) >= cold.fall() * b.spacing;
         }
 
         /** Where each one is in doubt, those that hold nothing: a sole sound backend that had failed once was
@@ -1044,12 +1021,12 @@
             return (now - b.quietSince) * b.out * (1 + Math.min(4, b.streak)) / Math.max(1, gap);
         }
 
-        /** Tells the others what was found lost; of many balancers, the false finds add up and shun all. */
+        /** Tells the others what was found lost; of many shape.balancers(), the false finds add up and shun all. */
         void tell() {
             StringBuilder lost = new StringBuilder();
             for (Backend b : known.values()) {
                 boolean fits = lost.length() + b.id.length() < LONGEST;
-                if (b.lost && mayTell && balancers <= ready.size() && fits) {
+                if (b.lost && shape.mayTell() && shape.balancers() <= ready.size() && fits) {
                     lost.append(lost.length() == 0 ? "" : " ").append(b.id);
                 }
                 b.lost = false;
@@ -1075,7 +1052,7 @@
                 b.quietSince = now;
             }
             if (latencyCount == 0) {
-                // With a short guess in its place all backends looked lost in the first second, the balancers
+                // With a short guess in its place all backends looked lost in the first second, the shape.balancers()
                 // told each other so, and all their work went to the few that nobody had named yet.
                 firstSent = now;
                 latencyCount = AT_START;
@@ -1130,14 +1107,10 @@
                 }
                 default -> { }
             }
-            stay.add(now, now - ho.sentAt);
             if (now != stoodAt && (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT)) {
-                laneStays.add(now, 0, now - ho.sentAt);
-                laneStays.add(now, 1 + b.lane, now - ho.sentAt);
-            }
-            if (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT) {
-                kindStays.add(now, b.member.kind(), now - ho.sentAt);
-                allStays.add(now, 0, now - ho.sentAt);
+                stays.add(now, 0, now - ho.sentAt);
+                stays.add(now, 1 + 2 * b.lane, now - ho.sentAt);
+                stays.add(now, 2 + 2 * b.member.kind(), now - ho.sentAt);
             }
             out.merge(wi.tenant, -1, Integer::sum);
             b.out--;
--- /dev/null
+++ b/src/main/java/cottonlock/decision/Shape.java
@@ -0,0 +1,21 @@
+package cottonlock.decision;
+
+/**
+ * How a deployment is laid out, as far as its settings tell. Times are in tenths of a millisecond.
+ *
+ * @param balancers how many there are, 1 at least
+ * @param me        the number of this one among them
+ * @param alike     whether each carries about the same; not where each client has one of its own
+ * @param rest      for each backend, how long a connection rests until it has cost as much as a new one; 0
+ *                  where keeping one costs nothing
+ * @param mayTell   whether balancers may send each other messages
+ * @param mustAsk   whether changes of the list come only to those that ask for them
+ * @param askWithin how long a balancer may go without asking
+ */
+public record Shape(int balancers, int me, boolean alike, double rest, boolean mayTell, boolean mustAsk,
+                    long askWithin) {
+    /** Takes one balancer for the least there can be. */
+    public Shape {
+        balancers = Math.max(1, balancers);
+    }
+}
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -2,7 +2,9 @@
 
 import cottonlock.decision.Balancer;
 import cottonlock.decision.Category;
+import cottonlock.decision.Cold;
 import cottonlock.decision.Outlet;
+import cottonlock.decision.Shape;
 import cottonlock.decision.Tenant;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,26 +27,27 @@
         return settings.choice("MembershipMode", "automatic", "subscribe") == 1;
     }
 
-    /** Whether the balancers carry alike: not where each client has one of its own. */
-    private boolean alike() {
-        return !settings.text("Workload", "chain").equals("mesh");
+    /** How the deployment is laid out. */
+    private Shape shape() {
+        Settings s = settings;
+        return new Shape(s.count("FleetSize", 1), s.count("Me", 0),
+            !s.text("Workload", "chain").equals("mesh"), restOfConnections(),
+            s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"));
     }
 
     /** A module that answers through the given outlet. */
     public Balancer balancer(Outlet outlet, long seed) {
         Settings s = settings;
         SplittableRandom random = new SplittableRandom(seed);
-        int balancers = s.count("FleetSize", 1);
         boolean first = s.count("Stage", 0) == 0;
         long longestComeBack = s.flag("Limits.RetryAfter", false) ? s.timeDown("Limits.MaxRetryAfter") : 0;
-        Balancer.Fleet fleet = new Balancer.Fleet(outlet, random.split(), tenants, balancers,
-            s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"),
-            s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
-            s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"),
-            alike(), s.count("Me", 0), restOfConnections());
-        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, alike(), first);
+        Shape shape = shape();
+        Cold cold = new Cold(s.number("Obligations.ColdShare", 1), s.timeUp("Obligations.Cold"),
+            s.number("Obligations.FallMultiple", 1), s.timeUp("Obligations.Fall"));
+        Balancer.Fleet fleet = new Balancer.Fleet(outlet, random.split(), tenants, shape, cold);
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, shape, first);
         return new Balancer(outlet,
-            new Balancer.Intake(outlet, categories, tenants, first, balancers, alike(), longestComeBack),
+            new Balancer.Intake(outlet, categories, tenants, first, shape, longestComeBack),
             line,
             new Balancer.Lane(line, fleet),
             new Balancer.Pick(fleet, random.split()),
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -80,11 +80,12 @@
            boolean mayRecall, int balancers) {
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
-        fleet = new Balancer.Fleet(this, random.split(), tenants, balancers, true, mustAsk, 100_000,
-            COLD_SHARE, COLD, FALL_MULTIPLE, FALL, true, 0, 0);
-        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, balancers, true, first);
+        Shape shape = new Shape(balancers, 0, true, 0, true, mustAsk, 100_000);
+        Cold cold = new Cold(COLD_SHARE, COLD, FALL_MULTIPLE, FALL);
+        fleet = new Balancer.Fleet(this, random.split(), tenants, shape, cold);
+        Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, shape, first);
         balancer = new Balancer(this,
-            new Balancer.Intake(this, categories, tenants, first, balancers, true, 10_000), line,
+            new Balancer.Intake(this, categories, tenants, first, shape, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
             new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
         balancer.start(now);
