A watch mode counts what other settings would decide; the module without its waiting line

Operators want to see before they switch: [watch] in the operator's file has a second module told all that the first is told, and counts by kind where it would have decided otherwise; nothing of it is sent. Workload, Fees, FleetSize and Me are checked.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -6,6 +6,7 @@
 import cottonlock.setup.Malformed;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import sun.misc.Signal;
 
 /** Starts cottonlock; see README.md. */
@@ -19,7 +20,7 @@
         String command = args.length == 1 ? args[0] : "";
         // The command line's library must cost the platform's starts nothing: it is not loaded on this way.
         if (command.equals("serve") && System.getenv("COTTONLOCK_OPERATOR") == null) {
-            System.exit(serve());
+            System.exit(serve(Map.of()));
         }
         System.exit(command.equals("wirehost") ? wireHost() : Cli.run(args, Main::serve, Main::wireHost));
     }
@@ -33,14 +34,14 @@
         }
     }
 
-    private static int serve() {
+    private static int serve(Map<String, String> watched) {
         try {
             String configuration = System.getenv("EDGE_CONFIG");
             if (configuration == null) {
                 throw new Malformed("EDGE_CONFIG names no file");
             }
             System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
-            Proxy proxy = new Proxy(Path.of(configuration));
+            Proxy proxy = new Proxy(Path.of(configuration), watched);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     proxy.drain();
--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -8,8 +8,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.function.IntSupplier;
+import java.util.function.ToIntFunction;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -33,16 +35,19 @@
 
     @Spec
     private CommandSpec spec;
-    private final IntSupplier serve;
+    private final ToIntFunction<Map<String, String>> serve;
     private final IntSupplier wireHost;
 
-    private Cli(IntSupplier serve, IntSupplier wireHost) {
+    private Cli(ToIntFunction<Map<String, String>> serve, IntSupplier wireHost) {
         this.serve = serve;
         this.wireHost = wireHost;
     }
 
-    /** Runs the command that the arguments name, and returns the exit status. */
-    public static int run(String[] args, IntSupplier serve, IntSupplier wireHost) {
+    /**
+     * Runs the command that the arguments name, and returns the exit status. {@code serve} is given the settings
+     * of the module that is only watched, by path; none where the operator's file asks for no watch.
+     */
+    public static int run(String[] args, ToIntFunction<Map<String, String>> serve, IntSupplier wireHost) {
         return new CommandLine(new Cli(serve, wireHost)).setUsageHelpAutoWidth(true).execute(args);
     }
 
@@ -79,15 +84,17 @@
 
         @Override
         public Integer call() {
+            Map<String, String> watched = Map.of();
             try {
                 if (operator != null && !operator.toString().isEmpty()) {
                     OperatorFile file = OperatorFile.read(operator);
                     LogLines.install(file.logFormat(), file.logLevel());
+                    watched = file.watched();
                 }
             } catch (BadFile e) {
                 return tell(spec, e);
             }
-            return parent.serve.getAsInt();
+            return parent.serve.applyAsInt(watched);
         }
     }
 
--- a/src/main/java/cottonlock/config/PlatformFile.java
+++ b/src/main/java/cottonlock/config/PlatformFile.java
@@ -118,6 +118,13 @@
             obligations.number(time, 0, 0, DAY);
         }
         obligations.mayHoldMore();
+        settings.word("Workload", "chain", "chain", "mesh", "proxy");
+        settings.whole("FleetSize", 1, 1, 1 << 20);
+        settings.whole("Me", 0, 0, 1 << 20);
+        Fields fees = settings.table("Fees");
+        fees.number("Connection", 0, 0, 1e6);
+        fees.number("Handshake", 0, 0, 1e6);
+        fees.mayHoldMore();
         settings.mayHoldMore();
     }
 }
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -1,19 +1,19 @@
 package cottonlock.decision;
 
+import static java.util.stream.Collectors.joining;
+import static java.util.stream.Collectors.toSet;
+
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.WorkItem.HandOff;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
  * The decision module: everything that one balancer decides, and nothing else.
@@ -68,7 +68,7 @@
         }
     }
 
-    /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where it is not told. */
+    /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where not told. */
     public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated,
                        long hint) {
         doubtClock(now);
@@ -88,7 +88,6 @@
 
     /** The client of a work item has left, so nothing more is owed. */
     public void left(long now, long id) {
-        line.left(id);
         handOffs.left(now, id);
     }
 
@@ -149,7 +148,7 @@
         /** Each tenant's quota at this balancer, for each tenth of a millisecond, and what is left of it. */
         private final double[] quotas;
         private final Tokens[] tokens;
-        /** The longest patience seen of each category; when the balancer last stood still, and for how long. */
+        /** The longest patience seen of each category; when the balancer stood still, and for how long. */
         private final long[] longest;
         private long stoodAt = -1;
         private long stoodFor;
@@ -224,7 +223,7 @@
         }
     }
 
-    /** Lets no more in than can be answered in time; what is within its quota may wait a little. */
+    /** Lets no more in than can be answered in time. */
     public static final class Line extends Stage {
         /** Two seconds: long enough for a steady rate, short enough to follow a fleet that slows down. */
         private static final long SPAN = 20_000;
@@ -238,9 +237,6 @@
         private static final double OVER_CALM = 0.9;
         /** In the logarithm of the latency: a fifth longer than calm. */
         private static final double PRESSED = 0.2;
-        /** Part of the due time that a work item may wait. */
-        private static final double WAIT = 0.15;
-
         private final Fleet fleet;
         private final int balancers;
         private final boolean bounded;
@@ -251,20 +247,18 @@
         private final Ring latencyLog = new Ring(SPAN, 20);
         /** The lowest typical latency over the span that the last half minute has seen. */
         private final Lowest calm = new Lowest(300_000, 6);
-        /** What waits, by tenant; the tenants take turns. */
-        private final List<Deque<WorkItem>> waiting = new ArrayList<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
         private final Averages hints = new Averages(300_000);
         private final double quotas;
-        private int turn;
         private double ceiling = 1e6;
         private long lowerAgainAt;
         private int inside;
         private long firstAt = -1;
 
         /** Bounded: whether this balancer may turn work away, not where others have worked on it. */
-        public Line(Fleet fleet, SplittableRandom random, List<Tenant> tenants, Shape shape, boolean bounded) {
+        public Line(Fleet fleet, SplittableRandom random, List<Tenant> tenants, Shape shape,
+                    boolean bounded) {
             this.fleet = fleet;
             this.random = random;
             this.balancers = shape.balancers();
@@ -272,8 +266,8 @@
             this.quotas = tenants.stream().mapToDouble(Tenant::quota).sum() / 10_000;
             lanes = new Entry[Math.max(1, tenants.size())];
             for (int t = 0; t < lanes.length; t++) {
-                lanes[t] = new Entry(shape.alike() || t >= tenants.size() ? 0 : tenants.get(t).quota() / 10_000);
-                waiting.add(new ArrayDeque<>());
+                boolean apart = !shape.alike() && t < tenants.size();
+                lanes[t] = new Entry(apart ? tenants.get(t).quota() / 10_000 : 0);
             }
         }
 
@@ -285,15 +279,14 @@
             if (wi.hint > 0) {
                 hints.add(now, 0, wi.hint);
             }
-            Deque<WorkItem> own = waiting.get(wi.tenant);
-            if (!bounded || own.isEmpty() && fits(wi, now)) {
-                enter(wi, now);
-            } else if (wi.overQuota || sparse() || !worthWaiting(wi, own.size() + 1, now)) {
+            if (bounded && !fits(wi, now)) {
                 before.back(wi, now);
-            } else {
-                wi.inLineSince = now;
-                own.add(wi);
+                return;
             }
+            wi.inLane = true;
+            wi.enteredAt = now;
+            inside++;
+            after.take(wi, now);
         }
 
         private double perTime(Ring ring, long now) {
@@ -329,21 +322,6 @@
             return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
         }
 
-        private boolean worthWaiting(WorkItem wi, int place, long now) {
-            long lines = waiting.stream().filter(line -> !line.isEmpty()).count();
-            // One that ends before the line is next looked at would be lost there.
-            return now + 4 * TICK < wi.expiry
-                && place * Math.max(1, lines) <= perTime(finished, now) * WAIT * wi.category.dueTime();
-        }
-
-        private void enter(WorkItem wi, long now) {
-            wi.inLineSince = -1;
-            wi.inLane = true;
-            wi.enteredAt = now;
-            inside++;
-            after.take(wi, now);
-        }
-
         /** Whether this balancer's part of the backends is so small that it can't count what is inside. */
         private boolean sparse() {
             return SPARSE * balancers > fleet.ready.size();
@@ -378,7 +356,6 @@
             /** Above its cores: 1.2 roots; a backend chokes at 4 to 7 of them in the mean of two seconds. */
             private static final double ROOTS = 1.2;
             private final Tokens tokens = new Tokens(DEPTH);
-            private double hold = 1;
             private double time;
             private double part = START;
             private long at = -1;
@@ -399,23 +376,22 @@
                     // What the quotas ask of each backend, in cores: it may hold that and a few of its roots.
                     double cores = quotas / Math.max(1, fleet.ready.size()) * hints.mean(now, 0, 0, 0);
                     most = cores > 0 ? cores + ROOTS * Math.sqrt(cores) : MOST;
-                    // Of one tenant a small balancer sees an answer in some seconds: all its tenants' stand in.
+                    // Of one tenant a small balancer sees an answer in some seconds: those of all stand in.
                     usual = fleet.stayNow(FEW, Math.min(usual, most * backends / quota), now);
                 }
                 double kept = at < 0 ? 1 : Math.exp((at - now) / FADE);
                 time = at < 0 ? usual : Math.min(time, usual + (time - usual) * kept);
-                hold = 1 - (1 - hold) * kept;
                 long waited = at < 0 ? 0 : now - at;
                 at = now;
-                double rate = hold * most * backends / Math.max(1, time);
-                // Where each client has a balancer of its own, they carry very unlike amounts: what all of them
-                // may let in is parted by what comes, not by their number.
+                double rate = most * backends / Math.max(1, time);
+                // Balancers that carry very unlike amounts part what all may let in by what comes to each.
                 part = Math.min(part + waited * UP, rate / quota);
-                // A client that tries again at once brings the same hint. Drawn from it, the answer is the same:
-                // with a new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
+                // A client that tries again brings the same hint. Drawn from it, the answer is the same: with a
+                // new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
                 SplittableRandom draw = wi.hint > 0 ? new SplittableRandom(wi.hint) : random;
                 // What can't end by its due time any more is worth its late credit at most, or nothing.
-                double worth = now + time / 2 < wi.due ? 1 : wi.due < wi.expiry ? wi.category.lateCredit() : 0;
+                double late = wi.due < wi.expiry ? wi.category.lateCredit() : 0;
+                double worth = now + time / 2 < wi.due ? 1 : late;
                 return quota > 0 ? draw.nextDouble() < part * worth
                     : tokens.take(now, rate / balancers, DEPTH, wi.overQuota ? OVER : 1);
             }
@@ -425,7 +401,6 @@
                 // worse things go. Eight answers: fewer are chance, more tell too late.
                 double shown = outcome == Outcome.FINISHED ? took : Math.max(took, 2 * time);
                 time += (Math.min(shown, quota > 0 ? 4 * due : due) - time) / 8;
-                hold = outcome == Outcome.TURNED_AWAY ? Math.max(0.2, hold * 0.9) : hold;
             }
         }
 
@@ -452,40 +427,10 @@
                 }
             }
             before.back(wi, now);
-            advance(now);
         }
 
-        private void advance(long now) {
-            for (int empty = 0; empty < waiting.size(); turn++) {
-                Deque<WorkItem> line = waiting.get(turn % waiting.size());
-                if (!line.isEmpty() && !fits(line.peek(), now)) {
-                    return;
-                }
-                empty = line.isEmpty() ? empty + 1 : 0;
-                if (!line.isEmpty()) {
-                    enter(line.poll(), now);
-                }
-            }
-        }
-
-        /** Drops a work item whose client has left: sent on later, it would run for nobody. */
-        void left(long id) {
-            waiting.forEach(line -> line.removeIf(wi -> wi.id == id));
-        }
-
-        /** Ends early what has waited long enough. */
+        /** Takes note of the typical latency, for the calm one. */
         void tidy(long now) {
-            for (Deque<WorkItem> line : waiting) {
-                line.removeIf(wi -> {
-                    boolean over = now - wi.inLineSince > 2 * WAIT * wi.category.dueTime()
-                        || now + 2 * TICK >= wi.expiry;
-                    if (over) {
-                        before.back(wi, now);
-                    }
-                    return over;
-                });
-            }
-            advance(now);
             // Soon after a start, or after a standstill, only the quick ones have come back, and a mean over
             // few is chance. Either would set the calm latency, and with it the room, too low for long.
             if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
@@ -498,7 +443,7 @@
     public static final class Lane extends Stage {
         /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
         private static final double FAR = 1.25;
-        /** How much longer than usual work may stay in a lane: 1.25 let small lanes choke, 1 spilled at rest. */
+        /** How much longer than usual work may stay in a lane: at 1.25 small lanes choke, at 1 all spill. */
         private static final double CROWD = 1.1;
 
         private final Line line;
@@ -691,7 +636,7 @@
         private static final long USUAL_SPAN = 100_000;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
-        /** Four seconds: a few answers of each tenant even at many shape.balancers(), yet soon enough for a lane. */
+        /** Four seconds: a few answers of each tenant even at many balancers, yet soon enough for a lane. */
         private static final long STAY_SPAN = 40_000;
         /** With a part of two backends or more, what a balancer has in flight tells it enough. */
         private static final double FEW = 2;
@@ -701,7 +646,7 @@
         private static final int IMAGINED_STAYS = 10;
         /** A kind is never taken for more than so many times as quick or slow as its size says. */
         private static final double PACE = 5;
-        /** Backends that a balancer uses for each work item of a tenant in flight, where connections are dear. */
+        /** More backends used for each work item of a tenant that is out, where connections are dear. */
         private static final int WIDE = 1;
         /** Part of the due time up to which a hand-off that is out counts as held. */
         private static final double LONG = 0.6;
@@ -724,13 +669,13 @@
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
-        /** What hand-offs have been out in the last seconds, added up at each look, and how many were sent. */
+        /** How long hand-offs have been out in the last seconds, added up at each look; how many were sent. */
         private final Ring heldTime = new Ring(STAY_SPAN, 8);
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
         private long stoodAt = -1;
         private final Averages times = new Averages(USUAL_SPAN);
-        /** How long hand-offs stay: at 0 anywhere, at odd numbers by lane, at even ones by kind of backend. */
+        /** How long hand-offs stay: at 0 anywhere, at odd numbers by lane, at even ones by kind. */
         private final Averages stays = new Averages(USUAL_SPAN);
         /** The order in which this balancer takes backends where it uses only some of a lane. */
         private final Comparator<Backend> own;
@@ -746,7 +691,7 @@
             this.tenants = tenants;
             this.shape = shape;
             this.cold = cold;
-            // The larger a backend, the more shape.balancers() have it first.
+            // The larger a backend, the more balancers have it first.
             this.own = shape.rest() <= 0 ? Comparator.comparing(b -> b.id)
                 : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - shape.me(), b.id)) / b.size());
         }
@@ -760,7 +705,7 @@
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
             if (whole) {
-                Set<String> listed = members.stream().map(Member::id).collect(Collectors.toSet());
+                Set<String> listed = members.stream().map(Member::id).collect(toSet());
                 known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> b.leave(now));
             }
             for (Member m : members) {
@@ -793,7 +738,7 @@
 
         void listFailed(long now) {
             failedAsks++;
-            // Twice as long after each failure, spread at random: all shape.balancers() ask after the same trouble,
+            // Twice as long after each failure, spread at random: all balancers ask after the same trouble,
             // and calls that wait in turn behind each other fail again. A quarter of what is allowed at most.
             long wait = Math.min(shape.askWithin() / 4, 1_000L << Math.min(8, failedAsks));
             askAt = now + wait / 2 + random.nextLong(Math.max(1, wait / 2));
@@ -812,7 +757,8 @@
                     long age = now - wi.handOffs.get(wi.handOffs.size() - 1).sentAt;
                     heldTime.add(now, age < LONG * wi.category.dueTime() ? Math.min(age, now - keptAt) : 0);
                 }
-                if (shape.rest() > 0 && b.connected && b.out == 0 && now - b.restsSince > shape.rest() * ready.size()) {
+                boolean spent = now - b.restsSince > shape.rest() * ready.size();
+                if (spent && shape.rest() > 0 && b.connected && b.out == 0) {
                     b.connected = false;
                     outlet.release(b.id);
                 }
@@ -820,7 +766,7 @@
             for (Backend b : ready) {
                 double all = stays.mean(now, 0, 1, 1);
                 double pace = all / stays.mean(now, 2 + 2 * b.member.kind(), IMAGINED_STAYS, all);
-                // Squared, as much of a stay is often the tiers behind, which are shape.alike() for all.
+                // Squared, as much of a stay is often the tiers behind, which are alike for all.
                 b.pace = Math.max(1 / PACE, Math.min(PACE, pace * pace));
                 if (cold.warmth(b.member, now) >= 1) {
                     size += b.size();
@@ -859,15 +805,11 @@
         /** Each tenant's share of the ready backends, rounded, but one backend as long as there are any. */
         static int[] laneSizes(List<Tenant> tenants, int backends) {
             int[] sizes = new int[tenants.size()];
-            int left = backends;
-            for (int t = 0; t < sizes.length && left > 0; t++, left--) {
-                sizes[t] = 1;
-            }
-            for (int neediest = 0; left > 0 && neediest >= 0; left--) {
+            for (int left = backends, neediest = 0; left > 0 && neediest >= 0; left--) {
                 neediest = -1;
                 double most = 1e-9;
                 for (int t = 0; t < sizes.length; t++) {
-                    double lack = tenants.get(t).share() * backends - sizes[t];
+                    double lack = sizes[t] == 0 ? Integer.MAX_VALUE - t : tenants.get(t).share() * backends - sizes[t];
                     if (lack > most) {
                         most = lack;
                         neediest = t;
@@ -885,8 +827,7 @@
         }
 
         /** Whether the lane counts as unusable for this work item: by chance, so that work stays there no more
-         * than the given multiple of what is usual. One balancer of many sees next to nothing in flight: that a
-         * lane chokes shows only in how long work stays there. */
+         * than the given multiple of what is usual. One balancer of many sees next to nothing in flight. */
         boolean crowded(int tenant, double far, long now) {
             return FEW * shape.balancers() > ready.size()
                 && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
@@ -907,7 +848,8 @@
         double able(int tenant, double most, long now) {
             double held = heldTime.sum(now) * (double) shape.balancers() / STAY_SPAN;
             // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
-            double able = !shape.alike() || now - firstSent < STAY_SPAN ? 0 : Math.max(0, LEND * ready.size() - held / most);
+            boolean lends = shape.alike() && now - firstSent >= STAY_SPAN;
+            double able = lends ? Math.max(0, LEND * ready.size() - held / most) : 0;
             for (Backend b : lane(tenant)) {
                 able += b.streak >= 3 ? 0 : cold.warmth(b.member, now);
             }
@@ -962,9 +904,9 @@
                 b.spacedFrom = now;
                 b.spacing = random.nextDouble();
             }
-            // Half the multiple: what warm backends are sent is at times more than they can do. All shape.balancers()
+            // Half the multiple: what warm backends are sent is at times more than they can do. All balancers
             // together may send it one until it is known what warm ones get. Spaced in time, for one from
-            // each of hundreds of shape.balancers() in the first moment pushed a cold backend over.
+            // each of hundreds of balancers in the first moment pushed a cold backend over.
             double part = cold.multiple() / 2 * warmth * sentPerSize * b.size();
             return (now - b.spacedFrom) * Math.max(part, 1.0 / shape.balancers()) >= cold.fall() * b.spacing;
         }
@@ -1021,18 +963,13 @@
             return (now - b.quietSince) * b.out * (1 + Math.min(4, b.streak)) / Math.max(1, gap);
         }
 
-        /** Tells the others what was found lost; of many shape.balancers(), the false finds add up and shun all. */
+        /** Tells the others what was found lost; of many balancers, the false finds add up and shun all. */
         void tell() {
-            StringBuilder lost = new StringBuilder();
-            for (Backend b : known.values()) {
-                boolean fits = lost.length() + b.id.length() < LONGEST;
-                if (b.lost && shape.mayTell() && shape.balancers() <= ready.size() && fits) {
-                    lost.append(lost.length() == 0 ? "" : " ").append(b.id);
-                }
-                b.lost = false;
-            }
-            if (lost.length() > 0) {
-                outlet.tellPeers(lost.toString().getBytes(StandardCharsets.UTF_8));
+            String lost = known.values().stream().filter(b -> b.lost).map(b -> b.id + " ").collect(joining());
+            known.values().forEach(b -> b.lost = false);
+            if (shape.mayTell() && shape.balancers() <= ready.size() && !lost.isEmpty()) {
+                String fits = lost.substring(0, lost.lastIndexOf(' ', LONGEST));
+                outlet.tellPeers(fits.getBytes(StandardCharsets.UTF_8));
             }
         }
 
@@ -1052,7 +989,7 @@
                 b.quietSince = now;
             }
             if (latencyCount == 0) {
-                // With a short guess in its place all backends looked lost in the first second, the shape.balancers()
+                // With a short guess in its place all backends looked lost in the first second, the balancers
                 // told each other so, and all their work went to the few that nobody had named yet.
                 firstSent = now;
                 latencyCount = AT_START;
@@ -1070,13 +1007,10 @@
 
         void settled(HandOff ho, WorkItem wi, Outcome outcome, long now) {
             Backend b = ho.backend;
-            switch (outcome) {
-                case FINISHED, ERROR, TURNED_AWAY -> {
-                    b.gapCount.add(now, 1);
-                    b.gapSum.add(now, (now - b.quietSince) * b.out);
-                    b.quietSince = now;
-                }
-                default -> { }
+            if (outcome == Outcome.FINISHED || outcome == Outcome.ERROR || outcome == Outcome.TURNED_AWAY) {
+                b.gapCount.add(now, 1);
+                b.gapSum.add(now, (now - b.quietSince) * b.out);
+                b.quietSince = now;
             }
             switch (outcome) {
                 case FINISHED -> {
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -23,8 +23,6 @@
     long enteredAt;
     /** Whether it has had its final answer. */
     boolean ended;
-    /** When it entered the line, while it waits there. */
-    long inLineSince = -1;
     /** The backends that the lane stage leaves to the pick stage. */
     List<Backend> candidates = List.of();
 
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -38,6 +38,8 @@
     private Balancer balancer;
     private ListWatch watch;
     private Peers peers;
+    /** The module that is only watched, or null. */
+    private Shadow shadow;
     private long lastNumber;
     private long wakeAt;
 
@@ -56,10 +58,18 @@
         peers = others;
     }
 
+    /** Before the thread starts: a module that is told all and whose decisions are only counted. */
+    void watch(Shadow watched) {
+        shadow = watched;
+    }
+
     @Override
     public void run() {
         Thread writing = Sockets.start("clerk", clerk);
         mailbox.guard(() -> balancer.start(clock.now()));
+        if (shadow != null) {
+            shadow.start(clock.now());
+        }
         try {
             while (true) {
                 if (next.isEmpty()) {
@@ -99,6 +109,9 @@
             wakeAt = now + AGAIN;
             balancer.wake(now);
         }
+        if (shadow != null) {
+            shadow.due(now);
+        }
     }
 
     /** A client's request has been read whole. */
@@ -108,6 +121,9 @@
             items.put(wi.number, wi);
             expiries.add(wi);
             long now = clock.now();
+            if (shadow != null) {
+                shadow.arrive(wi, now);
+            }
             balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated, 0);
         });
     }
@@ -115,6 +131,9 @@
     /** The client of a work item has left. */
     void left(Item wi) {
         mailbox.put(() -> {
+            if (shadow != null) {
+                shadow.left(clock.now(), wi.number);
+            }
             balancer.left(clock.now(), wi.number);
             forget(wi);
         });
@@ -127,12 +146,19 @@
 
     private void ended(Item.HandOff ho, Outcome outcome) {
         ho.wi.out--;
+        if (shadow != null) {
+            shadow.settled(clock.now(), ho.wi.number, outcome, ho.wi.claimed());
+        }
         balancer.settled(clock.now(), ho.wi.number, ho.number, outcome, ho.wi.claimed());
         forget(ho.wi);
     }
 
     private void forget(Item wi) {
         if (wi.claimed() && wi.out == 0) {
+            if (shadow != null) {
+                shadow.decided(wi.number, null);
+                shadow.forget(clock.now(), wi.number);
+            }
             items.remove(wi.number);
         }
     }
@@ -157,6 +183,9 @@
                     actor.listensAt(entry.dial());
                 }
             }
+            if (shadow != null) {
+                shadow.list(clock.now(), members, news.whole(), cached);
+            }
             balancer.list(clock.now(), members, news.whole(), cached);
             absent.forEach((id, actor) -> {
                 backends.remove(id);
@@ -173,7 +202,12 @@
 
     /** Another balancer of the tier has told something. */
     void heard(byte[] message) {
-        mailbox.put(() -> balancer.heard(clock.now(), message));
+        mailbox.put(() -> {
+            if (shadow != null) {
+                shadow.heard(clock.now(), message);
+            }
+            balancer.heard(clock.now(), message);
+        });
     }
 
     @Override
@@ -182,6 +216,9 @@
         Item.HandOff ho = new Item.HandOff(wi, wi.handOffs.size(), this);
         wi.handOffs.add(ho);
         wi.out++;
+        if (shadow != null) {
+            shadow.decided(number, backend);
+        }
         BackendActor actor = backends.get(backend);
         if ((actor == null || !actor.handOff(ho)) && ho.abandon()) {
             next.add(() -> ended(ho, Outcome.NO_CONNECTION));
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 /** A load balancer on sockets: what an embedding program starts and closes. */
@@ -42,9 +43,16 @@
     private final Workers workers = new Workers();
     private final Buffers buffers;
     private final long longestExpiry;
+    /** The module that is only watched, or null. */
+    private Shadow shadow;
 
     /** Starts a proxy by its configuration file; it serves when this returns. */
     public Proxy(Path configuration) throws IOException {
+        this(configuration, Map.of());
+    }
+
+    /** The same; the decisions of a module with these settings in place of its own are counted beside it. */
+    public Proxy(Path configuration, Map<String, String> watched) throws IOException {
         this.configuration = configuration;
         Config config = Config.read(configuration);
         Settings settings = config.settings();
@@ -79,6 +87,13 @@
         peers = new Peers(config.addressIfAny("peer_listen"), config.addresses("peers"),
             config.addressIfAny("peers_all"), module, log);
         module.join(assembly.balancer(module, random.nextLong()), watch, peers);
+        if (!watched.isEmpty()) {
+            Settings others = config.settings();
+            watched.forEach(others::put);
+            shadow = new Shadow(log);
+            shadow.join(new Assembly(others).balancer(shadow, random.nextLong()));
+            module.watch(shadow);
+        }
         module.list(known, true);
         admission = new Admission(clock, assembly, settings);
         InetSocketAddress listen = config.address("listen");
@@ -138,6 +153,11 @@
         return listener.port();
     }
 
+    /** What the watched module would have decided otherwise, by kind; null where none is watched. */
+    Map<Shadow.Kind, Long> watched() {
+        return shadow == null ? null : shadow.counts();
+    }
+
     /** How many buffers of the pool are free. */
     int freeBuffers() {
         return buffers.left();
--- /dev/null
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -0,0 +1,191 @@
+package cottonlock.net;
+
+import cottonlock.decision.Balancer;
+import cottonlock.decision.Member;
+import cottonlock.decision.Outcome;
+import cottonlock.decision.Outlet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A second module with other settings that is told all that the first is told, and whose decisions are only
+ * counted: what operators watch before they change a deployment's settings.
+ *
+ * <p>The module's thread alone calls it. What became of the real hand-off stands for what would have become of
+ * its own, so it learns of the backends as they are under the real decisions. A fault in it ends the watch, never
+ * the service.
+ */
+final class Shadow implements Outlet {
+    /** Tenths of a millisecond between two lines in the log. */
+    private static final long TELL = 100_000;
+
+    /** How a first decision can differ, or not. */
+    enum Kind { ALIKE, WOULD_DEFER, WOULD_HAND_OFF, OTHER_BACKEND, WOULD_CLOSE }
+
+    /** What it decided about one work item. */
+    private static final class Deed {
+        String first;
+        int sent;
+        boolean out;
+        boolean over;
+        boolean compared;
+    }
+
+    private final Log log;
+    private final Map<Kind, Long> counts = new TreeMap<>();
+    private final Map<Long, Deed> deeds = new HashMap<>();
+    private Balancer balancer;
+    private long wakeAt = Long.MAX_VALUE;
+    private long tellAt;
+
+    Shadow(Log log) {
+        this.log = log;
+    }
+
+    /** Before the module's thread starts: the module that is watched. */
+    void join(Balancer module) {
+        balancer = module;
+    }
+
+    private void guard(Runnable call) {
+        try {
+            if (balancer != null) {
+                call.run();
+            }
+        } catch (RuntimeException e) {
+            // A fault among settings that are only tried out must not touch what is served.
+            balancer = null;
+            deeds.clear();
+            log.warn("watch", "ended by a fault: " + e);
+        }
+    }
+
+    void start(long now) {
+        tellAt = now + TELL;
+        guard(() -> balancer.start(now));
+    }
+
+    void due(long now) {
+        if (now >= wakeAt) {
+            wakeAt = Long.MAX_VALUE;
+            guard(() -> balancer.wake(now));
+        }
+        if (now >= tellAt) {
+            tellAt = now + TELL;
+            log.info("watch", "decisions so far " + counts());
+        }
+    }
+
+    void arrive(Item wi, long now) {
+        deeds.put(wi.number, new Deed());
+        guard(() -> balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated, 0));
+    }
+
+    void list(long now, List<Member> members, boolean whole, boolean cached) {
+        guard(() -> balancer.list(now, members, whole, cached));
+    }
+
+    void heard(long now, byte[] message) {
+        guard(() -> balancer.heard(now, message));
+    }
+
+    void left(long now, long number) {
+        guard(() -> balancer.left(now, number));
+    }
+
+    /** The real module has handed off (a backend) or answered (null): its first decision is compared. */
+    void decided(long number, String backend) {
+        Deed deed = deeds.get(number);
+        if (deed == null || deed.compared) {
+            return;
+        }
+        deed.compared = true;
+        boolean deferred = deed.first == null;
+        Kind kind = backend == null ? deferred ? Kind.ALIKE : Kind.WOULD_HAND_OFF
+            : deferred ? Kind.WOULD_DEFER : backend.equals(deed.first) ? Kind.ALIKE : Kind.OTHER_BACKEND;
+        counts.merge(kind, 1L, Long::sum);
+    }
+
+    /** A real hand-off has ended: so has the one that stands beside it. */
+    void settled(long now, long number, Outcome outcome, boolean over) {
+        Deed deed = deeds.get(number);
+        if (deed != null && deed.out) {
+            deed.out = false;
+            deed.over |= over;
+            guard(() -> balancer.settled(now, number, deed.sent - 1, outcome, over));
+        }
+    }
+
+    /** The real work item is over and nothing of it is out any more. */
+    void forget(long now, long number) {
+        // Where only the watched module would have handed off, nothing is known of how that would have ended.
+        settled(now, number, Outcome.NOT_SENT, true);
+        deeds.remove(number);
+    }
+
+    /** How many decisions differed, by kind. */
+    Map<Kind, Long> counts() {
+        Map<Kind, Long> all = new TreeMap<>();
+        for (Kind kind : Kind.values()) {
+            all.put(kind, counts.getOrDefault(kind, 0L));
+        }
+        return all;
+    }
+
+    @Override
+    public void handOff(long number, String backend, long timeOut) {
+        Deed deed = deeds.get(number);
+        if (deed != null) {
+            deed.first = deed.first == null ? backend : deed.first;
+            deed.sent++;
+            deed.out = true;
+        }
+    }
+
+    @Override
+    public void recall(long number, int handOff) {
+        // The real hand-off runs on, and how it ends is told.
+    }
+
+    @Override
+    public void defer(long number, long comeBack) {
+        // Seen from there being no hand-off.
+    }
+
+    @Override
+    public void writeOff(long number) {
+        // As for a deferral.
+    }
+
+    @Override
+    public void wakeMe(long at) {
+        wakeAt = at;
+    }
+
+    @Override
+    public void askList() {
+        // The real module asks for both.
+    }
+
+    @Override
+    public void release(String backend) {
+        counts.merge(Kind.WOULD_CLOSE, 1L, Long::sum);
+    }
+
+    @Override
+    public void probe(String backend) {
+        // Nothing is sent for the watched module.
+    }
+
+    @Override
+    public void tellPeers(byte[] message) {
+        // Nothing is sent for the watched module.
+    }
+
+    @Override
+    public void note(String line) {
+        log.info("watched module", line);
+    }
+}
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -59,10 +59,18 @@
     /** For each backend, the time after which a kept connection has cost as much as a new one, as the fees
      * have it: the one counts for 100 backends, the other for each work item. 0 where keeping costs nothing. */
     private double restOfConnections() {
-        double kept = settings.number("Fees.Connection", 0);
+        double kept = fee("Fees.Connection");
         double quotas = tenants.stream().mapToDouble(Tenant::quota).sum();
         return kept <= 0 || quotas <= 0 ? 0
-            : 100 * settings.number("Fees.Handshake", 0) / kept / quotas * 10_000;
+            : 100 * fee("Fees.Handshake") / kept / quotas * 10_000;
+    }
+
+    private double fee(String path) {
+        double fee = settings.number(path, 0);
+        if (fee < 0) {
+            throw new Malformed("setting " + path + " is below 0: " + fee);
+        }
+        return fee;
     }
 
     private static List<Category> categories(Settings s) {
--- a/src/test/java/cottonlock/config/ConfigTest.java
+++ b/src/test/java/cottonlock/config/ConfigTest.java
@@ -36,9 +36,9 @@
 
     @Example
     void theOperatorsFileIsReadWithDefaults() throws Exception {
-        assertEquals(new OperatorFile("text", "info"), OperatorFile.read(Files.createTempFile("empty",
+        assertEquals(new OperatorFile("text", "info", java.util.Map.of()), OperatorFile.read(Files.createTempFile("empty",
             ".toml")));
-        assertEquals(new OperatorFile("text", "info"),
+        assertEquals(new OperatorFile("text", "info", java.util.Map.of()),
             OperatorFile.read(Path.of("deploy/operator.example.toml")));
         assertEquals(List.of("F:2: log.format: expected one of text, json, found \"xml\"",
                 "F:3: log.levle: unknown key; did you mean level?",
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -107,6 +107,68 @@
         }
     }
 
+    /** Where each client has a balancer of its own, and where keeping connections costs something. */
+    private static Ledger apart(int me, double rest, int backends) {
+        Ledger ledger = new Ledger(PLAIN, List.of(new Tenant(1, 100)), 7 + me, true, true,
+            new Shape(200, me, false, rest, false, false, 0));
+        ledger.list(Ledger.ready(0, backends), true, true);
+        return ledger;
+    }
+
+    /** Found on an overloaded day: with a new draw for each try nearly all got in at their fourth. */
+    @Example
+    void aRepeatWithTheSameHintGetsTheSameAnswer() {
+        Ledger ledger = apart(0, 0, 8);
+        int letIn = 0;
+        for (int hint = 1; hint <= 100; hint++) {
+            boolean first = ledger.items.containsKey(ledger.arrive(0, 0, 20_000, hint));
+            finishAll(ledger);
+            for (int n = 0; n < 3; n++) {
+                assertEquals(first, ledger.items.containsKey(ledger.arrive(0, 0, 20_000, hint)));
+                finishAll(ledger);
+            }
+            letIn += first ? 1 : 0;
+        }
+        assertTrue(letIn > 30 && letIn < 90, letIn + " of 100 let in");
+    }
+
+    /** Found at hundreds of balancers: each held a connection to nearly each backend, and many got none. */
+    @Example
+    void dearConnectionsAreFewAndThoseThatRestAreClosed() {
+        Set<String> all = new HashSet<>();
+        for (int me = 0; me < 30; me++) {
+            Ledger ledger = apart(me, 100, 8);
+            for (int n = 0; n < 40; n++) {
+                ledger.arrive(0, 0, 20_000);
+                finishAll(ledger);
+                ledger.pass(100);
+            }
+            assertTrue(ledger.sends.size() == 1, ledger.sends.keySet() + " used one at a time");
+            assertTrue(ledger.released.isEmpty());
+            ledger.pass(1_500);
+            assertEquals(List.copyOf(ledger.sends.keySet()), ledger.released);
+            all.addAll(ledger.sends.keySet());
+        }
+        assertTrue(all.size() >= 6, "balancers differ in what they use: " + all);
+    }
+
+    /** Found on days on which balancers stand still: what waited for them passed for silence of backends. */
+    @Example
+    void afterAStandstillNothingIsTakenForSilent() {
+        Ledger ledger = ledger(true, TWO, 8);
+        for (int n = 0; n < 60; n++) {
+            ledger.arrive(0, n % 2, 20_000);
+            ledger.pass(50);
+            finishAll(ledger);
+        }
+        long id = ledger.arrive(0, 0, 20_000);
+        ledger.now += 8_000;
+        ledger.balancer.wake(ledger.now);
+        assertFalse(ledger.items.get(id).sent.get(0).recalled);
+        ledger.pass(8_000);
+        assertTrue(ledger.items.get(id).sent.get(0).recalled, "but silence after it is");
+    }
+
     @Example
     void anEmptyListDefersAtOnce() {
         Ledger ledger = ledger(true, TWO, 0);
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -59,6 +59,7 @@
     /** By tenant, the backends that work items were first handed to. */
     final Map<Integer, List<String>> firstSent = new LinkedHashMap<>();
     final List<String> told = new ArrayList<>();
+    final List<String> released = new ArrayList<>();
     final List<Long> wakes = new ArrayList<>();
     final Balancer balancer;
     final Balancer.Fleet fleet;
@@ -78,9 +79,14 @@
 
     Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mustAsk,
            boolean mayRecall, int balancers) {
+        this(categories, tenants, seed, first, mayRecall,
+            new Shape(balancers, 0, true, 0, true, mustAsk, 100_000));
+    }
+
+    Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mayRecall,
+           Shape shape) {
         this.categories = categories;
         SplittableRandom random = new SplittableRandom(seed);
-        Shape shape = new Shape(balancers, 0, true, 0, true, mustAsk, 100_000);
         Cold cold = new Cold(COLD_SHARE, COLD, FALL_MULTIPLE, FALL);
         fleet = new Balancer.Fleet(this, random.split(), tenants, shape, cold);
         Balancer.Line line = new Balancer.Line(fleet, random.split(), tenants, shape, first);
@@ -120,9 +126,13 @@
     }
 
     long arrive(int category, int tenant, long patience) {
+        return arrive(category, tenant, patience, 0);
+    }
+
+    long arrive(int category, int tenant, long patience, long hint) {
         long id = nextId++;
         items.put(id, new Item(categories.get(category), now + patience));
-        balancer.arrive(now, id, category, tenant, patience, id % 5 == 0, 0);
+        balancer.arrive(now, id, category, tenant, patience, id % 5 == 0, hint);
         if (items.get(id).sent.size() > 0) {
             firstSent.computeIfAbsent(tenant, t -> new ArrayList<>()).add(items.get(id).sent.get(0).to.id());
         }
@@ -264,6 +274,7 @@
     @Override
     public void release(String backend) {
         assertTrue(listed.containsKey(backend), "closes connections to one that is not listed");
+        released.add(backend);
     }
 
     @Override
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -246,6 +246,37 @@
         return answer.isEmpty() ? 0 : Integer.parseInt(answer.split(" ", 3)[1]);
     }
 
+    /** What operators watch before they move: the answers stay, and each kind of difference is counted. */
+    @Example
+    void watchesOtherSettingsAndDecidesAsBefore() throws Exception {
+        StandIn[] backends = {new StandIn(r -> OK), new StandIn(r -> OK)};
+        String settings = settings(256, 1, "", backends[0].host("b0"), backends[1].host("b1"))
+            .replace("\"Stage\":1", "\"Stage\":0,\"FleetSize\":40");
+        buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
+        proxy = new Proxy(config(settings), Map.of("Workload", "mesh", "Fees.Connection", "0.05",
+            "Fees.Handshake", "0.00001"));
+        int finished = 0;
+        for (int i = 0; i < 60; i++) {
+            finished += status(call(request("read", "id" + i, "", ""))) == 200 ? 1 : 0;
+        }
+        // One of 40 balancers alike may let in few of these; where each carries its own, over half of them.
+        assertEquals(finished, backends[0].requests.size() + backends[1].requests.size());
+        assertTrue(finished < 30, finished + " finished");
+        int all = finished;
+        eventually(() -> proxy.watched().values().stream().mapToLong(n -> n).sum()
+            - proxy.watched().get(Shadow.Kind.WOULD_CLOSE) == 60, "each decision is compared once");
+        assertTrue(proxy.watched().get(Shadow.Kind.WOULD_HAND_OFF) > 10, all + " " + proxy.watched());
+        eventually(() -> proxy.watched().get(Shadow.Kind.WOULD_CLOSE) > 0, "connections that rest are seen");
+    }
+
+    @Example
+    void watchedSettingsThatCannotBeUsedAreToldAtTheStart() throws Exception {
+        Path config = config(settings(256, 1, ""));
+        Malformed fault = assertThrows(Malformed.class, () -> new Proxy(config, Map.of("Fees.Handshake", "-1",
+            "Fees.Connection", "1")));
+        assertEquals("setting Fees.Handshake is below 0: -1.0", fault.getMessage());
+    }
+
     @Example
     void passesAWorkItemOnAndItsAnswerBack() throws Exception {
         String large = "x".repeat(60_000);
