--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -229,9 +229,6 @@
         private static final long SPAN = 20_000;
         /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
         private static final double SPARSE = 0.5;
-        /** Parts of the due time that the time at the backends may take, within and over the quota. */
-        private static final double WITHIN = 0.5;
-        private static final double OVER = 0.3;
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
         private static final double OVER_CALM = 0.9;
@@ -242,7 +239,6 @@
         private final boolean bounded;
         private final SplittableRandom random;
         private final Ring finished = new Ring(SPAN, 20);
-        private final Ring finishedDue = new Ring(SPAN, 20);
         private final Ring latency = new Ring(SPAN, 20);
         private final Ring latencyLog = new Ring(SPAN, 20);
         /** The lowest typical latency over the span that the last half minute has seen. */
@@ -289,10 +285,6 @@
             after.take(wi, now);
         }
 
-        private double perTime(Ring ring, long now) {
-            return ring.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt));
-        }
-
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
         private double typical(long now) {
             return latencyLog.sum(now) / 1000.0 / Math.max(1, finished.sum(now));
@@ -302,14 +294,14 @@
             // Two for each backend are never too many, as the balancers together send them. Each balancer's
             // part may be below one: it is then let in by chance, for many least rooms of one add up.
             if (sparse()) {
-                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
+                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
             // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
             // rate alone shrank to nothing when all work took longer for a reason of its own.
-            double steady = Math.min(perTime(finishedDue, now) * (wi.overQuota ? OVER : WITHIN),
-                perTime(latency, now) * Math.min(1, multiple * Math.exp(calm.value() - typical(now))));
+            double steady = latency.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt))
+                * Math.min(1, multiple * Math.exp(calm.value() - typical(now)));
             // Arrivals are uneven: two of their usual spreads above the steady number are no excess, and
             // four make next to no one wait for nothing while all is known to be calm.
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
@@ -386,8 +378,8 @@
                 double rate = most * backends / Math.max(1, time);
                 // Balancers that carry very unlike amounts part what all may let in by what comes to each.
                 part = Math.min(part + waited * UP, rate / quota);
-                // A client that tries again brings the same hint. Drawn from it, the answer is the same: with a
-                // new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
+                // A client that tries again brings the same hint. Drawn from it, the answer is the same: with
+                // a new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
                 SplittableRandom draw = wi.hint > 0 ? new SplittableRandom(wi.hint) : random;
                 // What can't end by its due time any more is worth its late credit at most, or nothing.
                 double late = wi.due < wi.expiry ? wi.category.lateCredit() : 0;
@@ -423,7 +415,6 @@
                     double log = Math.log(1 + now - wi.enteredAt);
                     latencyLog.add(now, Math.round(1000 * log));
                     finished.add(now, 1);
-                    finishedDue.add(now, wi.category.dueTime());
                 }
             }
             before.back(wi, now);
@@ -640,8 +631,6 @@
         private static final long STAY_SPAN = 40_000;
         /** With a part of two backends or more, what a balancer has in flight tells it enough. */
         private static final double FEW = 2;
-        /** So full of what backends may hold, the fleet lends none to lanes; 0.6 left quiet lanes short. */
-        private static final double LEND = 0.75;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
         private static final int IMAGINED_STAYS = 10;
         /** A kind is never taken for more than so many times as quick or slow as its size says. */
@@ -669,7 +658,7 @@
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
-        /** How long hand-offs have been out in the last seconds, added up at each look; how many were sent. */
+        /** How long hand-offs have been out in the last seconds, added up at looks; how many were sent. */
         private final Ring heldTime = new Ring(STAY_SPAN, 8);
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
@@ -682,7 +671,6 @@
         /** Hand-offs that are out, by tenant. */
         private final Map<Integer, Integer> out = new HashMap<>();
         private long latencySum;
-        private long firstSent;
         private long latencyCount;
 
         public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, Shape shape, Cold cold) {
@@ -809,7 +797,8 @@
                 neediest = -1;
                 double most = 1e-9;
                 for (int t = 0; t < sizes.length; t++) {
-                    double lack = sizes[t] == 0 ? Integer.MAX_VALUE - t : tenants.get(t).share() * backends - sizes[t];
+                    double lack = sizes[t] == 0 ? Integer.MAX_VALUE - t
+                        : tenants.get(t).share() * backends - sizes[t];
                     if (lack > most) {
                         most = lack;
                         neediest = t;
@@ -826,8 +815,8 @@
             return tenant < lanes.size() ? lanes.get(tenant) : open;
         }
 
-        /** Whether the lane counts as unusable for this work item: by chance, so that work stays there no more
-         * than the given multiple of what is usual. One balancer of many sees next to nothing in flight. */
+        /** Whether the lane counts as unusable for this work item: by chance, so that work stays there no
+         * more than the given multiple of what is usual. One of many sees next to nothing in flight. */
         boolean crowded(int tenant, double far, long now) {
             return FEW * shape.balancers() > ready.size()
                 && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
@@ -844,12 +833,9 @@
             return ready.stream().filter(b -> laneStay(b.lane, now) <= usual).toList();
         }
 
-        /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
-        double able(int tenant, double most, long now) {
-            double held = heldTime.sum(now) * (double) shape.balancers() / STAY_SPAN;
-            // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
-            boolean lends = shape.alike() && now - firstSent >= STAY_SPAN;
-            double able = lends ? Math.max(0, LEND * ready.size() - held / most) : 0;
+        /** How many backends a lane is worth: its warm and trusted ones. */
+        double able(int tenant, long now) {
+            double able = 0;
             for (Backend b : lane(tenant)) {
                 able += b.streak >= 3 ? 0 : cold.warmth(b.member, now);
             }
@@ -991,7 +977,6 @@
             if (latencyCount == 0) {
                 // With a short guess in its place all backends looked lost in the first second, the balancers
                 // told each other so, and all their work went to the few that nobody had named yet.
-                firstSent = now;
                 latencyCount = AT_START;
                 latencySum = AT_START * wi.category.dueTime() / 2;
             }
