--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -247,8 +247,6 @@
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
         private final Averages hints = new Averages(300_000);
         private final double quotas;
-        private double ceiling = 1e6;
-        private long lowerAgainAt;
         private int inside;
         private long firstAt = -1;
 
@@ -306,7 +304,7 @@
             // four make next to no one wait for nothing while all is known to be calm.
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
             double room = steady + (atEase ? 4 : 2) * Math.sqrt(steady);
-            return inside + random.nextDouble() < Math.max(floor, Math.min(ceiling, room));
+            return inside + random.nextDouble() < Math.max(floor, room);
         }
 
         /** Whether answers take clearly longer than they do when the fleet is calm. */
@@ -322,12 +320,6 @@
         /** What each hand-off that ends tells of its tenant's lane, and of the room. */
         void learn(WorkItem wi, Outcome outcome, long time, long now) {
             lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
-            // A backend was full: together the balancers let in more than there is room for. Once for each
-            // crowd: those turned away together tell one thing.
-            if (outcome == Outcome.TURNED_AWAY && now >= lowerAgainAt) {
-                ceiling = Math.max(2, Math.min(ceiling, inside) * 0.9);
-                lowerAgainAt = now + Math.round(Math.exp(typical(now)));
-            }
         }
 
         /** How fast work may enter a lane of which one balancer of many sees too little to count it: by
@@ -409,8 +401,6 @@
             if (wi.inLane) {
                 release(wi);
                 if (wi.ended) {
-                    // One more for each round of answers, as long as nothing is turned away.
-                    ceiling = Math.min(1e6, ceiling + 1 / ceiling);
                     latency.add(now, now - wi.enteredAt);
                     double log = Math.log(1 + now - wi.enteredAt);
                     latencyLog.add(now, Math.round(1000 * log));
