--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -18,12 +18,11 @@
 /**
  * The decision module: everything that one balancer decides, and nothing else.
  *
- * <p>How it is called: one thread tells it what happened through the public methods of this class, each
- * with the time in whole tenths of a millisecond, never going back. It answers during the call through
- * {@link Outlet}, where its interface to the outside is defined; it does no input or output and reads no
- * clock. A work item passes the stages Intake, Line, Lane, Pick and HandOffs in this order. Each passes it
- * on, keeps it, or ends it by sending it back; what comes back passes the same stages the other way. Fleet
- * stands beside them: it knows the backends. docs/design.md tells which decision comes from where.
+ * <p>One thread tells it what happened through the public methods, each with the time in whole tenths of a
+ * millisecond, never going back. It answers during the call through {@link Outlet}; it does no input or
+ * output and reads no clock. A work item passes the stages Intake, Line, Lane, Pick and HandOffs. Each passes
+ * it on or sends it back; what comes back passes them the other way. Fleet stands beside them and knows the
+ * backends. docs/design.md tells which decision comes from where.
  */
 public final class Balancer {
     /** How often silence, waiting and the list are looked at: well under any due time, cheap in CPU. */
@@ -213,11 +212,9 @@
         }
 
         private boolean withinQuota(int tenant, boolean repeated, long now) {
-            // Half a second's worth may come at once: with less, uneven arrivals would count as excess.
-            // And four at least: one of many balancers sees few of a tenant, and by chance some at once.
+            // Half a second's worth may come at once, for arrivals are uneven, and four at least.
             double depth = Math.max(DEPTH, quotas[tenant] * 5_000);
-            // Who sends beyond a quota sees most of the excess deferred, so what comes again is mostly
-            // excess: it must not use up the quota of what comes for the first time.
+            // What comes again is mostly excess: it must not use up the quota of what comes first.
             double needed = repeated ? Math.max(1, quotas[tenant] * 2_500) : 1;
             return tokens[tenant].take(now, quotas[tenant], depth, needed);
         }
@@ -289,19 +286,17 @@
         }
 
         private boolean fits(WorkItem wi, long now) {
-            // Two for each backend are never too many, as the balancers together send them. Each balancer's
-            // part may be below one: it is then let in by chance, for many least rooms of one add up.
+            // Two for each backend are never too many, as the balancers together send them. A part below one
+            // is let in by chance, for many least rooms of one add up.
             if (sparse()) {
                 return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
-            // What is usually inside, more while the fleet is calm and less while it is not. A limit on the
-            // rate alone shrank to nothing when all work took longer for a reason of its own.
+            // What is usually inside, more while the fleet is calm and less while it is not.
             double steady = latency.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt))
                 * Math.min(1, multiple * Math.exp(calm.value() - typical(now)));
-            // Arrivals are uneven: two of their usual spreads above the steady number are no excess, and
-            // four make next to no one wait for nothing while all is known to be calm.
+            // Arrivals are uneven: two of their usual spreads above it are no excess, four while all is calm.
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
             double room = steady + (atEase ? 4 : 2) * Math.sqrt(steady);
             return inside + random.nextDouble() < Math.max(floor, room);
@@ -322,8 +317,7 @@
             lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
         }
 
-        /** How fast work may enter a lane of which one balancer of many sees too little to count it: by
-         * Little's law, what its backends may hold over the time that work stays there. */
+        /** How fast work may enter a lane of which one of many sees too little: by Little's law. */
         private final class Entry {
             /** The most tokens kept, and how many must be there for work over its quota. */
             private static final double DEPTH = 4;
@@ -343,7 +337,6 @@
             private double time;
             private double part = START;
             private long at = -1;
-
             /** Where balancers carry unlike amounts, the tenant's quota over all of them; else 0. */
             private final double quota;
 
@@ -352,8 +345,7 @@
             }
 
             boolean letsIn(WorkItem wi, double backends, long now) {
-                // A third of the due time stands in until answers are seen; slowness fades when they stop:
-                // where a flood had shut a lane, too few were let in to learn that it was over.
+                // Until answers are seen; slowness fades when they stop, else a flood shut a lane for long.
                 double usual = wi.category.dueTime() / 3.0;
                 double most = MOST;
                 if (quota > 0) {
@@ -381,8 +373,7 @@
             }
 
             void learn(Outcome outcome, long took, long due) {
-                // A quick failure must not pass for a quick answer: it would open the lane the wider the
-                // worse things go. Eight answers: fewer are chance, more tell too late.
+                // A quick failure must not pass for a quick answer. Eight: fewer are chance, more too late.
                 double shown = outcome == Outcome.FINISHED ? took : Math.max(took, 2 * time);
                 time += (Math.min(shown, quota > 0 ? 4 * due : due) - time) / 8;
             }
@@ -412,8 +403,7 @@
 
         /** Takes note of the typical latency, for the calm one. */
         void tidy(long now) {
-            // Soon after a start, or after a standstill, only the quick ones have come back, and a mean over
-            // few is chance. Either would set the calm latency, and with it the room, too low for long.
+            // Soon after a start or a standstill only the quick ones have come back: the room would shrink.
             if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
                 calm.add(now, typical(now));
             }
@@ -716,8 +706,8 @@
 
         void listFailed(long now) {
             failedAsks++;
-            // Twice as long after each failure, spread at random: all balancers ask after the same trouble,
-            // and calls that wait in turn behind each other fail again. A quarter of what is allowed at most.
+            // Twice as long after each failure, spread at random, for all ask after the same trouble; a
+            // quarter of what is allowed at most.
             long wait = Math.min(shape.askWithin() / 4, 1_000L << Math.min(8, failedAsks));
             askAt = now + wait / 2 + random.nextLong(Math.max(1, wait / 2));
         }
@@ -832,8 +822,7 @@
             return Math.max(1, able);
         }
 
-        /** How many backends of a lane this balancer uses: where connections are dear, no more than a few for
-         * each work item that its tenant has in flight. */
+        /** How many backends of a lane this balancer uses: few where connections are dear. */
         int width(int tenant) {
             return shape.rest() <= 0 ? Integer.MAX_VALUE : 1 + WIDE * out.getOrDefault(tenant, 0);
         }
@@ -880,15 +869,14 @@
                 b.spacedFrom = now;
                 b.spacing = random.nextDouble();
             }
-            // Half the multiple: what warm backends are sent is at times more than they can do. All balancers
-            // together may send it one until it is known what warm ones get. Spaced in time, for one from
-            // each of hundreds of balancers in the first moment pushed a cold backend over.
+            // Half the multiple: warm backends are at times sent more than they can do. All together may send
+            // it one until that is known. Spaced in time: one from each of hundreds at once pushed it over.
             double part = cold.multiple() / 2 * warmth * sentPerSize * b.size();
             return (now - b.spacedFrom) * Math.max(part, 1.0 / shape.balancers()) >= cold.fall() * b.spacing;
         }
 
-        /** Where each one is in doubt, those that hold nothing: a sole sound backend that had failed once was
-         * passed over until a draw favoured it. Only rerunnable work, of which a failure costs least. */
+        /** Where each is in doubt, those that hold nothing: a sole sound one that had failed once was passed
+         * over. Only rerunnable work, of which a failure costs least. */
         List<Backend> lastResort(WorkItem wi, long now) {
             boolean none = wi.category.repeat() != Repeat.RERUNNABLE
                 || ready.stream().anyMatch(b -> doubts(b, now) < 1);
@@ -965,8 +953,7 @@
                 b.quietSince = now;
             }
             if (latencyCount == 0) {
-                // With a short guess in its place all backends looked lost in the first second, the balancers
-                // told each other so, and all their work went to the few that nobody had named yet.
+                // With a short guess all backends looked lost in the first second, and balancers said so.
                 latencyCount = AT_START;
                 latencySum = AT_START * wi.category.dueTime() / 2;
             }
@@ -990,8 +977,7 @@
             switch (outcome) {
                 case FINISHED -> {
                     if (now != stoodAt && slow(wi, now - ho.sentAt, now)) {
-                        // A backend that has slowed down still answers, and would draw work for as long as it
-                        // does: an answer far later than usual counts against it.
+                        // One that has slowed down still answers, and would draw work for as long as it does.
                         b.failures.add(now, 1);
                     } else {
                         b.answers.add(now, 1);
