--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -332,7 +332,7 @@
             private static final double START = 0.6;
             private static final double UP = 7e-6;
             /** Above its cores: 1.2 roots; a backend chokes at 4 to 7 of them in the mean of two seconds. */
-            private static final double ROOTS = 1.2;
+            private static final double ROOTS = 0.7;
             private final Tokens tokens = new Tokens(DEPTH);
             private double time;
             private double part = START;
