--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -44,8 +44,8 @@
     }
 
     /**
-     * Runs the command that the arguments name, and returns the exit status. {@code serve} is given the settings
-     * of the module that is only watched, by path; none where the operator's file asks for no watch.
+     * Runs the command that the arguments name, and returns the exit status. {@code serve} is given the
+     * settings of the module that is only watched, by path; none where the operator's file asks for no watch.
      */
     public static int run(String[] args, ToIntFunction<Map<String, String>> serve, IntSupplier wireHost) {
         return new CommandLine(new Cli(serve, wireHost)).setUsageHelpAutoWidth(true).execute(args);
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -1,17 +1,16 @@
 package cottonlock.decision;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.stream.Collectors.joining;
 import static java.util.stream.Collectors.toSet;
 
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.WorkItem.HandOff;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -25,7 +24,7 @@
  * backends. docs/design.md tells which decision comes from where.
  */
 public final class Balancer {
-    /** How often silence, waiting and the list are looked at: well under any due time, cheap in CPU. */
+    /** How often silence and the list are looked at: well under any due time, cheap in CPU. */
     private static final long TICK = 250;
     /** Called so much too late, the balancer itself has stood still. */
     private static final long STILL = 1_000;
@@ -61,8 +60,7 @@
     /** After a standstill of its own the balancer doubts its clock: what waited is no silence of others. */
     private void doubtClock(long now) {
         if (now > wakeAt + STILL) {
-            intake.stood(now, now - wakeAt);
-            fleet.stood(now);
+            fleet.stood(now, now - wakeAt);
             wakeAt = now;
         }
     }
@@ -71,7 +69,8 @@
     public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated,
                        long hint) {
         doubtClock(now);
-        intake.arrive(now, id, category, tenant, patience, repeated, hint);
+        long stood = now == fleet.stoodAt ? fleet.stoodFor : 0;
+        intake.arrive(now, id, category, tenant, patience, repeated, hint, stood);
     }
 
     /** A hand-off has ended; {@code over} tells that the work item has had its final answer. */
@@ -147,10 +146,8 @@
         /** Each tenant's quota at this balancer, for each tenth of a millisecond, and what is left of it. */
         private final double[] quotas;
         private final Tokens[] tokens;
-        /** The longest patience seen of each category; when the balancer stood still, and for how long. */
+        /** The longest patience seen of each category. */
         private final long[] longest;
-        private long stoodAt = -1;
-        private long stoodFor;
 
         /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
@@ -168,15 +165,11 @@
             }
         }
 
-        void stood(long now, long time) {
-            stoodAt = now;
-            stoodFor = time;
-        }
-
-        void arrive(long now, long id, int category, int tenant, long patience, boolean repeated, long hint) {
+        void arrive(long now, long id, int category, int tenant, long patience, boolean repeated, long hint,
+                    long stood) {
             // What came during a standstill has waited as much as its patience lacks of the longest seen.
             longest[category] = Math.max(longest[category], patience);
-            long waited = now == stoodAt ? Math.min(stoodFor, longest[category] - patience) : 0;
+            long waited = Math.min(stood, longest[category] - patience);
             WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now - waited,
                 now + patience, hint);
             wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, repeated, now);
@@ -222,7 +215,7 @@
 
     /** Lets no more in than can be answered in time. */
     public static final class Line extends Stage {
-        /** Two seconds: long enough for a steady rate, short enough to follow a fleet that slows down. */
+        /** Two seconds: enough for a steady rate, yet follows a fleet that slows down. */
         private static final long SPAN = 20_000;
         /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
         private static final double SPARSE = 0.5;
@@ -286,10 +279,9 @@
         }
 
         private boolean fits(WorkItem wi, long now) {
-            // Two for each backend are never too many, as the balancers together send them. A part below one
-            // is let in by chance, for many least rooms of one add up.
+            // Two for each backend are never too many; a part below one is let in by chance.
             if (sparse()) {
-                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, now), now);
+                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
             double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
@@ -345,7 +337,6 @@
             }
 
             boolean letsIn(WorkItem wi, double backends, long now) {
-                // Until answers are seen; slowness fades when they stop, else a flood shut a lane for long.
                 double usual = wi.category.dueTime() / 3.0;
                 double most = MOST;
                 if (quota > 0) {
@@ -393,8 +384,7 @@
                 release(wi);
                 if (wi.ended) {
                     latency.add(now, now - wi.enteredAt);
-                    double log = Math.log(1 + now - wi.enteredAt);
-                    latencyLog.add(now, Math.round(1000 * log));
+                    latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
                     finished.add(now, 1);
                 }
             }
@@ -414,7 +404,7 @@
     public static final class Lane extends Stage {
         /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
         private static final double FAR = 1.25;
-        /** How much longer than usual work may stay in a lane: at 1.25 small lanes choke, at 1 all spill. */
+        /** How much longer than usual work may stay in a lane of unlike balancers; at 1.25 small ones choke. */
         private static final double CROWD = 1.1;
 
         private final Line line;
@@ -435,13 +425,11 @@
             }
             double far = FAR * out / size;
             double spare = line.pressed(now) ? 0 : 1;
-            boolean crowded = fleet.crowded(wi.tenant, CROWD, now);
-            int width = fleet.width(wi.tenant);
-            wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), width, wi, far, spare,
-                now);
+            boolean crowded = fleet.crowded(wi.tenant, fleet.shape.alike() ? FAR : CROWD, now);
+            wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
             for (List<Backend> part : List.of(fleet.open, crowded ? fleet.calm(now) : fleet.ready)) {
                 if (wi.candidates.isEmpty()) {
-                    wi.candidates = fleet.usable(part, width, wi, far, spare, now);
+                    wi.candidates = fleet.usable(part, wi, far, spare, now);
                 }
             }
             if (wi.candidates.isEmpty()) {
@@ -532,16 +520,10 @@
             if (!wi.anyOut()) {
                 open.remove(id);
             }
-            if (wi.ended) {
-                if (!wasEnded) {
-                    before.back(wi, now);
-                }
-            } else if (!wi.anyOut()) {
-                if (mayRepeat(wi, outcome, now)) {
-                    before.before.take(wi, now);
-                } else {
-                    before.back(wi, now);
-                }
+            if (!wi.ended && !wi.anyOut() && mayRepeat(wi, outcome, now)) {
+                before.before.take(wi, now);
+            } else if (wi.ended ? !wasEnded : !wi.anyOut()) {
+                before.back(wi, now);
             }
         }
 
@@ -611,6 +593,8 @@
         private static final long STAY_SPAN = 40_000;
         /** With a part of two backends or more, what a balancer has in flight tells it enough. */
         private static final double FEW = 2;
+        /** So full of what backends may hold, the fleet lends none to lanes; 0.6 left quiet lanes short. */
+        private static final double LEND = 0.75;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
         private static final int IMAGINED_STAYS = 10;
         /** A kind is never taken for more than so many times as quick or slow as its size says. */
@@ -643,6 +627,7 @@
         private final Ring sends = new Ring(STAY_SPAN, 8);
         private long keptAt;
         private long stoodAt = -1;
+        private long stoodFor;
         private final Averages times = new Averages(USUAL_SPAN);
         /** How long hand-offs stay: at 0 anywhere, at odd numbers by lane, at even ones by kind. */
         private final Averages stays = new Averages(USUAL_SPAN);
@@ -652,6 +637,7 @@
         private final Map<Integer, Integer> out = new HashMap<>();
         private long latencySum;
         private long latencyCount;
+        private long firstSent;
 
         public Fleet(Outlet outlet, SplittableRandom random, List<Tenant> tenants, Shape shape, Cold cold) {
             this.outlet = outlet;
@@ -665,15 +651,16 @@
         }
 
         /** What is out has not been silent while nobody listened; for long stays look no further back. */
-        void stood(long now) {
+        void stood(long now, long time) {
             stoodAt = now;
+            stoodFor = time;
             keptAt = now;
             known.values().forEach(b -> b.quietSince = now);
         }
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
             if (whole) {
-                Set<String> listed = members.stream().map(Member::id).collect(toSet());
+                var listed = members.stream().map(Member::id).collect(toSet());
                 known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> b.leave(now));
             }
             for (Member m : members) {
@@ -706,8 +693,7 @@
 
         void listFailed(long now) {
             failedAsks++;
-            // Twice as long after each failure, spread at random, for all ask after the same trouble; a
-            // quarter of what is allowed at most.
+            // Twice as long after each failure, at random, for all ask at once; a quarter of the limit.
             long wait = Math.min(shape.askWithin() / 4, 1_000L << Math.min(8, failedAsks));
             askAt = now + wait / 2 + random.nextLong(Math.max(1, wait / 2));
         }
@@ -813,22 +799,20 @@
             return ready.stream().filter(b -> laneStay(b.lane, now) <= usual).toList();
         }
 
-        /** How many backends a lane is worth: its warm and trusted ones. */
-        double able(int tenant, long now) {
-            double able = 0;
-            for (Backend b : lane(tenant)) {
-                able += b.streak >= 3 ? 0 : cold.warmth(b.member, now);
-            }
-            return Math.max(1, able);
-        }
-
-        /** How many backends of a lane this balancer uses: few where connections are dear. */
-        int width(int tenant) {
-            return shape.rest() <= 0 ? Integer.MAX_VALUE : 1 + WIDE * out.getOrDefault(tenant, 0);
+        /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
+        double able(int tenant, double most, long now) {
+            double held = heldTime.sum(now) * (double) shape.balancers() / STAY_SPAN;
+            // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
+            boolean lends = shape.alike() && now - firstSent >= STAY_SPAN;
+            double lent = lends ? Math.max(0, LEND * ready.size() - held / most) : 0;
+            return Math.max(1, lent + lane(tenant).stream().filter(b -> b.streak < 3)
+                .mapToDouble(b -> cold.warmth(b.member, now)).sum());
         }
 
         /** The first of the given backends that this work item may go to now, in this balancer's order. */
-        List<Backend> usable(List<Backend> part, int width, WorkItem wi, double far, double spare, long now) {
+        List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
+            // Few of a lane where connections are dear: more only while more of the tenant's work is out.
+            int width = shape.rest() <= 0 ? part.size() : 1 + WIDE * out.getOrDefault(wi.tenant, 0);
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
@@ -869,8 +853,8 @@
                 b.spacedFrom = now;
                 b.spacing = random.nextDouble();
             }
-            // Half the multiple: warm backends are at times sent more than they can do. All together may send
-            // it one until that is known. Spaced in time: one from each of hundreds at once pushed it over.
+            // Half, for warm ones are at times sent more than they can do. All together may send it one until
+            // that is known. Spaced in time: one from each of hundreds at once pushed it over.
             double part = cold.multiple() / 2 * warmth * sentPerSize * b.size();
             return (now - b.spacedFrom) * Math.max(part, 1.0 / shape.balancers()) >= cold.fall() * b.spacing;
         }
@@ -932,14 +916,13 @@
             String lost = known.values().stream().filter(b -> b.lost).map(b -> b.id + " ").collect(joining());
             known.values().forEach(b -> b.lost = false);
             if (shape.mayTell() && shape.balancers() <= ready.size() && !lost.isEmpty()) {
-                String fits = lost.substring(0, lost.lastIndexOf(' ', LONGEST));
-                outlet.tellPeers(fits.getBytes(StandardCharsets.UTF_8));
+                outlet.tellPeers(lost.substring(0, lost.lastIndexOf(' ', LONGEST)).getBytes(UTF_8));
             }
         }
 
         /** Doubts what others have found lost, unless it has answered here of late; never passes it on. */
         void heard(long now, byte[] message) {
-            for (String id : new String(message, StandardCharsets.UTF_8).split(" ")) {
+            for (String id : new String(message, UTF_8).split(" ")) {
                 Backend b = known.get(id);
                 if (b != null && b.answers.sum(now) == 0) {
                     b.failures.add(now, 1);
@@ -953,7 +936,8 @@
                 b.quietSince = now;
             }
             if (latencyCount == 0) {
-                // With a short guess all backends looked lost in the first second, and balancers said so.
+                // With a short guess all backends looked lost in the first second.
+                firstSent = now;
                 latencyCount = AT_START;
                 latencySum = AT_START * wi.category.dueTime() / 2;
             }
--- a/src/main/java/cottonlock/net/Shadow.java
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -13,9 +13,9 @@
  * A second module with other settings that is told all that the first is told, and whose decisions are only
  * counted: what operators watch before they change a deployment's settings.
  *
- * <p>The module's thread alone calls it. What became of the real hand-off stands for what would have become of
- * its own, so it learns of the backends as they are under the real decisions. A fault in it ends the watch, never
- * the service.
+ * <p>The module's thread alone calls it. What became of the real hand-off stands for what would have become
+ * of its own, so it learns of the backends as they are under the real decisions. A fault ends the watch,
+ * never the service.
  */
 final class Shadow implements Outlet {
     /** Tenths of a millisecond between two lines in the log. */
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -56,8 +56,8 @@
             fleet);
     }
 
-    /** For each backend, the time after which a kept connection has cost as much as a new one, as the fees
-     * have it: the one counts for 100 backends, the other for each work item. 0 where keeping costs nothing. */
+    /** For each backend, the time after which a kept connection has cost as much as a new one by the fees.
+     * The one counts for 100 backends, the other for each work item. 0 where keeping costs nothing. */
     private double restOfConnections() {
         double kept = fee("Fees.Connection");
         double quotas = tenants.stream().mapToDouble(Tenant::quota).sum();
