--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -404,7 +404,7 @@
     public static final class Lane extends Stage {
         /** How far above the mean is far: low enough to keep one backend from filling while others idle. */
         private static final double FAR = 1.25;
-        /** How much longer than usual work may stay in a lane of unlike balancers; at 1.25 small ones choke. */
+        /** How much longer than usual work may stay in a lane of unlike balancers; at 1.25 some choke. */
         private static final double CROWD = 1.1;
 
         private final Line line;
