--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -6,6 +6,7 @@
 
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.WorkItem.HandOff;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -86,6 +87,7 @@
 
     /** The client of a work item has left, so nothing more is owed. */
     public void left(long now, long id) {
+        line.waiting.removeIf(wi -> wi.id == id);
         handOffs.left(now, id);
     }
 
@@ -224,6 +226,9 @@
         private static final double OVER_CALM = 0.9;
         /** In the logarithm of the latency: a fifth longer than calm. */
         private static final double PRESSED = 0.2;
+        /** Part of the due time that a work item may wait. */
+        private static final double WAIT = 0.15;
+
         private final Fleet fleet;
         private final int balancers;
         private final boolean bounded;
@@ -233,6 +238,8 @@
         private final Ring latencyLog = new Ring(SPAN, 20);
         /** The lowest typical latency over the span that the last half minute has seen. */
         private final Lowest calm = new Lowest(300_000, 6);
+        /** What is within its quota and waits for room. */
+        private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
         private final Averages hints = new Averages(300_000);
@@ -263,10 +270,18 @@
             if (wi.hint > 0) {
                 hints.add(now, 0, wi.hint);
             }
-            if (bounded && !fits(wi, now)) {
+            if (!bounded || waiting.isEmpty() && fits(wi, now)) {
+                enter(wi, now);
+            } else if (wi.overQuota || sparse() || now + 4 * TICK >= wi.expiry || waiting.size()
+                >= finished.sum(now) * WAIT * wi.category.dueTime() / Math.min(SPAN, 1 + now - firstAt)) {
                 before.back(wi, now);
-                return;
+            } else {
+                wi.inLineSince = now;
+                waiting.add(wi);
             }
+        }
+
+        private void enter(WorkItem wi, long now) {
             wi.inLane = true;
             wi.enteredAt = now;
             inside++;
@@ -389,10 +404,22 @@
                 }
             }
             before.back(wi, now);
+            advance(now);
         }
 
-        /** Takes note of the typical latency, for the calm one. */
+        private void advance(long now) {
+            while (!waiting.isEmpty() && fits(waiting.peek(), now)) {
+                enter(waiting.poll(), now);
+            }
+        }
+
+        /** Ends early what has waited long enough; takes note of the typical latency, for the calm one. */
         void tidy(long now) {
+            while (!waiting.isEmpty() && (now - waiting.peek().inLineSince > WAIT * waiting.peek().category.dueTime()
+                || now + 2 * TICK >= waiting.peek().expiry)) {
+                before.back(waiting.poll(), now);
+            }
+            advance(now);
             // Soon after a start or a standstill only the quick ones have come back: the room would shrink.
             if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
                 calm.add(now, typical(now));
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -23,6 +23,8 @@
     long enteredAt;
     /** Whether it has had its final answer. */
     boolean ended;
+    /** When it entered the line, while it waits there. */
+    long inLineSince;
     /** The backends that the lane stage leaves to the pick stage. */
     List<Backend> candidates = List.of();
 
