--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -29,7 +29,6 @@
     private static final long TICK = 250;
     /** Called so much too late, the balancer itself has stood still. */
     private static final long STILL = 1_000;
-
     private long wakeAt = Long.MAX_VALUE - STILL;
     private final Outlet outlet;
     private final Intake intake;
@@ -272,8 +271,8 @@
             }
             if (!bounded || waiting.isEmpty() && fits(wi, now)) {
                 enter(wi, now);
-            } else if (wi.overQuota || sparse() || now + 4 * TICK >= wi.expiry || waiting.size()
-                >= finished.sum(now) * WAIT * wi.category.dueTime() / Math.min(SPAN, 1 + now - firstAt)) {
+            } else if (wi.overQuota || SPARSE * balancers > fleet.ready.size() || now + 4 * TICK >= wi.expiry
+                || waiting.size() >= finished.sum(now) * WAIT * wi.category.dueTime() / span(now)) {
                 before.back(wi, now);
             } else {
                 wi.inLineSince = now;
@@ -288,6 +287,10 @@
             after.take(wi, now);
         }
 
+        private double span(long now) {
+            return Math.min(SPAN, Math.max(1, now - firstAt));
+        }
+
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
         private double typical(long now) {
             return latencyLog.sum(now) / 1000.0 / Math.max(1, finished.sum(now));
@@ -295,15 +298,14 @@
 
         private boolean fits(WorkItem wi, long now) {
             // Two for each backend are never too many; a part below one is let in by chance.
-            if (sparse()) {
+            if (SPARSE * balancers > fleet.ready.size()) {
                 return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
-            double multiple = wi.overQuota ? OVER_CALM : WITHIN_CALM;
-            // What is usually inside, more while the fleet is calm and less while it is not.
-            double steady = latency.sum(now) / (double) Math.min(SPAN, Math.max(1, now - firstAt))
-                * Math.min(1, multiple * Math.exp(calm.value() - typical(now)));
-            // Arrivals are uneven: two of their usual spreads above it are no excess, four while all is calm.
+            // What is usually inside, less while the fleet is not calm, and two or four spreads of chance.
+            double over = wi.overQuota ? OVER_CALM : WITHIN_CALM;
+            double calmer = Math.min(1, over * Math.exp(calm.value() - typical(now)));
+            double steady = latency.sum(now) / span(now) * calmer;
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
             double room = steady + (atEase ? 4 : 2) * Math.sqrt(steady);
             return inside + random.nextDouble() < Math.max(floor, room);
@@ -314,11 +316,6 @@
             return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
         }
 
-        /** Whether this balancer's part of the backends is so small that it can't count what is inside. */
-        private boolean sparse() {
-            return SPARSE * balancers > fleet.ready.size();
-        }
-
         /** What each hand-off that ends tells of its tenant's lane, and of the room. */
         void learn(WorkItem wi, Outcome outcome, long time, long now) {
             lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
@@ -415,9 +412,11 @@
 
         /** Ends early what has waited long enough; takes note of the typical latency, for the calm one. */
         void tidy(long now) {
-            while (!waiting.isEmpty() && (now - waiting.peek().inLineSince > WAIT * waiting.peek().category.dueTime()
-                || now + 2 * TICK >= waiting.peek().expiry)) {
-                before.back(waiting.poll(), now);
+            for (WorkItem wi : List.copyOf(waiting)) {
+                if (now + 2 * TICK >= wi.expiry || now - wi.inLineSince > WAIT * wi.category.dueTime()) {
+                    waiting.remove(wi);
+                    before.back(wi, now);
+                }
             }
             advance(now);
             // Soon after a start or a standstill only the quick ones have come back: the room would shrink.
@@ -444,13 +443,8 @@
 
         @Override
         void take(WorkItem wi, long now) {
-            double out = 0;
-            double size = 0;
-            for (Backend b : fleet.ready) {
-                out += b.out;
-                size += fleet.size(b, now);
-            }
-            double far = FAR * out / size;
+            double out = fleet.ready.stream().mapToInt(b -> b.out).sum();
+            double far = FAR * out / fleet.ready.stream().mapToDouble(b -> fleet.size(b, now)).sum();
             double spare = line.pressed(now) ? 0 : 1;
             boolean crowded = fleet.crowded(wi.tenant, fleet.shape.alike() ? FAR : CROWD, now);
             wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
@@ -599,7 +593,6 @@
                         && wi.category.repeat() == Repeat.RERUNNABLE && wi.handOffs.size() < most
                         && now < wi.due && (few || repeats >= 1)) {
                         ho.recalled = true;
-                        // What a lost backend holds costs nothing to run again.
                         repeats += few ? 1 : 0;
                         outlet.recall(wi.id, wi.handOffs.size() - 1);
                     }
@@ -624,14 +617,8 @@
         private static final double LEND = 0.75;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
         private static final int IMAGINED_STAYS = 10;
-        /** A kind is never taken for more than so many times as quick or slow as its size says. */
-        private static final double PACE = 5;
-        /** More backends used for each work item of a tenant that is out, where connections are dear. */
-        private static final int WIDE = 1;
         /** Part of the due time up to which a hand-off that is out counts as held. */
         private static final double LONG = 0.6;
-        /** Usual stays imagined for each lane. */
-        private static final int FEW_STAYS = 1;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
         /** Answers imagined at the start, each after half the due time. */
@@ -691,12 +678,8 @@
                 known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> b.leave(now));
             }
             for (Member m : members) {
-                Backend b = known.get(m.id());
-                if (b == null) {
-                    b = new Backend(m, cold.fall());
-                    known.put(m.id(), b);
-                } else if (m.startedAt() > b.member.startedAt()) {
-                    // A new process: what the old one did says nothing about it.
+                Backend b = known.computeIfAbsent(m.id(), id -> new Backend(m, cold.fall()));
+                if (m.startedAt() > b.member.startedAt()) {
                     b.streak = 0;
                     b.failures.clear();
                     b.answers.clear();
@@ -748,7 +731,7 @@
                 double all = stays.mean(now, 0, 1, 1);
                 double pace = all / stays.mean(now, 2 + 2 * b.member.kind(), IMAGINED_STAYS, all);
                 // Squared, as much of a stay is often the tiers behind, which are alike for all.
-                b.pace = Math.max(1 / PACE, Math.min(PACE, pace * pace));
+                b.pace = pace * pace;
                 if (cold.warmth(b.member, now) >= 1) {
                     size += b.size();
                     sent += b.sent.sum(now);
@@ -815,9 +798,9 @@
                 && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
         }
 
-        /** How long work stays at the backends of a lane, whoever sends it there. */
+        /** How long work stays at the backends of a lane, whoever sends it there; one usual stay imagined. */
         private double laneStay(int lane, long now) {
-            return stays.mean(now, 1 + 2 * lane, FEW_STAYS, stays.mean(now, 0, 0, 0));
+            return stays.mean(now, 1 + 2 * lane, 1, stays.mean(now, 0, 0, 0));
         }
 
         /** Where a crowded lane spills to: what is no more crowded than usual. */
@@ -838,8 +821,8 @@
 
         /** The first of the given backends that this work item may go to now, in this balancer's order. */
         List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
-            // Few of a lane where connections are dear: more only while more of the tenant's work is out.
-            int width = shape.rest() <= 0 ? part.size() : 1 + WIDE * out.getOrDefault(wi.tenant, 0);
+            // Where connections are dear, one of a lane and one for each work item of the tenant that is out.
+            int width = shape.rest() <= 0 ? part.size() : 1 + out.getOrDefault(wi.tenant, 0);
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
@@ -963,7 +946,6 @@
                 b.quietSince = now;
             }
             if (latencyCount == 0) {
-                // With a short guess all backends looked lost in the first second.
                 firstSent = now;
                 latencyCount = AT_START;
                 latencySum = AT_START * wi.category.dueTime() / 2;
@@ -985,33 +967,20 @@
                 b.gapSum.add(now, (now - b.quietSince) * b.out);
                 b.quietSince = now;
             }
-            switch (outcome) {
-                case FINISHED -> {
-                    if (now != stoodAt && slow(wi, now - ho.sentAt, now)) {
-                        // One that has slowed down still answers, and would draw work for as long as it does.
-                        b.failures.add(now, 1);
-                    } else {
-                        b.answers.add(now, 1);
-                    }
-                    b.streak = 0;
-                    latencySum += now - ho.sentAt;
-                    latencyCount++;
-                }
-                case ERROR, TURNED_AWAY, NO_CONNECTION, BROKEN_OFF, TIMED_OUT -> {
-                    b.failures.add(now, 1);
-                    b.streak++;
-                    // Where each must find out alone, a lost zone costs every balancer work at each backend.
-                    b.lost |= outcome == Outcome.NO_CONNECTION && b.streak >= 2;
-                }
-                case RECALLED -> {
-                    if (ho.recalled) {
-                        // Recalled for its silence: no single chance failure, so it counts for several.
-                        b.failures.add(now, 1);
-                        b.streak += 3;
-                        b.lost = true;
-                    }
-                }
-                default -> { }
+            boolean silent = outcome == Outcome.RECALLED && ho.recalled;
+            if (outcome == Outcome.FINISHED) {
+                // One that has slowed down still answers, and would draw work for as long as it does.
+                boolean slow = now != stoodAt && slow(wi, now - ho.sentAt, now);
+                (slow ? b.failures : b.answers).add(now, 1);
+                b.streak = 0;
+                latencySum += now - ho.sentAt;
+                latencyCount++;
+            } else if (silent || outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
+                // Recalled for its silence: no single chance failure, so it counts for several.
+                b.failures.add(now, 1);
+                b.streak += silent ? 3 : 1;
+                // Where each must find out alone, a lost zone costs every balancer work at each backend.
+                b.lost |= silent || outcome == Outcome.NO_CONNECTION && b.streak >= 2;
             }
             if (now != stoodAt && (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT)) {
                 stays.add(now, 0, now - ho.sentAt);
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -412,9 +412,11 @@
                 ledger.arrive(0, i % 3 == 0 ? 0 : 1, 60_000);
                 ledger.pass(900);
                 for (long id : List.copyOf(ledger.items.keySet())) {
-                    Ledger.Sent sent = ledger.items.get(id).sent.get(0);
-                    if (sent.out && ledger.now - sent.at >= (small.contains(sent.to.id()) ? 4_000 : 500)) {
-                        ledger.settle(id, 0, Outcome.FINISHED);
+                    for (Ledger.Sent sent : List.copyOf(ledger.items.get(id).sent)) {
+                        long time = small.contains(sent.to.id()) ? 4_000 : 500;
+                        if (sent.out && ledger.now - sent.at >= time) {
+                            ledger.settle(id, 0, Outcome.FINISHED);
+                        }
                     }
                 }
             }
