--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -237,7 +237,7 @@
         private final Ring latencyLog = new Ring(SPAN, 20);
         /** The lowest typical latency over the span that the last half minute has seen. */
         private final Lowest calm = new Lowest(300_000, 6);
-        /** What is within its quota and waits for room. */
+        /** What is within its quota and waits for room; nothing while pressed, for then it came too late. */
         private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
@@ -271,7 +271,8 @@
             }
             if (!bounded || waiting.isEmpty() && fits(wi, now)) {
                 enter(wi, now);
-            } else if (wi.overQuota || SPARSE * balancers > fleet.ready.size() || now + 4 * TICK >= wi.expiry
+            } else if (wi.overQuota || pressed(now) || SPARSE * balancers > fleet.ready.size()
+                || now + 4 * TICK >= wi.expiry
                 || waiting.size() >= finished.sum(now) * WAIT * wi.category.dueTime() / span(now)) {
                 before.back(wi, now);
             } else {
