--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -27,8 +27,8 @@
 public final class Balancer {
     /** How often silence and the list are looked at: well under any due time, cheap in CPU. */
     private static final long TICK = 250;
-    /** Called so much too late, the balancer itself has stood still. */
-    private static final long STILL = 1_000;
+    /** Called so much too late, the balancer has stood still: 100 ms come with a busy core alone. */
+    private static final long STILL = 2_000;
     private long wakeAt = Long.MAX_VALUE - STILL;
     private final Outlet outlet;
     private final Intake intake;
@@ -665,12 +665,12 @@
                 : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - shape.me(), b.id)) / b.size());
         }
 
-        /** What is out has not been silent while nobody listened; for long stays look no further back. */
+        /** What is out has not been silent while nobody listened, but for as long before as it was. */
         void stood(long now, long time) {
             stoodAt = now;
             stoodFor = time;
             keptAt = now;
-            known.values().forEach(b -> b.quietSince = now);
+            known.values().forEach(b -> b.quietSince = Math.min(now, b.quietSince + time));
         }
 
         void list(long now, List<Member> members, boolean whole, boolean cached) {
@@ -799,9 +799,10 @@
                 && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
         }
 
-        /** How long work stays at the backends of a lane, whoever sends it there; one usual stay imagined. */
+        /** How long work stays at the backends of a lane. A few usual stays are imagined, but unlike balancers
+         * can't wait for many answers: with 3 in place of 1 lanes choked before they spilled. */
         private double laneStay(int lane, long now) {
-            return stays.mean(now, 1 + 2 * lane, 1, stays.mean(now, 0, 0, 0));
+            return stays.mean(now, 1 + 2 * lane, shape.alike() ? 4 : 1, stays.mean(now, 0, 0, 0));
         }
 
         /** Where a crowded lane spills to: what is no more crowded than usual. */
