--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -799,8 +799,8 @@
                 && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
         }
 
-        /** How long work stays at the backends of a lane. A few usual stays are imagined, but unlike balancers
-         * can't wait for many answers: with 3 in place of 1 lanes choked before they spilled. */
+        /** How long work stays at the backends of a lane, with a few usual stays imagined; with 3 in place of 1
+         * unlike balancers, which see few answers, had lanes choke before they spilled. */
         private double laneStay(int lane, long now) {
             return stays.mean(now, 1 + 2 * lane, shape.alike() ? 4 : 1, stays.mean(now, 0, 0, 0));
         }
