--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -237,7 +237,7 @@
         private final Ring latencyLog = new Ring(SPAN, 20);
         /** The lowest typical latency over the span that the last half minute has seen. */
         private final Lowest calm = new Lowest(300_000, 6);
-        /** What is within its quota and waits for room; nothing while pressed, for then it came too late. */
+        /** What is within its quota and waits for room. */
         private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
@@ -269,9 +269,9 @@
             if (wi.hint > 0) {
                 hints.add(now, 0, wi.hint);
             }
-            if (!bounded || waiting.isEmpty() && fits(wi, now)) {
+            if (!bounded || fits(wi, now)) {
                 enter(wi, now);
-            } else if (wi.overQuota || pressed(now) || SPARSE * balancers > fleet.ready.size()
+            } else if (wi.overQuota || SPARSE * balancers > fleet.ready.size()
                 || now + 4 * TICK >= wi.expiry
                 || waiting.size() >= finished.sum(now) * WAIT * wi.category.dueTime() / span(now)) {
                 before.back(wi, now);
@@ -414,7 +414,7 @@
         /** Ends early what has waited long enough; takes note of the typical latency, for the calm one. */
         void tidy(long now) {
             for (WorkItem wi : List.copyOf(waiting)) {
-                if (now + 2 * TICK >= wi.expiry || now - wi.inLineSince > WAIT * wi.category.dueTime()) {
+                if (now + 2 * TICK >= wi.expiry || now - wi.inLineSince > 2 * WAIT * wi.category.dueTime()) {
                     waiting.remove(wi);
                     before.back(wi, now);
                 }
@@ -799,10 +799,9 @@
                 && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
         }
 
-        /** How long work stays at the backends of a lane, with a few usual stays imagined; with 3 in place of 1
-         * unlike balancers, which see few answers, had lanes choke before they spilled. */
+        /** How long work stays at the backends of a lane; one usual stay imagined: at 4 lanes choked. */
         private double laneStay(int lane, long now) {
-            return stays.mean(now, 1 + 2 * lane, shape.alike() ? 4 : 1, stays.mean(now, 0, 0, 0));
+            return stays.mean(now, 1 + 2 * lane, 1, stays.mean(now, 0, 0, 0));
         }
 
         /** Where a crowded lane spills to: what is no more crowded than usual. */
