--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -795,8 +795,11 @@
         /** Whether the lane counts as unusable for this work item: by chance, so that work stays there no
          * more than the given multiple of what is usual. One of many sees next to nothing in flight. */
         boolean crowded(int tenant, double far, long now) {
-            return FEW * shape.balancers() > ready.size()
-                && random.nextDouble() * laneStay(tenant, now) > far * stays.mean(now, 0, 0, 0);
+            double over = laneStay(tenant, now) / Math.max(1, stays.mean(now, 0, 0, 0));
+            // Where one can tell what all hold, less than two for each backend is never a crowd.
+            double held = heldTime.sum(now) * over * shape.balancers() / STAY_SPAN / ready.size();
+            return FEW * shape.balancers() > ready.size() && (held > 2 || !shape.alike())
+                && random.nextDouble() * over > far;
         }
 
         /** How long work stays at the backends of a lane; one usual stay imagined: at 4 lanes choked. */
