--- /dev/null
+++ b/src/main/java/cottonlock/admin/Figures.java
@@ -0,0 +1,86 @@
+package cottonlock.admin;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+
+/** What this process has counted since it started; each count is defined here, and kept where it happens. */
+public final class Figures {
+    /** How a work item ended, as its client saw it. */
+    private enum End { SUCCESS, BUSY, FAILURE }
+
+    private final Map<End, Map<String, LongAdder>> ends = Map.of(End.SUCCESS, new ConcurrentSkipListMap<>(),
+        End.BUSY, new ConcurrentSkipListMap<>(), End.FAILURE, new ConcurrentSkipListMap<>());
+    private final LongAdder handOffs = new LongAdder();
+    private final AtomicInteger inflight = new AtomicInteger();
+    private final LongAdder filesTaken = new LongAdder();
+    private final LongAdder filesRefused = new LongAdder();
+    private volatile int listed;
+    private volatile int avoided;
+
+    /** A category is in force: it stands among the figures from now on, with 0 at first. */
+    public void category(String name) {
+        ends.values().forEach(counts -> counts.computeIfAbsent(name, n -> new LongAdder()));
+    }
+
+    /** A work item has been read whole. */
+    public void taken() {
+        inflight.incrementAndGet();
+    }
+
+    /** A work item that was taken needs nothing more, whether it was answered or its client has left. */
+    public void over() {
+        inflight.decrementAndGet();
+    }
+
+    /** A client has been answered, with this status. */
+    public void answered(String category, int status) {
+        End end = status == 200 ? End.SUCCESS : status == 503 || status == 429 ? End.BUSY : End.FAILURE;
+        ends.get(end).computeIfAbsent(category, n -> new LongAdder()).increment();
+    }
+
+    /** A hand-off has been written whole to a backend. */
+    public void handedOff() {
+        handOffs.increment();
+    }
+
+    /** How many backends the list holds, and how many of these get nothing now, by hand or by choice. */
+    public void backends(int inList, int avoidedNow) {
+        listed = inList;
+        avoided = avoidedNow;
+    }
+
+    /** A configuration has been read again, and was taken or turned down. */
+    public void file(boolean taken) {
+        (taken ? filesTaken : filesRefused).increment();
+    }
+
+    /** All of it as one line of JSON. */
+    public String json() {
+        StringBuilder json = new StringBuilder(512).append('{');
+        counts(json, "success", End.SUCCESS);
+        counts(json, "busy", End.BUSY);
+        counts(json, "failure", End.FAILURE);
+        return json.append("\"backend_calls\":").append(handOffs.sum())
+            .append(",\"inflight\":").append(Math.max(0, inflight.get()))
+            .append(",\"hosts_listed\":").append(listed).append(",\"hosts_down\":").append(avoided)
+            .append(",\"reconfig_ok\":").append(filesTaken.sum())
+            .append(",\"reconfig_failed\":").append(filesRefused.sum()).append('}').toString();
+    }
+
+    private void counts(StringBuilder json, String name, End end) {
+        json.append('"').append(name).append("\":{");
+        String comma = "";
+        for (Map.Entry<String, LongAdder> count : ends.get(end).entrySet()) {
+            json.append(comma).append('"').append(quoted(count.getKey())).append("\":")
+                .append(count.getValue().sum());
+            comma = ",";
+        }
+        json.append("},");
+    }
+
+    private static String quoted(String name) {
+        return name.replace("\\", "\\\\").replace("\"", "\\\"");
+    }
+}
