--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -41,7 +41,9 @@
                 throw new Malformed("EDGE_CONFIG names no file");
             }
             System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
-            Proxy proxy = new Proxy(Path.of(configuration), watched);
+            String folder = System.getenv("TMPDIR");
+            Proxy proxy = new Proxy(Path.of(configuration), watched, System.getenv("EDGE_MGMT"),
+                folder == null || folder.isEmpty() ? null : Path.of(folder));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     proxy.drain();
--- a/src/main/java/cottonlock/config/PlatformFile.java
+++ b/src/main/java/cottonlock/config/PlatformFile.java
@@ -26,6 +26,7 @@
         top.formed("listen", null, ADDRESS, WORDS);
         top.formed("discovery", null, ADDRESS, WORDS);
         top.formed("seed", null, "[0-9a-fA-F]{1,16}", "up to 16 hex digits");
+        top.formed("mgmt", "", ADDRESS, WORDS);
         top.formed("peer_listen", "", ADDRESS, WORDS);
         top.formed("peers_all", "", ADDRESS, WORDS);
         for (String peer : top.texts("peers", List.of())) {
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -8,6 +8,7 @@
 import cottonlock.decision.WorkItem.HandOff;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -65,6 +66,12 @@
         }
     }
 
+    /** Other categories, by number, and most hand-offs hold for what comes from now on. */
+    public void retune(List<Category> categories, int most) {
+        intake.retune(categories);
+        handOffs.most = most;
+    }
+
     /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where not told. */
     public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated,
                        long hint) {
@@ -141,14 +148,14 @@
         private static final double DEPTH = 4;
 
         private final Outlet outlet;
-        private final List<Category> categories;
+        private List<Category> categories;
         private final boolean first;
         private final long longestComeBack;
         /** Each tenant's quota at this balancer, for each tenth of a millisecond, and what is left of it. */
         private final double[] quotas;
         private final Tokens[] tokens;
         /** The longest patience seen of each category. */
-        private final long[] longest;
+        private long[] longest;
 
         /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
@@ -166,6 +173,11 @@
             }
         }
 
+        void retune(List<Category> others) {
+            categories = others;
+            longest = Arrays.copyOf(longest, others.size());
+        }
+
         void arrive(long now, long id, int category, int tenant, long patience, boolean repeated, long hint,
                     long stood) {
             // What came during a standstill has waited as much as its patience lacks of the longest seen.
@@ -263,9 +275,7 @@
 
         @Override
         void take(WorkItem wi, long now) {
-            if (firstAt < 0) {
-                firstAt = now;
-            }
+            firstAt = firstAt < 0 ? now : firstAt;
             if (wi.hint > 0) {
                 hints.add(now, 0, wi.hint);
             }
@@ -501,7 +511,7 @@
         private final Outlet outlet;
         private final Line line;
         private final Fleet fleet;
-        private final int most;
+        private int most;
         private final boolean mayRecall;
         private final Map<Long, WorkItem> open = new HashMap<>();
         private double repeats;
@@ -686,11 +696,8 @@
                     b.answers.clear();
                 }
                 b.member = m;
-                if (m.state() == Member.State.READY) {
-                    b.leavingSince = -1;
-                } else {
-                    b.leave(now);
-                }
+                b.leave(now);
+                b.leavingSince = m.state() == Member.State.READY ? -1 : b.leavingSince;
             }
             layLanes();
             if (shape.mustAsk()) {
@@ -895,12 +902,9 @@
         private boolean trusted(Backend b, long now) {
             double silence = silence(b, now);
             double doubts = doubts(b, now);
-            if (doubts < 1) {
-                return true;
-            }
             // Earlier answers count less with each failure in a row since, and the longer the silence is.
             double answers = b.answers.sum(now) * Math.exp(-b.streak - silence / 2);
-            return Beta.draw(random, 1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
+            return doubts < 1 || Beta.draw(random, 1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
         }
 
         /** Whether an answer took far longer than is usual in its category; keeps account of it too. */
@@ -915,9 +919,6 @@
 
         /** How unusual the backend's present silence is: minus the logarithm of its chance. */
         double silence(Backend b, long now) {
-            if (b.out == 0) {
-                return 0;
-            }
             // A few imagined gaps of the usual latency stand in until the backend has shown its own.
             double usual = (double) latencySum / Math.max(1, latencyCount);
             double gap = (b.gapSum.sum(now) + IMAGINED * usual) / (b.gapCount.sum(now) + IMAGINED);
@@ -946,9 +947,7 @@
         }
 
         void sent(Backend b, WorkItem wi, long now) {
-            if (b.out == 0) {
-                b.quietSince = now;
-            }
+            b.quietSince = b.out == 0 ? now : b.quietSince;
             if (latencyCount == 0) {
                 firstSent = now;
                 latencyCount = AT_START;
--- a/src/main/java/cottonlock/decision/Category.java
+++ b/src/main/java/cottonlock/decision/Category.java
@@ -13,6 +13,11 @@
 public record Category(int number, long dueTime, double credit, double lateCredit,
                        Repeat repeat, Scope scope, long repeatWindow) {
 
+    /** The same with another number. */
+    public Category numbered(int other) {
+        return new Category(other, dueTime, credit, lateCredit, repeat, scope, repeatWindow);
+    }
+
     /** Whether a work item may run again. */
     public enum Repeat { RERUNNABLE, TICKETED, EXCLUSIVE }
 
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -1,10 +1,6 @@
 package cottonlock.net;
 
 import cottonlock.decision.Category;
-import cottonlock.setup.Assembly;
-import cottonlock.setup.Settings;
-import java.util.Arrays;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -12,28 +8,20 @@
 final class Admission {
     /** What passing the answer on may take, in tenths of a millisecond: a busy core's few milliseconds. */
     private static final long RESERVE = 100;
-    /** The patience of categories without an expiry, in tenths of a millisecond: a minute. */
-    private static final long LONGEST = 600_000;
 
     private final Clock clock;
-    private final List<Category> categories;
-    private final List<String> categoryNames;
-    private final List<String> tenantNames;
-    /** A longer patience is taken for this: it would keep what is remembered of a work item for as long. */
-    private final long[] longest;
+    private volatile Rules rules;
     private volatile long leaving = Long.MAX_VALUE;
     private final Set<String> openIds = ConcurrentHashMap.newKeySet();
 
-    Admission(Clock clock, Assembly assembly, Settings settings) {
+    Admission(Clock clock, Rules rules) {
         this.clock = clock;
-        this.categories = assembly.categories;
-        this.categoryNames = settings.each("Categories", "Name");
-        this.tenantNames = settings.each("Projects", "Name");
-        this.longest = new long[categories.size()];
-        for (int i = 0; i < longest.length; i++) {
-            long expiry = settings.timeDown("Categories." + i + ".Expiry");
-            longest[i] = expiry > 0 ? expiry : LONGEST;
-        }
+        this.rules = rules;
+    }
+
+    /** What comes from now on is taken in by these; what has been taken keeps the category it came with. */
+    void follow(Rules other) {
+        rules = other;
     }
 
     /** The proxy leaves in so many milliseconds: what comes from now on is answered before that. */
@@ -43,11 +31,12 @@
 
     /** The longest that any work item is waited for, in milliseconds. */
     long longest() {
-        return Arrays.stream(longest).max().orElse(0) / 10;
+        return rules.longest() / 10;
     }
 
     Item item(Client client, Head head, Body body) throws BadMessage {
         long now = clock.now();
+        Rules in = rules;
         String method = head.start[0];
         if (!method.equals("GET") && !method.equals("POST")) {
             throw new BadMessage(405, "neither GET nor POST");
@@ -63,21 +52,21 @@
             end++;
         }
         String first = target.substring(1, end);
-        int category = categoryNames.indexOf(name == null ? first : name);
+        int category = in.number(name == null ? first : name);
         if (category < 0) {
             throw new BadMessage(404, "unknown category; the first part of the path names one");
         }
-        if (!first.equals(categoryNames.get(category))) {
+        if (name != null && !first.equals(name)) {
             throw new BadMessage(400, "the path and X-Priority-Class differ");
         }
         String tenantName = head.only("X-Tenant-Id");
-        int tenant = tenantNames.isEmpty() ? 0 : tenantNames.indexOf(tenantName);
+        int tenant = in.tenantNames.isEmpty() ? 0 : in.tenantNames.indexOf(tenantName);
         if (tenant < 0) {
             throw new BadMessage(400, tenantName == null ? "no X-Tenant-Id"
                 : "unknown tenant in X-Tenant-Id");
         }
         String ticket = head.only("Idempotency-Key");
-        if (ticket == null && categories.get(category).repeat() == Category.Repeat.TICKETED) {
+        if (ticket == null && in.categories.get(category).repeat() == Category.Repeat.TICKETED) {
             // Sent on without it, a repeat could not be known, and would have its effect twice.
             throw new BadMessage(400, "no Idempotency-Key, which this category needs");
         }
@@ -86,10 +75,10 @@
             throw new BadMessage(400, patience == null ? "no X-Timeout-Ms"
                 : "X-Timeout-Ms is not a number of whole milliseconds");
         }
-        long wait = Math.min(longest[category] / 10, Long.parseLong(patience)) * 10 - RESERVE;
+        long wait = Math.min(in.longest(category) / 10, Long.parseLong(patience)) * 10 - RESERVE;
         // Taken but unanswered when the program is killed, it would be lost.
         long expiry = Math.min(now + wait, leaving - RESERVE);
-        Item item = new Item(client, head, body, requestId, ticket, category, categoryNames.get(category),
+        Item item = new Item(client, head, body, requestId, ticket, category, first,
             tenant, tenantName, "1".equals(head.only("X-Retried")), expiry, openIds);
         if (!openIds.add(requestId)) {
             // Backends know a work item by its id: the other one would get this one's answer, or none.
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -1,5 +1,6 @@
 package cottonlock.net;
 
+import cottonlock.admin.Figures;
 import cottonlock.decision.Outcome;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -26,6 +27,7 @@
     private final HttpWriter writer;
     private final Watchdog watchdog;
     private final Clock clock;
+    private final Figures figures;
     private final Log log;
     private InetSocketAddress address;
     private final Deque<Link> resting = new ArrayDeque<>();
@@ -35,7 +37,7 @@
     /** Times in milliseconds. */
     BackendActor(InetSocketAddress address, Places places, Keeping keeping, Workers workers,
                  long connectLimit, long idle, Buffers buffers, HttpWriter writer, Watchdog watchdog,
-                 Clock clock, Log log) {
+                 Clock clock, Figures figures, Log log) {
         this.address = address;
         this.places = places;
         this.keeping = keeping;
@@ -46,6 +48,7 @@
         this.writer = writer;
         this.watchdog = watchdog;
         this.clock = clock;
+        this.figures = figures;
         this.log = log;
         this.mailbox = new Mailbox(MOST, log);
     }
@@ -166,7 +169,7 @@
             ho.settle(Outcome.NO_CONNECTION);
             return;
         }
-        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, log, ho);
+        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, figures, log, ho);
         links.add(link);
         try {
             workers.serve(link);
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -1,5 +1,6 @@
 package cottonlock.net;
 
+import cottonlock.admin.Figures;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -27,6 +28,7 @@
     private final Buffers buffers;
     private final HttpWriter writer;
     private final Watchdog watchdog;
+    private final Figures figures;
     private final Log log;
     private Item wi;
     private boolean reading;
@@ -34,10 +36,12 @@
     private boolean inputEnded;
     private boolean asked;
     private boolean worked;
+    /** Whether the connection ends after the next answer. */
+    private boolean last;
     private long since = System.nanoTime();
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
-           HttpWriter writer, Watchdog watchdog, Log log) {
+           HttpWriter writer, Watchdog watchdog, Figures figures, Log log) {
         this.socket = socket;
         this.listener = listener;
         this.module = module;
@@ -45,6 +49,7 @@
         this.buffers = buffers;
         this.writer = writer;
         this.watchdog = watchdog;
+        this.figures = figures;
         this.log = log;
     }
 
@@ -67,6 +72,7 @@
                 buffers.give(buffer);
             }
             if (unanswered != null && unanswered.claim()) {
+                figures.over();
                 module.left(unanswered);
             }
             listener.ended(this);
@@ -150,6 +156,7 @@
         boolean keep = head.keepsAlive(head.start[2]);
         if (head.start[1].equals("/_health")) {
             body.release();
+            keep &= !last();
             answer(200, null, null, null, !keep);
             return keep;
         }
@@ -167,6 +174,7 @@
             reading = false;
             closing |= !keep;
         }
+        figures.taken();
         module.arrive(item);
         return true;
     }
@@ -196,18 +204,20 @@
     }
 
     /** The final answer to the work item under way, by whoever has claimed it. */
-    void finish(int status, String name, String value, Body body) {
+    void finish(Item done, int status, String name, String value, Body body) {
         boolean close;
         synchronized (this) {
-            close = closing;
+            close = closing || last;
         }
         boolean whole = false;
         try {
             answer(status, name, value, body, close);
             whole = true;
+            figures.answered(done.categoryName, status);
         } catch (IOException e) {
             log.info("client gone", "an answer could not be written whole");
         }
+        figures.over();
         synchronized (this) {
             wi = null;
             notifyAll();
@@ -218,6 +228,15 @@
         }
     }
 
+    /** Ends the connection after its next answer, however long that takes to be asked for. */
+    synchronized void lastOne() {
+        last = true;
+    }
+
+    private synchronized boolean last() {
+        return last;
+    }
+
     /** Ends the connection now if it rests, else after the answer that is under way. */
     void close() {
         synchronized (this) {
--- a/src/main/java/cottonlock/net/Config.java
+++ b/src/main/java/cottonlock/net/Config.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Reads the configuration file of one proxy; whatever is wrong with it is a {@link Malformed}. */
 final class Config {
@@ -31,6 +32,70 @@
         }
     }
 
+    /**
+     * Turns it down unless it may follow the one in force: a file that lacks a key that stands there, or that
+     * no work could be served by, is taken for one that was cut off or mistyped.
+     */
+    void mayFollow(Config before) {
+        for (Object key : before.root.keySet()) {
+            // Who serves beside us and what was last known may come and go; the rest may not.
+            if (!root.containsKey(key) && !String.valueOf(key).startsWith("peer") && !key.equals("known")) {
+                throw new Malformed("the key " + key + " is missing");
+            }
+        }
+        sameKeys("settings", before.root.get("settings"), root.get("settings"));
+        seed();
+        Settings settings = settings();
+        List<String> names = settings.each("Categories", "Name");
+        if (names.isEmpty() || names.contains("") || Set.copyOf(names).size() < names.size()) {
+            throw new Malformed("settings.Categories has no category, or one without a name of its own");
+        }
+        for (int i = 0; i < names.size(); i++) {
+            above(settings, "Categories." + i + ".DueTime");
+            above(settings, "Categories." + i + ".Expiry");
+        }
+        above(settings, "Limits.MaxHandOffs");
+    }
+
+    /** All keys of the one in the other too; of a list of objects, those that all of the one's have. */
+    private static void sameKeys(String path, Object before, Object now) {
+        if (before instanceof Map<?, ?> old) {
+            if (!(now instanceof Map<?, ?> map)) {
+                throw new Malformed(path + " is no object");
+            }
+            old.forEach((key, value) -> {
+                if (map.get(key) == null) {
+                    throw new Malformed("the key " + path + "." + key + " is missing");
+                }
+                sameKeys(path + "." + key, value, map.get(key));
+            });
+        } else if (before instanceof List<?> old && !old.isEmpty() && old.get(0) instanceof Map<?, ?> first) {
+            if (!(now instanceof List<?> list)) {
+                throw new Malformed(path + " is no list");
+            }
+            for (Object key : first.keySet()) {
+                boolean inAll = old.stream().allMatch(o -> o instanceof Map<?, ?> m && m.containsKey(key));
+                for (int i = 0; inAll && i < list.size(); i++) {
+                    if (!(list.get(i) instanceof Map<?, ?> map) || map.get(key) == null) {
+                        throw new Malformed("the key " + path + "." + i + "." + key + " is missing");
+                    }
+                }
+            }
+        }
+    }
+
+    private static void above(Settings settings, String path) {
+        double value = settings.number(path, Double.NaN);
+        if (!(value > 0 && value < Double.POSITIVE_INFINITY)) {
+            throw new Malformed("settings." + path + " must be over 0, found " + settings.text(path, "nothing"));
+        }
+    }
+
+    /** A plain value, or what stands in where there is none. */
+    String text(String name, String otherwise) {
+        return root.get(name) instanceof String text ? text : otherwise;
+    }
+
     /** The settings as paths and values, as the module is built from them. */
     Settings settings() {
         if (!(root.get("settings") instanceof Map<?, ?> map)) {
@@ -80,7 +145,7 @@
         return list;
     }
 
-    private static InetSocketAddress address(String name, Object value) {
+    static InetSocketAddress address(String name, Object value) {
         try {
             return Sockets.address(String.valueOf(value));
         } catch (IllegalArgumentException e) {
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -1,5 +1,6 @@
 package cottonlock.net;
 
+import cottonlock.admin.Figures;
 import cottonlock.decision.Outcome;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
     private final HttpWriter writer;
     private final Watchdog watchdog;
     private final Clock clock;
+    private final Figures figures;
     private final Log log;
     private final Socket socket = new Socket();
     private final Item.HandOff first;
@@ -29,7 +31,7 @@
     private boolean ended;
 
     Link(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
-         HttpWriter writer, Watchdog watchdog, Clock clock, Log log, Item.HandOff first) {
+         HttpWriter writer, Watchdog watchdog, Clock clock, Figures figures, Log log, Item.HandOff first) {
         this.backend = backend;
         this.address = address;
         this.connectLimit = connectLimit;
@@ -37,6 +39,7 @@
         this.writer = writer;
         this.watchdog = watchdog;
         this.clock = clock;
+        this.figures = figures;
         this.log = log;
         this.first = first;
     }
@@ -156,6 +159,7 @@
             long wait = Math.max(1, (ho.wi.expiry - clock.now()) / 10);
             String host = address.getHostString() + ":" + address.getPort();
             watchdog.write(socket, out -> writer.request(out, ho.wi, host, wait));
+            figures.handedOff();
             return null;
         } catch (IOException e) {
             return Outcome.NO_CONNECTION;
@@ -207,7 +211,7 @@
         boolean owed = ho.wi.claim();
         ho.settle(Outcome.FINISHED);
         if (owed) {
-            ho.wi.client.finish(200, null, null, body);
+            ho.wi.client.finish(ho.wi, 200, null, null, body);
         }
     }
 
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.net.StandardSocketOptions;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
@@ -23,13 +25,19 @@
     /** Milliseconds between looks for one that can be closed. */
     private static final long LOOK = 5;
 
+    /** Milliseconds between looks at whether another process takes over; and at a queue that may be empty. */
+    private static final int TURN = 100;
+    private static final int EMPTY = 1;
+
     private final Semaphore places;
     private final BiFunction<Socket, Listener, Client> clientOf;
     private final Workers workers;
     private final Log log;
+    private volatile boolean leaving;
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
 
-    Listener(InetSocketAddress address, int most, BiFunction<Socket, Listener, Client> clientOf,
+    /** Shares: another process of this proxy may listen there too. */
+    Listener(InetSocketAddress address, boolean shares, int most, BiFunction<Socket, Listener, Client> clientOf,
              Workers workers, Log log) throws IOException {
         this.places = new Semaphore(most);
         this.clientOf = clientOf;
@@ -37,6 +45,10 @@
         this.log = log;
         this.server = new ServerSocket();
         server.setReuseAddress(true);
+        if (shares) {
+            server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            server.setSoTimeout(TURN);
+        }
         try {
             server.bind(address, BACKLOG);
         } catch (IOException e) {
@@ -49,7 +61,15 @@
     public void run() {
         while (!server.isClosed()) {
             try {
+                if (leaving) {
+                    server.setSoTimeout(EMPTY);
+                }
                 take(server.accept());
+            } catch (SocketTimeoutException e) {
+                // Closed before it was empty, the kernel would reset what it has queued here unheard.
+                if (leaving) {
+                    Sockets.close(server);
+                }
             } catch (IOException e) {
                 if (!server.isClosed()) {
                     log.warn("accept failed", String.valueOf(e.getMessage()));
@@ -67,6 +87,9 @@
         }
         Client client = clientOf.apply(socket, this);
         clients.add(client);
+        if (leaving) {
+            client.lastOne();
+        }
         try {
             workers.serve(client);
         } catch (OutOfMemoryError e) {
@@ -112,6 +135,17 @@
         places.release();
     }
 
+    /** Leaves what comes to another process, and each connection after the next answer on it. */
+    void handOver() {
+        leaving = true;
+        List.copyOf(clients).forEach(Client::lastOne);
+    }
+
+    /** Whether no connection is left. */
+    boolean empty() {
+        return server.isClosed() && clients.isEmpty();
+    }
+
     /** Takes in no more, and ends each connection after the answer that it waits for. */
     void close() {
         Sockets.close(server);
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -1,6 +1,8 @@
 package cottonlock.net;
 
+import cottonlock.admin.Figures;
 import cottonlock.decision.Balancer;
+import cottonlock.decision.Category;
 import cottonlock.decision.Member;
 import cottonlock.decision.Outcome;
 import cottonlock.decision.Outlet;
@@ -12,7 +14,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** The module's actor: its thread alone calls the module, and it waits for nobody but its mailbox. */
@@ -30,7 +35,13 @@
     private final Deque<Runnable> next = new ArrayDeque<>();
     private final Clock clock;
     private final Function<Directory.Entry, BackendActor> actorOf;
+    private final Figures figures;
     private final Log log;
+    /** The backends in the list, as discovery has told them, and their ids for others to see. */
+    private final Map<String, Member> listed = new TreeMap<>();
+    private volatile Set<String> ids = Set.of();
+    private boolean listLost;
+    private Bans bans;
     private final Map<Long, Item> items = new HashMap<>();
     private final Map<String, BackendActor> backends = new TreeMap<>();
     private final PriorityQueue<Item> expiries =
@@ -43,17 +54,19 @@
     private long lastNumber;
     private long wakeAt;
 
-    ModuleActor(Clock clock, Function<Directory.Entry, BackendActor> actorOf, Log log) {
+    ModuleActor(Clock clock, Function<Directory.Entry, BackendActor> actorOf, Figures figures, Log log) {
         this.clock = clock;
         this.actorOf = actorOf;
+        this.figures = figures;
         this.log = log;
         this.mailbox = new Mailbox(MOST, log);
         this.clerk = new Mailbox(MOST, log);
     }
 
     /** Before the thread starts: the module, where its asks for the list go, and its messages to peers. */
-    void join(Balancer module, ListWatch list, Peers others) {
+    void join(Balancer module, ListWatch list, Peers others, Bans taken) {
         balancer = module;
+        bans = taken;
         watch = list;
         peers = others;
     }
@@ -168,9 +181,18 @@
         mailbox.put(() -> {
             List<Member> members = new ArrayList<>();
             Map<String, BackendActor> absent = news.whole() ? new TreeMap<>(backends) : new TreeMap<>();
+            listLost = false;
+            if (news.whole()) {
+                listed.clear();
+            }
             for (Directory.Entry entry : news.entries()) {
                 Member m = entry.member();
-                members.add(m);
+                members.add(bans.told(m));
+                if (m.state() == Member.State.GONE) {
+                    listed.remove(m.id());
+                } else {
+                    listed.put(m.id(), m);
+                }
                 BackendActor actor = backends.get(m.id());
                 if (m.state() == Member.State.GONE) {
                     absent.put(m.id(), actor);
@@ -193,11 +215,70 @@
                     actor.leave();
                 }
             });
+            ids = Set.copyOf(listed.keySet());
+            count();
+        });
+    }
+
+    private void count() {
+        figures.backends(listed.size(), (int) listed.values().stream()
+            .filter(m -> bans.told(m).state() != Member.State.READY).count());
+    }
+
+    /** Waits until all is done that it has been told so far, a second at most. */
+    void settle() {
+        CountDownLatch done = new CountDownLatch(1);
+        mailbox.put(done::countDown);
+        try {
+            done.await(1, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Whether the list holds a backend of that id; from any thread. */
+    boolean lists(String id) {
+        return ids.contains(id);
+    }
+
+    /** Backends have been taken out or back by hand; from any thread. */
+    void bansChanged() {
+        mailbox.put(() -> {
+            List<Member> members = new ArrayList<>();
+            for (Member m : listed.values()) {
+                members.add(bans.told(m));
+                if (bans.out(m.id()) && backends.containsKey(m.id())) {
+                    // It will be restarted: what rests there would break as soon as it is used again.
+                    backends.get(m.id()).release();
+                }
+            }
+            if (shadow != null) {
+                shadow.list(clock.now(), members, false, false);
+            }
+            balancer.list(clock.now(), members, false, false);
+            if (listLost) {
+                // This was no news from discovery: it still has to be asked again.
+                balancer.listFailed(clock.now());
+            }
+            count();
+        });
+    }
+
+    /** Other categories, by number, and another number of hand-offs are in force for what comes from now on. */
+    void retune(List<Category> categories, int most) {
+        mailbox.put(() -> {
+            if (shadow != null) {
+                shadow.retune(categories, most);
+            }
+            balancer.retune(categories, most);
         });
     }
 
     void listFailed() {
-        mailbox.put(() -> balancer.listFailed(clock.now()));
+        mailbox.put(() -> {
+            listLost = true;
+            balancer.listFailed(clock.now());
+        });
     }
 
     /** Another balancer of the tier has told something. */
@@ -220,7 +301,10 @@
             shadow.decided(number, backend);
         }
         BackendActor actor = backends.get(backend);
-        if ((actor == null || !actor.handOff(ho)) && ho.abandon()) {
+        if (bans.out(backend) && ho.abandon()) {
+            // The yes to the operator went out before the module could hear of it.
+            next.add(() -> ended(ho, Outcome.NOT_SENT));
+        } else if ((actor == null || !actor.handOff(ho)) && ho.abandon()) {
             next.add(() -> ended(ho, Outcome.NO_CONNECTION));
         }
     }
@@ -247,8 +331,9 @@
     private void answer(long number, int status, String name, String value) {
         Item wi = items.get(number);
         if (wi != null && wi.claim()) {
-            if (!clerk.offer(() -> wi.client.finish(status, name, value, null))) {
+            if (!clerk.offer(() -> wi.client.finish(wi, status, name, value, null))) {
                 // So far behind that nobody would still wait: it ends without an answer.
+                figures.over();
                 wi.client.abort();
             }
         }
--- a/src/main/java/cottonlock/net/Peers.java
+++ b/src/main/java/cottonlock/net/Peers.java
@@ -4,6 +4,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
@@ -19,10 +20,14 @@
     private final ModuleActor module;
     private final Log log;
 
-    /** Any address may be null where the settings give none. */
-    Peers(InetSocketAddress own, List<InetSocketAddress> others, InetSocketAddress all,
+    /** Any address may be null where the settings give none. Shares: with another process of this proxy. */
+    Peers(InetSocketAddress own, boolean shares, List<InetSocketAddress> others, InetSocketAddress all,
           ModuleActor module, Log log) throws IOException {
-        this.socket = own == null || all == null ? null : new DatagramSocket(own);
+        this.socket = own == null || all == null ? null : new DatagramSocket(null);
+        if (socket != null) {
+            socket.setOption(StandardSocketOptions.SO_REUSEPORT, shares);
+            socket.bind(own);
+        }
         this.others = Set.copyOf(others);
         this.all = all;
         this.module = module;
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -1,5 +1,7 @@
 package cottonlock.net;
 
+import cottonlock.admin.Figures;
+import cottonlock.admin.Management;
 import cottonlock.setup.Assembly;
 import cottonlock.setup.Settings;
 import java.io.IOException;
@@ -33,6 +35,15 @@
     private static final long LOOK = 5;
 
     private final Path configuration;
+    /** What is in force: the file as it was last taken, and what its work items are taken in by. */
+    private Config inForce;
+    private Rules rules;
+    private final Figures figures = new Figures();
+    private final Bans bans;
+    private final Succession succession;
+    /** Null where operators have no address to call. */
+    private Management management;
+    private volatile boolean serves;
     private final Log log;
     private final List<Thread> threads = new ArrayList<>();
     private final Admission admission;
@@ -48,13 +59,20 @@
 
     /** Starts a proxy by its configuration file; it serves when this returns. */
     public Proxy(Path configuration) throws IOException {
-        this(configuration, Map.of());
+        this(configuration, Map.of(), null, null);
     }
 
-    /** The same; the decisions of a module with these settings in place of its own are counted beside it. */
-    public Proxy(Path configuration, Map<String, String> watched) throws IOException {
+    /**
+     * The same; the decisions of a module with these settings in place of its own are counted beside it.
+     * Operators call at the configuration's address, else at the given one, if any. What the processes of one
+     * proxy share is kept in the folder; null: nothing is.
+     */
+    public Proxy(Path configuration, Map<String, String> watched, String calledAt, Path folder)
+        throws IOException {
         this.configuration = configuration;
         Config config = Config.read(configuration);
+        String operators = config.text("mgmt", calledAt);
+        boolean shares = operators != null;
         Settings settings = config.settings();
         Assembly assembly = new Assembly(settings);
         log = new Log(System.getLogger("cottonlock"));
@@ -74,19 +92,23 @@
         Keeping keeping = new Keeping();
         long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
         long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
+        String name = config.text("name", "proxy") + "-" + config.text("listen", "");
+        Path kept = shares ? folder : null;
+        succession = new Succession(new Shared(kept, name, "serving", log));
         module = new ModuleActor(clock, entry -> {
             BackendActor actor = new BackendActor(entry.dial(), places, keeping, workers, connect, idle,
-                buffers, writer, watchdog, clock, log);
+                buffers, writer, watchdog, clock, figures, log);
             Sockets.start("backend", actor);
             return actor;
-        }, log);
+        }, figures, log);
+        bans = new Bans(new Shared(kept, name, "bans", log), clock, module::bansChanged);
         Directory directory = new Directory(log, settings.words("Zones"), settings.words("Flavors"));
         Directory.News known = config.known(directory);
         watch = new ListWatch(config.address("discovery"), directory, known.version(),
             assembly.mustAsk(), module, buffers, log, random.split());
-        peers = new Peers(config.addressIfAny("peer_listen"), config.addresses("peers"),
+        peers = new Peers(config.addressIfAny("peer_listen"), shares, config.addresses("peers"),
             config.addressIfAny("peers_all"), module, log);
-        module.join(assembly.balancer(module, random.nextLong()), watch, peers);
+        module.join(assembly.balancer(module, random.nextLong()), watch, peers, bans);
         if (!watched.isEmpty()) {
             Settings others = config.settings();
             watched.forEach(others::put);
@@ -95,30 +117,86 @@
             module.watch(shadow);
         }
         module.list(known, true);
-        admission = new Admission(clock, assembly, settings);
+        inForce = config;
+        rules = new Rules(null, assembly, settings);
+        rules.names().forEach(figures::category);
+        admission = new Admission(clock, rules);
         InetSocketAddress listen = config.address("listen");
-        listener = new Listener(listen, fromClients, (socket, from) -> new Client(socket, from, module,
-            admission, buffers, writer, watchdog, log), workers, log);
+        listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from, module,
+            admission, buffers, writer, watchdog, figures, log), workers, log);
         longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
         threads.add(Sockets.start("list", watch));
         threads.add(Sockets.start("peers", peers));
         threads.add(Sockets.start("listener", listener));
+        if (shares) {
+            // Called before the module had the list, ids that are there were told to be nobody's.
+            module.settle();
+            management = new Management(Config.address("mgmt", operators), new Desk());
+            threads.add(Sockets.start("management", management));
+            threads.add(Sockets.start("bans", bans));
+        }
+        succession.serving();
+        serves = true;
+    }
+
+    /** What operators ask for, carried out on the threads of their calls. */
+    private final class Desk implements Management.Desk {
+        @Override
+        public boolean serves() {
+            return serves;
+        }
+
+        @Override
+        public String figures() {
+            return figures.json();
+        }
+
+        @Override
+        public String takeOut(String id) {
+            return change(id, true);
+        }
+
+        @Override
+        public String takeBack(String id) {
+            return change(id, false);
+        }
+
+        private String change(String id, boolean out) {
+            if (!module.lists(id) && !bans.out(id)) {
+                return "no backend has that id";
+            }
+            return bans.change(id, out) ? null : "too many backends are out";
+        }
     }
 
-    /** Reads the configuration again, and follows discovery to where it is now; all else stays as it is. */
+    /**
+     * Reads the configuration again: follows discovery to where it is now, and takes in work by the settings
+     * that it holds now. What it may not change stays as it is; a bad file changes nothing at all.
+     */
     public synchronized void reload() {
         try {
             Config config = Config.read(configuration);
+            config.mayFollow(inForce);
+            Settings settings = config.settings();
+            Assembly assembly = new Assembly(settings);
             // A file that could not start a proxy is not trusted with where discovery is either.
-            new Assembly(config.settings()).balancer(module, 0);
+            assembly.balancer(module, 0);
             InetSocketAddress discovery = config.address("discovery");
+            rules = new Rules(rules, assembly, settings);
+            inForce = config;
+            rules.names().forEach(figures::category);
+            // The module first: it must know a category before a work item of it comes.
+            module.retune(rules.categories, settings.count("Limits.MaxHandOffs", 1));
+            admission.follow(rules);
             watch.move(discovery);
+            figures.file(true);
             log.info("configuration", "read again, discovery is at " + discovery);
         } catch (RuntimeException e) {
             // A slip in a file must not end a proxy that serves.
-            log.warn("configuration", "the old one stays in force: " + e.getMessage());
+            figures.file(false);
+            log.warn("configuration", configuration + ": the old one stays in force: " + e.getMessage());
         }
     }
 
@@ -128,6 +206,10 @@
      */
     public void drain() throws InterruptedException {
         long left = Math.min(WAITED_FOR, longestExpiry) + MORE - MARGIN;
+        if (succession.replaced()) {
+            handOver(left);
+            return;
+        }
         long taking = Math.max(left / 2, left - LAST);
         admission.endWithin(left);
         Thread.sleep(taking);
@@ -138,8 +220,26 @@
         }
     }
 
+    /** Another process takes what comes from now on: this one answers what it has, and one more each. */
+    private void handOver(long left) throws InterruptedException {
+        admission.endWithin(left);
+        listener.handOver();
+        long until = System.nanoTime() + left * 1_000_000;
+        while (!listener.empty() && System.nanoTime() < until) {
+            Thread.sleep(LOOK);
+        }
+        listener.close();
+        while (listener.busy() && System.nanoTime() < until + MARGIN * 1_000_000) {
+            Thread.sleep(LOOK);
+        }
+    }
+
     /** Ends it at once. */
     public void close() {
+        serves = false;
+        if (management != null) {
+            management.close();
+        }
         listener.close();
         listener.abort();
         peers.close();
@@ -153,6 +253,11 @@
         return listener.port();
     }
 
+    /** The port that operators call at; -1 without one. */
+    int managementPort() {
+        return management == null ? -1 : management.port();
+    }
+
     /** What the watched module would have decided otherwise, by kind; null where none is watched. */
     Map<Shadow.Kind, Long> watched() {
         return shadow == null ? null : shadow.counts();
--- a/src/main/java/cottonlock/net/Shadow.java
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -1,6 +1,7 @@
 package cottonlock.net;
 
 import cottonlock.decision.Balancer;
+import cottonlock.decision.Category;
 import cottonlock.decision.Member;
 import cottonlock.decision.Outcome;
 import cottonlock.decision.Outlet;
@@ -67,6 +68,11 @@
         guard(() -> balancer.start(now));
     }
 
+    /** The categories are what is served, the rest its own settings. */
+    void retune(List<Category> categories, int most) {
+        guard(() -> balancer.retune(categories, most));
+    }
+
     void due(long now) {
         if (now >= wakeAt) {
             wakeAt = Long.MAX_VALUE;
--- a/src/test/java/cottonlock/ArchitectureTest.java
+++ b/src/test/java/cottonlock/ArchitectureTest.java
@@ -46,12 +46,14 @@
             .layer("main").definedBy("cottonlock").layer("cli").definedBy("cottonlock.cli")
             .layer("lab").definedBy("cottonlock.lab").layer("bench").definedBy("cottonlock.bench")
             .layer("net").definedBy("cottonlock.net..").layer("config").definedBy("cottonlock.config")
+            .layer("admin").definedBy("cottonlock.admin")
             .layer("setup").definedBy("cottonlock.setup").layer("decision").definedBy("cottonlock.decision")
             .whereLayer("main").mayNotBeAccessedByAnyLayer()
             .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
             .whereLayer("lab").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("bench").mayOnlyBeAccessedByLayers("main")
             .whereLayer("net").mayOnlyBeAccessedByLayers("main", "lab")
+            .whereLayer("admin").mayOnlyBeAccessedByLayers("net")
             .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "lab")
             .whereLayer("setup").mayOnlyBeAccessedByLayers("main", "bench", "net")
             .check(all);
@@ -60,7 +62,7 @@
 
     @Example
     void whatThePlatformStartsNeedsNoLibrary() {
-        noClasses().that().resideInAnyPackage("cottonlock.net..", "cottonlock.setup", "cottonlock.bench",
+        noClasses().that().resideInAnyPackage("cottonlock.net..", "cottonlock.admin", "cottonlock.setup", "cottonlock.bench",
                 "cottonlock.decision").should().dependOnClassesThat().resideInAnyPackage("com..", "org..",
                 "picocli..")
             .because("serve and wirehost load no library").check(all);
--- /dev/null
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -0,0 +1,243 @@
+package cottonlock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.decision.Member;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** What operators do with a proxy in service: call it, take backends out, retune it, replace it. */
+class OperatorDaysTest extends ProxyFixture {
+    private Path file;
+
+    private void startManaged(Path folder, String text) throws IOException {
+        file = config(text.replace("{\"listen\"", "{\"mgmt\":\"127.0.0.1:0\",\"listen\""));
+        proxy = new Proxy(file, Map.of(), null, folder);
+        buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
+    }
+
+    private static String ask(int port, String call) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(2_000);
+            send(socket, call + "\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private String ask(String call) throws IOException {
+        return ask(proxy.managementPort(), call);
+    }
+
+    private Object figure(String name) throws IOException {
+        return ((Map<?, ?>) Json.read(ask("DUMP").split("\n")[0])).get(name);
+    }
+
+    @Example
+    void callsAreAnsweredBesideCallersWhoHoldTheirConnection() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        startManaged(null, settings(64, 1, "", backend.host("b")));
+        for (int i = 0; i < 40; i++) {
+            Socket holder = new Socket("127.0.0.1", proxy.managementPort());
+            open.add(holder);
+            send(holder, i % 2 == 0 ? "" : "HEAL");
+        }
+        long before = System.nanoTime();
+        assertEquals("ACK\n", ask("HEALTH"));
+        assertTrue(System.nanoTime() - before < 1_000_000_000L);
+        for (String bad : List.of("", "LEAVE", "OFFLINE", "OFFLINE nobody", "ONLINE nobody", "HEALTH b", "\u0000",
+            "x".repeat(600))) {
+            assertTrue(ask(bad).startsWith("NAK "), bad);
+        }
+        assertTrue(ask("DUMP").endsWith("}\n--\n"));
+    }
+
+    @Example
+    void figuresTellWhatPeersSaw() throws Exception {
+        StandIn backend = new StandIn(request -> {
+            Thread.sleep(field(request, "X-Request-ID", "").equals("left") ? 400 : 0);
+            return field(request, "X-Request-ID", "").equals("bad") ? "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"
+                : OK;
+        });
+        startManaged(null, settings(64, 1, "", backend.host("b")));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, status(call(request("read", "r" + i, "", ""))));
+        }
+        try (Socket leaver = connect()) {
+            send(leaver, request("book", "left", "", "body"));
+            eventually(() -> backend.requests.size() == 6, "handed off");
+            assertEquals("1", figure("inflight"));
+        }
+        eventually(() -> figure("inflight").equals("0"), "who leaves is no longer under way");
+        // Last: the sole backend is doubted after it.
+        assertEquals(502, status(call(request("once", "bad", "", "body"))));
+        assertEquals("5", ((Map<?, ?>) figure("success")).get("read"));
+        assertEquals("1", ((Map<?, ?>) figure("failure")).get("once"));
+        assertEquals("7", figure("backend_calls"));
+        assertEquals("1", figure("hosts_listed"));
+    }
+
+    @Example
+    void whoIsOutGetsNothingWhateverDiscoverySaysAndIsColdWhenBack() throws Exception {
+        StandIn one = new StandIn(request -> OK);
+        StandIn two = new StandIn(request -> OK);
+        Path folder = Files.createTempDirectory("bans");
+        startManaged(folder, settings(64, 1, "", one.host("one"), two.host("two")));
+        eventually(() -> figure("hosts_listed").equals("2"), "both are listed");
+        assertEquals("ACK\n", ask("OFFLINE one"));
+        assertEquals("ACK\n", ask("OFFLINE one"));
+        int before = one.requests.size();
+        for (int i = 0; i < 20; i++) {
+            call(request("read", "r" + i, "", ""));
+        }
+        assertEquals(before, one.requests.size());
+        assertEquals("1", figure("hosts_down"));
+        // The process dies without a word; the next one knows, and a stale or foreign file does no harm.
+        proxy.close();
+        proxy.join();
+        Files.writeString(folder.resolve("cottonlock-other.bans"), "\u0001\u0002");
+        startManaged(folder, settings(64, 1, "", one.host("one"), two.host("two")));
+        eventually(() -> figure("hosts_down").equals("1"), "still out");
+        for (int i = 0; i < 20; i++) {
+            call(request("read", "s" + i, "", ""));
+        }
+        assertEquals(before, one.requests.size());
+        assertEquals("ACK\n", ask("ONLINE one"), "two bans need one call back");
+        eventually(() -> {
+            call(request("read", "t" + System.nanoTime(), "", ""));
+            return one.requests.size() > before;
+        }, "it gets work again");
+    }
+
+    @Example
+    void bansAreSharedWithAnotherProcessAndReturnsAreColdThereToo() throws Exception {
+        Log log = new Log(System.getLogger("test"));
+        Path folder = Files.createTempDirectory("bans");
+        Clock clock = new Clock();
+        List<String> told = new ArrayList<>();
+        Bans here = new Bans(new Shared(folder, "p", "bans", log), clock, () -> { });
+        Bans there = new Bans(new Shared(folder, "p", "bans", log), clock, () -> told.add("there"));
+        Member listed = new Member("b", 0, 0, 0, Member.State.READY, 1, 5);
+        assertTrue(here.change("b", true));
+        there.look();
+        assertTrue(there.out("b"));
+        assertEquals(Member.State.DRAINING, there.told(listed).state());
+        assertTrue(there.change("b", false));
+        here.look();
+        assertFalse(here.out("b"));
+        assertTrue(clock.now() - here.told(listed).startedAt() < 10_000, "a cold start, whatever the list says");
+        assertEquals(List.of("there", "there"), told);
+        Files.writeString(folder.resolve("cottonlock-p.bans"), "something else\nout b\n");
+        here.look();
+        assertFalse(here.out("b"), "a foreign file counts as empty");
+        assertNull(new Shared(null, "p", "bans", log).stamp());
+    }
+
+    @Example
+    void aFileIsTakenWholeOrNotAtAll() throws Exception {
+        StandIn backend = new StandIn(request -> {
+            Thread.sleep(field(request, "X-Request-ID", "").equals("old") ? 700 : 0);
+            return OK;
+        });
+        String text = settings(64, 1, "", backend.host("b"));
+        startManaged(null, text);
+        String now = Files.readString(file);
+        String next = now.replace("\"once\"", "\"twice\"").replace("\"MaxHandOffs\":3", "\"MaxHandOffs\":1");
+        try (Socket old = connect()) {
+            send(old, request("once", "old", "", "body"));
+            eventually(() -> !backend.requests.isEmpty(), "handed off");
+            for (String bad : List.of("", "{", now.substring(0, now.length() / 2), "[]",
+                next.replace("\"MaxHandOffs\":1", "\"MaxHandOffs\":0"),
+                next.replace("\"MaxHandOffs\":1,", ""), next.replace("\"Expiry\":1500000,", ""),
+                next.replace("\"Expiry\":1500000", "\"Expiry\":-5"), next.replace("\"Stage\":1,", ""),
+                next.replaceFirst("\"Repeat\":\"unsafe\"", "\"X\":1"), next.replace("\"seed\"", "\"sed\""),
+                next.replace("\"twice\"", "\"read\""))) {
+                Files.writeString(file, bad);
+                proxy.reload();
+                assertEquals(404, status(call(request("twice", "n", "", "body"))), bad);
+            }
+            assertEquals("12", figure("reconfig_failed"));
+            Files.writeString(file, next);
+            proxy.reload();
+            assertEquals("1", figure("reconfig_ok"));
+            assertEquals(200, status(call(request("twice", "new", "", "body"))));
+            assertEquals(404, status(call(request("once", "gone", "", "body"))));
+            assertEquals(200, status(receive(old)), "what was open keeps its category");
+        }
+        Files.writeString(file, now);
+        proxy.reload();
+        assertEquals(200, status(call(request("once", "back", "", "body"))), "a name that comes again");
+        assertEquals("3", ((Map<?, ?>) figure("success")).values().stream()
+            .mapToInt(n -> Integer.parseInt(n.toString())).sum() + "");
+    }
+
+    @Example
+    void aSecondProcessTakesOverWithoutACallTurnedAway() throws Exception {
+        StandIn backend = new StandIn(request -> {
+            Thread.sleep(field(request, "X-Request-ID", "").equals("long") ? 900 : 5);
+            return OK;
+        });
+        int[] ports = new int[3];
+        for (int i = 0; i < 3; i++) {
+            try (ServerSocket free = new ServerSocket(0)) {
+                ports[i] = free.getLocalPort();
+            }
+        }
+        Path folder = Files.createTempDirectory("two");
+        Process[] processes = new Process[2];
+        for (int i = 0; i < 2; i++) {
+            Path config = config(settings(128, 1, "\"mgmt\":\"127.0.0.1:" + ports[1 + i] + "\",",
+                backend.host("b"), backend.host("c")).replace("127.0.0.1:0", "127.0.0.1:" + ports[0]));
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-cp", System.getProperty("java.class.path"), "cottonlock.Main", "serve");
+            builder.environment().put("EDGE_CONFIG", config.toString());
+            builder.environment().put("TMPDIR", folder.toString());
+            processes[i] = builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            Process process = processes[i];
+            int port = ports[1 + i];
+            open.add(process::destroyForcibly);
+            eventually(() -> {
+                try {
+                    return ask(port, "HEALTH").equals("ACK\n");
+                } catch (IOException e) {
+                    assertTrue(process.isAlive());
+                    return false;
+                }
+            }, "it serves");
+            if (i == 0) {
+                assertEquals("ACK\n", ask(port, "OFFLINE c"));
+            }
+        }
+        assertTrue(ask(ports[2], "DUMP").contains("\"hosts_down\":1"), "bans are known at once");
+        try (Socket kept = new Socket("127.0.0.1", ports[0]); Socket held = new Socket("127.0.0.1", ports[0])) {
+            // Held by one of the two; whichever it is, its work item is answered.
+            send(kept, request("read", "first", "", ""));
+            assertEquals(200, status(receive(kept)));
+            send(held, request("once", "long", "", "body"));
+            processes[0].destroy();
+            for (int i = 0; i < 60; i++) {
+                try (Socket socket = new Socket("127.0.0.1", ports[0])) {
+                    send(socket, request("read", "during" + i, "", ""));
+                    assertEquals(200, status(receive(socket)), "call " + i);
+                }
+            }
+            assertEquals(200, status(receive(held)));
+            send(kept, request("read", "second", "", ""));
+            assertEquals(200, status(receive(kept)));
+        }
+        eventually(() -> !processes[0].isAlive(), "the old one leaves");
+        assertTrue(processes[1].isAlive());
+        assertEquals("ACK\n", ask(ports[2], "ONLINE c"));
+    }
+}
--- /dev/null
+++ b/src/test/java/cottonlock/net/ProxyFixture.java
@@ -0,0 +1,230 @@
+package cottonlock.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import net.jqwik.api.lifecycle.AfterTry;
+
+/** A proxy on loopback sockets, stand-ins of clients, backends and discovery, and how they talk. */
+abstract class ProxyFixture {
+    static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    static final String NOT_RUN =
+        "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    /** Closes the connection in place of an answer. */
+    static final String CLOSE = "";
+    /** Never answers. */
+    static final String SILENT = "silent";
+
+    final List<AutoCloseable> open = new ArrayList<>();
+    Proxy proxy;
+    int buffersAtFirst;
+
+    /** What a backend's stand-in does with a request, whose lines it is given. */
+    interface Play {
+        String answer(List<String> request) throws Exception;
+    }
+
+    /** A stand-in that answers each request as its play says. */
+    final class StandIn implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        final List<Socket> sockets = new CopyOnWriteArrayList<>();
+        final List<List<String>> requests = new CopyOnWriteArrayList<>();
+        volatile Play play;
+
+        StandIn(Play play) throws IOException {
+            this.play = play;
+            open.add(this);
+            Sockets.start("stand-in", () -> {
+                try {
+                    while (true) {
+                        Socket socket = server.accept();
+                        sockets.add(socket);
+                        Sockets.start("stand-in connection", () -> serve(socket));
+                    }
+                } catch (IOException e) {
+                    // The test is over.
+                }
+            });
+        }
+
+        private void serve(Socket socket) {
+            try (socket) {
+                BufferedReader in = new BufferedReader(
+                    new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                List<String> lines = new ArrayList<>();
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    if (!line.isEmpty()) {
+                        lines.add(line);
+                        continue;
+                    }
+                    char[] body = new char[Integer.parseInt(field(lines, "Content-Length", "0"))];
+                    for (int n = 0; n < body.length; n += in.read(body, n, body.length - n)) {
+                        // Until all of it has come.
+                    }
+                    lines.add(new String(body));
+                    List<String> request = List.copyOf(lines);
+                    lines.clear();
+                    requests.add(request);
+                    String answer = play.answer(request);
+                    if (answer.equals(CLOSE)) {
+                        return;
+                    }
+                    if (!answer.equals(SILENT)) {
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                }
+            } catch (Exception e) {
+                // Its connection has ended.
+            }
+        }
+
+        String host(String id) {
+            return "{\"host\":\"" + id + "\",\"dial\":\"127.0.0.1:" + server.getLocalPort()
+                + "\",\"site\":\"z\",\"class\":\"k\",\"block\":0,"
+                + "\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    static String field(List<String> lines, String name, String otherwise) {
+        return lines.stream().filter(line -> line.startsWith(name + ": "))
+            .map(line -> line.substring(name.length() + 2)).findFirst().orElse(otherwise);
+    }
+
+    static String list(int version, boolean whole, String... hosts) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":["
+            + String.join(",", hosts) + "]}";
+    }
+
+    static Path config(String text) throws IOException {
+        Path file = Files.createTempFile("proxy", ".json");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, text);
+    }
+
+    static String settings(int sockets, int discovery, String more, String... hosts) {
+        return "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + ",\"memory_mb\":64},"
+            + more + "\"known\":" + list(1, true, hosts) + ",\"settings\":{\"Categories\":["
+            + "{\"Name\":\"read\",\"DueTime\":800000,\"Expiry\":1500000,\"Repeat\":\"safe\"},"
+            + "{\"Name\":\"book\",\"DueTime\":800000,\"Expiry\":1500000,\"Repeat\":\"keyed\","
+            + "\"KeyScope\":\"zone\",\"RepeatWindow\":5000000},"
+            + "{\"Name\":\"once\",\"DueTime\":800000,\"Expiry\":1500000,\"Repeat\":\"unsafe\"}],"
+            + "\"Projects\":[{\"Name\":\"acme\",\"Share\":1.0,\"QuotaRps\":1000}],\"Stage\":1,"
+            + "\"Zones\":[\"z\"],\"Flavors\":[\"k\"],\"MembershipMode\":\"subscribe\",\"Limits\":{"
+            + "\"MaxHandOffs\":3,\"Cancel\":true,\"RetryAfter\":true,\"MaxRetryAfter\":2000000,"
+            + "\"ConnectTimeout\":150000,\"ConnIdle\":60000000},\"Obligations\":{\"AskWithin\":1000000}}}";
+    }
+
+
+    void start(int sockets, int discovery, String more, String... hosts) throws IOException {
+        proxy = new Proxy(config(settings(sockets, discovery, more, hosts)));
+        buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
+    }
+
+    void start(StandIn... backends) throws IOException {
+        String[] hosts = new String[backends.length];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = backends[i].host("b" + i);
+        }
+        start(256, 1, "", hosts);
+    }
+
+    /** After each test everything must have been given back. */
+    @AfterTry
+    void closesCleanly() throws Exception {
+        if (proxy != null) {
+            proxy.close();
+            proxy.join();
+        }
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+        if (proxy != null) {
+            eventually(() -> proxy.freeBuffers() == buffersAtFirst, "all buffers are back");
+        }
+        open.clear();
+        proxy = null;
+    }
+
+    interface Check {
+        boolean holds() throws Exception;
+    }
+
+    static void eventually(Check check, String what) throws Exception {
+        long until = System.nanoTime() + 4_000_000_000L;
+        while (!check.holds()) {
+            assertTrue(System.nanoTime() < until, "in time: " + what);
+            Thread.sleep(2);
+        }
+    }
+
+    static String request(String category, String id, String more, String body) {
+        return (category.equals("read") ? "GET" : "POST") + " /" + category + "?sid=7 HTTP/1.1\r\n"
+            + "Host: origin\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + category
+            + "\r\nX-Tenant-Id: acme\r\n"
+            + (category.equals("book") ? "Idempotency-Key: k" + id + "\r\n" : "")
+            + (more.contains("X-Timeout-Ms") ? "" : "X-Timeout-Ms: 1200\r\n") + more
+            + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", proxy.port());
+        socket.setSoTimeout(8_000);
+        open.add(socket);
+        return socket;
+    }
+
+    static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** One whole answer: its head, an empty line and its body; what there is of it if the stream ends. */
+    static String receive(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        int end = -1;
+        while (end < 0 || text.length() < end) {
+            int c = in.read();
+            if (c < 0) {
+                return text.toString();
+            }
+            text.append((char) c);
+            if (end < 0 && text.toString().endsWith("\r\n\r\n")) {
+                end = text.length() + Integer.parseInt(
+                    field(List.of(text.toString().split("\r\n")), "Content-Length", "0"));
+            }
+        }
+        return text.toString();
+    }
+
+    String call(String request) throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, request);
+            return receive(socket);
+        }
+    }
+
+    static int status(String answer) {
+        return answer.isEmpty() ? 0 : Integer.parseInt(answer.split(" ", 3)[1]);
+    }
+}
