--- a/src/main/java/cottonlock/admin/Management.java
+++ b/src/main/java/cottonlock/admin/Management.java
@@ -14,7 +14,7 @@
  * within a second also while everything else is full.
  */
 public final class Management implements Runnable {
-    /** Connections at most: some callers hold theirs for seconds, and each takes a descriptor and a thread. */
+    /** Connections at most: some hold theirs for seconds, and each takes a descriptor and a thread. */
     public static final int MOST = 12;
     /** Bytes of a call: an id is far shorter. */
     private static final int LONGEST = 512;
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -903,8 +903,9 @@
             double silence = silence(b, now);
             double doubts = doubts(b, now);
             // Earlier answers count less with each failure in a row since, and the longer the silence is.
-            double answers = b.answers.sum(now) * Math.exp(-b.streak - silence / 2);
-            return doubts < 1 || Beta.draw(random, 1 + (int) Math.min(30, answers), 1 + (int) Math.min(10, doubts)) > 0.5;
+            double answers = Math.min(30, b.answers.sum(now) * Math.exp(-b.streak - silence / 2));
+            return doubts < 1
+                || Beta.draw(random, 1 + (int) answers, 1 + (int) Math.min(10, doubts)) > 0.5;
         }
 
         /** Whether an answer took far longer than is usual in its category; keeps account of it too. */
--- a/src/main/java/cottonlock/net/Config.java
+++ b/src/main/java/cottonlock/net/Config.java
@@ -87,7 +87,8 @@
     private static void above(Settings settings, String path) {
         double value = settings.number(path, Double.NaN);
         if (!(value > 0 && value < Double.POSITIVE_INFINITY)) {
-            throw new Malformed("settings." + path + " must be over 0, found " + settings.text(path, "nothing"));
+            throw new Malformed("settings." + path + " must be over 0, found "
+                + settings.text(path, "nothing"));
         }
     }
 
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -25,7 +25,7 @@
     /** Milliseconds between looks for one that can be closed. */
     private static final long LOOK = 5;
 
-    /** Milliseconds between looks at whether another process takes over; and at a queue that may be empty. */
+    /** Milliseconds between looks at whether another takes over; and at a queue that may be empty. */
     private static final int TURN = 100;
     private static final int EMPTY = 1;
 
@@ -37,8 +37,8 @@
     private final Set<Client> clients = ConcurrentHashMap.newKeySet();
 
     /** Shares: another process of this proxy may listen there too. */
-    Listener(InetSocketAddress address, boolean shares, int most, BiFunction<Socket, Listener, Client> clientOf,
-             Workers workers, Log log) throws IOException {
+    Listener(InetSocketAddress address, boolean shares, int most,
+             BiFunction<Socket, Listener, Client> clientOf, Workers workers, Log log) throws IOException {
         this.places = new Semaphore(most);
         this.clientOf = clientOf;
         this.workers = workers;
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -264,7 +264,7 @@
         });
     }
 
-    /** Other categories, by number, and another number of hand-offs are in force for what comes from now on. */
+    /** Other categories, by number, and most hand-offs are in force for what comes from now on. */
     void retune(List<Category> categories, int most) {
         mailbox.put(() -> {
             if (shadow != null) {
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -122,8 +122,8 @@
         rules.names().forEach(figures::category);
         admission = new Admission(clock, rules);
         InetSocketAddress listen = config.address("listen");
-        listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from, module,
-            admission, buffers, writer, watchdog, figures, log), workers, log);
+        listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from,
+            module, admission, buffers, writer, watchdog, figures, log), workers, log);
         longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
--- a/src/test/java/cottonlock/ArchitectureTest.java
+++ b/src/test/java/cottonlock/ArchitectureTest.java
@@ -62,7 +62,8 @@
 
     @Example
     void whatThePlatformStartsNeedsNoLibrary() {
-        noClasses().that().resideInAnyPackage("cottonlock.net..", "cottonlock.admin", "cottonlock.setup", "cottonlock.bench",
+        noClasses().that().resideInAnyPackage("cottonlock.net..", "cottonlock.admin",
+                "cottonlock.setup", "cottonlock.bench",
                 "cottonlock.decision").should().dependOnClassesThat().resideInAnyPackage("com..", "org..",
                 "picocli..")
             .because("serve and wirehost load no library").check(all);
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -55,8 +55,8 @@
         long before = System.nanoTime();
         assertEquals("ACK\n", ask("HEALTH"));
         assertTrue(System.nanoTime() - before < 1_000_000_000L);
-        for (String bad : List.of("", "LEAVE", "OFFLINE", "OFFLINE nobody", "ONLINE nobody", "HEALTH b", "\u0000",
-            "x".repeat(600))) {
+        for (String bad : List.of("", "LEAVE", "OFFLINE", "OFFLINE nobody", "ONLINE nobody", "HEALTH b",
+            "\u0000", "x".repeat(600))) {
             assertTrue(ask(bad).startsWith("NAK "), bad);
         }
         assertTrue(ask("DUMP").endsWith("}\n--\n"));
@@ -66,8 +66,8 @@
     void figuresTellWhatPeersSaw() throws Exception {
         StandIn backend = new StandIn(request -> {
             Thread.sleep(field(request, "X-Request-ID", "").equals("left") ? 400 : 0);
-            return field(request, "X-Request-ID", "").equals("bad") ? "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"
-                : OK;
+            return field(request, "X-Request-ID", "").equals("bad")
+                ? "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n" : OK;
         });
         startManaged(null, settings(64, 1, "", backend.host("b")));
         for (int i = 0; i < 5; i++) {
@@ -135,7 +135,7 @@
         assertTrue(there.change("b", false));
         here.look();
         assertFalse(here.out("b"));
-        assertTrue(clock.now() - here.told(listed).startedAt() < 10_000, "a cold start, whatever the list says");
+        assertTrue(clock.now() - here.told(listed).startedAt() < 10_000, "cold, whatever the list says");
         assertEquals(List.of("there", "there"), told);
         Files.writeString(folder.resolve("cottonlock-p.bans"), "something else\nout b\n");
         here.look();
@@ -198,8 +198,9 @@
         for (int i = 0; i < 2; i++) {
             Path config = config(settings(128, 1, "\"mgmt\":\"127.0.0.1:" + ports[1 + i] + "\",",
                 backend.host("b"), backend.host("c")).replace("127.0.0.1:0", "127.0.0.1:" + ports[0]));
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-cp", System.getProperty("java.class.path"), "cottonlock.Main", "serve");
+            ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "cottonlock.Main", "serve");
             builder.environment().put("EDGE_CONFIG", config.toString());
             builder.environment().put("TMPDIR", folder.toString());
             processes[i] = builder.redirectErrorStream(true)
@@ -220,7 +221,8 @@
             }
         }
         assertTrue(ask(ports[2], "DUMP").contains("\"hosts_down\":1"), "bans are known at once");
-        try (Socket kept = new Socket("127.0.0.1", ports[0]); Socket held = new Socket("127.0.0.1", ports[0])) {
+        try (Socket kept = new Socket("127.0.0.1", ports[0]);
+             Socket held = new Socket("127.0.0.1", ports[0])) {
             // Held by one of the two; whichever it is, its work item is answered.
             send(kept, request("read", "first", "", ""));
             assertEquals(200, status(receive(kept)));
