--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -34,8 +34,13 @@
         return rules.longest() / 10;
     }
 
-    Item item(Client client, Head head, Body body) throws BadMessage {
-        long now = clock.now();
+    /** A request that may become a work item as soon as its body is there. */
+    record Asked(Head head, String id, String ticket, int category, String name, int tenant,
+                 String tenantName, long patience) {
+    }
+
+    /** Judges a head by itself: a long body behind a bad one need not be read. */
+    Asked asked(Head head) throws BadMessage {
         Rules in = rules;
         String method = head.start[0];
         if (!method.equals("GET") && !method.equals("POST")) {
@@ -76,11 +81,15 @@
                 : "X-Timeout-Ms is not a number of whole milliseconds");
         }
         long wait = Math.min(in.longest(category) / 10, Long.parseLong(patience)) * 10 - RESERVE;
+        return new Asked(head, requestId, ticket, category, first, tenant, tenantName, wait);
+    }
+
+    /** The work item, now that all of it has come: from here on its time counts. */
+    Item item(Client client, Asked asked, Body body) throws BadMessage {
         // Taken but unanswered when the program is killed, it would be lost.
-        long expiry = Math.min(now + wait, leaving - RESERVE);
-        Item item = new Item(client, head, body, requestId, ticket, category, first,
-            tenant, tenantName, "1".equals(head.only("X-Retried")), expiry, openIds);
-        if (!openIds.add(requestId)) {
+        long expiry = Math.min(clock.now() + asked.patience, leaving - RESERVE);
+        Item item = new Item(client, asked, body, expiry, openIds);
+        if (!openIds.add(asked.id)) {
             // Backends know a work item by its id: the other one would get this one's answer, or none.
             throw new BadMessage(409, "the id of a work item that is under way");
         }
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -157,6 +157,9 @@
                 resting.addLast(link);
                 return;
             }
+            if (ho.wi.body.spooled() && elsewhere(link, ho)) {
+                return;
+            }
             if (link.send(ho)) {
                 return;
             }
@@ -182,6 +185,20 @@
         }
     }
 
+    /** A long body is written on another thread: a backend that reads slowly must not stop this actor. */
+    private boolean elsewhere(Link link, Item.HandOff ho) {
+        try {
+            workers.serve(() -> {
+                if (!link.send(ho) && !ho.settled()) {
+                    mailbox.put(() -> send(ho));
+                }
+            });
+            return true;
+        } catch (OutOfMemoryError e) {
+            return false;
+        }
+    }
+
     private void retire() {
         long now = System.nanoTime();
         while (!resting.isEmpty() && now - resting.peekFirst().restingSince > retireAfter) {
--- a/src/main/java/cottonlock/net/Body.java
+++ b/src/main/java/cottonlock/net/Body.java
@@ -2,59 +2,102 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.util.ArrayList;
 import java.util.List;
 
-/** The body of one message, kept in buffers of the pool until it is given back. */
+/** The body of one message, until it is given back: in buffers of the pool, a long one's rest in a file. */
 final class Body {
-    /** The protocol's limit, for what clients send. */
-    static final int MOST = 64 << 10;
-    /** For answers: backends have sent six times the protocol's limit; more would crowd the pool's others. */
-    static final int MOST_OF_ANSWER = 1 << 20;
+    /** Bytes in buffers: more of each would crowd the pool's others. */
+    static final int IN_HAND = 64 << 10;
+    /** For what clients send: the longest that operators allow, 32 MB, and a little. */
+    static final long MOST = 34L << 20;
 
     private final Buffers buffers;
+    private final Spools spools;
     private final List<byte[]> parts = new ArrayList<>(1);
-    private int length;
+    private int inHand;
+    private FileChannel rest;
+    private long restLength;
 
-    Body(Buffers buffers) {
+    /** Spools null: it must fit into what may be in hand. */
+    Body(Buffers buffers, Spools spools) {
         this.buffers = buffers;
+        this.spools = spools;
     }
 
-    int length() {
-        return length;
+    long length() {
+        return inHand + restLength;
+    }
+
+    /** Whether it is so long that writing it can take a while. */
+    boolean spooled() {
+        return rest != null;
     }
 
     void add(byte[] from, int at, int count) throws IOException {
-        while (count > 0) {
-            int used = length % Buffers.SIZE;
+        while (count > 0 && inHand < IN_HAND) {
+            int used = inHand % Buffers.SIZE;
             if (used == 0) {
                 parts.add(buffers.take());
             }
             int n = Math.min(count, Buffers.SIZE - used);
             System.arraycopy(from, at, parts.get(parts.size() - 1), used, n);
-            length += n;
+            inHand += n;
             at += n;
             count -= n;
         }
+        if (count > 0) {
+            if (rest == null) {
+                rest = spools.open();
+            }
+            restLength += count;
+            spools.grow(count);
+            for (ByteBuffer bytes = ByteBuffer.wrap(from, at, count); bytes.hasRemaining();) {
+                rest.write(bytes);
+            }
+        }
     }
 
     /** Copies a body that fits behind what the target, a buffer, already holds. */
     void copyTo(byte[] target, int at) {
-        System.arraycopy(parts.get(0), 0, target, at, length);
+        System.arraycopy(parts.get(0), 0, target, at, inHand);
     }
 
     void writeTo(OutputStream out) throws IOException {
-        int left = length;
+        int left = inHand;
         for (byte[] part : parts) {
             out.write(part, 0, Math.min(left, Buffers.SIZE));
             left -= Buffers.SIZE;
         }
+        if (rest != null) {
+            byte[] buffer = buffers.take();
+            try {
+                // Read by place: two hand-offs of one work item may be written at once.
+                ByteBuffer bytes = ByteBuffer.wrap(buffer);
+                for (long at = 0; at < restLength; at += bytes.position()) {
+                    bytes.clear();
+                    if (rest.read(bytes, at) < 0) {
+                        throw new IOException("the file of a body is cut off");
+                    }
+                    out.write(buffer, 0, bytes.position());
+                }
+            } finally {
+                buffers.give(buffer);
+            }
+        }
     }
 
-    /** Gives the buffers back; the body is empty from then on. */
+    /** Gives all back; the body is empty from then on. */
     void release() {
         parts.forEach(buffers::give);
         parts.clear();
-        length = 0;
+        inHand = 0;
+        if (rest != null) {
+            spools.close(rest, restLength);
+            rest = null;
+            restLength = 0;
+        }
     }
 }
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -12,12 +12,17 @@
 final class Client implements Runnable {
     /** Milliseconds between requests: many clients ask once and stay, and may be left after two seconds. */
     private static final long REST = 2_200;
-    /** Milliseconds for one request to come in, from connecting for the first: half ones must not pile up. */
-    private static final long READ = 2_000;
+    /** Milliseconds for a head to come in, from connecting for the first, and for a pause in a body: slow
+     * ones take two seconds, half ones must not pile up. */
+    private static final long READ = 2_600;
+    /** Bytes a second of a body at least: a little less than the slowest clients send. */
+    private static final long SLOWEST = 48 << 10;
     /** Nanoseconds after which a request that has not come whole is a half one: no sender pauses so long. */
     private static final long HALF = 1_000_000_000L;
     /** Milliseconds for what a refused client still sends, so that it sees the answer before the end. */
     private static final long LINGER = 300;
+    /** Milliseconds that a backend may pause within a long answer: some take seconds to write on. */
+    private static final long STALL = 5_000;
     /** Bytes of it: what lies in the buffers of one connection; reading on through 60 MB costs the others. */
     private static final int DROP = 256 << 10;
 
@@ -26,6 +31,7 @@
     private final ModuleActor module;
     private final Admission admission;
     private final Buffers buffers;
+    private final Spools spools;
     private final HttpWriter writer;
     private final Watchdog watchdog;
     private final Figures figures;
@@ -41,12 +47,13 @@
     private long since = System.nanoTime();
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
-           HttpWriter writer, Watchdog watchdog, Figures figures, Log log) {
+           Spools spools, HttpWriter writer, Watchdog watchdog, Figures figures, Log log) {
         this.socket = socket;
         this.listener = listener;
         this.module = module;
         this.admission = admission;
         this.buffers = buffers;
+        this.spools = spools;
         this.writer = writer;
         this.watchdog = watchdog;
         this.figures = figures;
@@ -128,16 +135,20 @@
     private boolean serve(HttpReader reader) throws IOException {
         Body body = null;
         Head head;
+        Admission.Asked request = null;
         try {
             if (asked) {
                 reader.within(READ);
             }
             asked = true;
             head = reader.request();
+            boolean health = head.start[1].equals("/_health");
+            request = health ? null : admission.asked(head);
             if (head.lists("Expect", "100-continue")) {
                 watchdog.write(socket, out -> out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes()));
             }
-            body = reader.body(buffers, Body.MOST);
+            reader.paced(READ, SLOWEST);
+            body = reader.body(buffers, spools, Body.MOST);
             if (reader.stray()) {
                 body.release();
                 throw new BadMessage(400, "more than its length");
@@ -154,7 +165,7 @@
             return false;
         }
         boolean keep = head.keepsAlive(head.start[2]);
-        if (head.start[1].equals("/_health")) {
+        if (request == null) {
             body.release();
             keep &= !last();
             answer(200, null, null, null, !keep);
@@ -162,7 +173,7 @@
         }
         Item item;
         try {
-            item = admission.item(this, head, body);
+            item = admission.item(this, request, body);
         } catch (BadMessage e) {
             body.release();
             refuse(e, reader);
@@ -217,17 +228,67 @@
         } catch (IOException e) {
             log.info("client gone", "an answer could not be written whole");
         }
+        over(close || !whole);
+    }
+
+    /** The work item under way is over, and with it perhaps the connection. */
+    private void over(boolean close) {
+        boolean ends;
         figures.over();
         synchronized (this) {
             wi = null;
+            reading = false;
+            since = System.nanoTime();
             notifyAll();
-            close |= closing || !whole;
+            ends = close || closing;
         }
-        if (close) {
+        if (ends) {
             endReading();
         }
     }
 
+    /**
+     * Passes on a long answer as it comes, by whoever has claimed the work item; its first part is in hand,
+     * the reader has the rest. False when it could not be passed on whole: the client sees that it is not.
+     */
+    boolean relay(Item done, Body part, HttpReader rest) {
+        long length = part.length() > 0 ? -1 : rest.length();
+        boolean chunked = length < 0 && done.knowsChunks;
+        boolean close;
+        synchronized (this) {
+            close = closing || last || length < 0 && !chunked;
+        }
+        boolean whole = false;
+        try {
+            watchdog.write(socket, out -> {
+                writer.begin(out, length, chunked, part, close);
+                // The rest may take as long as the client likes; what is in hand would be missed by others.
+                part.release();
+                rest.paced(STALL, HttpReader.ANY_RATE);
+                rest.pass((from, at, count) -> writer.piece(out, chunked, from, at, count));
+                writer.end(out, chunked);
+            });
+            whole = true;
+            figures.answered(done.categoryName, 200);
+        } catch (IOException e) {
+            log.info("broken relay", "a long answer was not passed on whole: " + e.getMessage());
+            figures.answered(done.categoryName, 502);
+            reset();
+        }
+        over(close || !whole);
+        return whole;
+    }
+
+    /** Ends the connection so that nobody takes what has been sent for all of it. */
+    private void reset() {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            // It has ended already.
+        }
+        Sockets.close(socket);
+    }
+
     /** Ends the connection after its next answer, however long that takes to be asked for. */
     synchronized void lastOne() {
         last = true;
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -11,6 +11,8 @@
 final class HttpReader {
     /** Longer lines between chunks carry nothing that anyone here needs. */
     private static final int CHUNK_LINE = 256;
+    /** Bytes a second that any sender reaches: only its pauses count. */
+    static final long ANY_RATE = 16;
     private static final long TO_THE_END = Long.MAX_VALUE;
 
     private final Socket socket;
@@ -19,6 +21,9 @@
     private int at;
     private int filled;
     private long limit;
+    /** Nanoseconds that a pause may last at most, each byte adding to the limit as many; 0: it stays. */
+    private long pause;
+    private long eachByte;
     private boolean chunked;
     /** What is left of the body, or of its present chunk. */
     private long left;
@@ -34,6 +39,15 @@
     /** All reads from now on must be done within so many milliseconds; 0: no limit. */
     void within(long millis) {
         limit = millis == 0 ? 0 : System.nanoTime() + millis * 1_000_000;
+        pause = 0;
+    }
+
+    /** No pause from now on may be longer than so many milliseconds, and less than so many bytes a second may
+     * not come for longer than that either. */
+    void paced(long millis, long bytesPerSecond) {
+        within(millis);
+        pause = millis * 1_000_000;
+        eachByte = 1_000_000_000L / bytesPerSecond;
     }
 
     /** Waits for the first byte of a message; false when the other side has ended its sending. */
@@ -72,6 +86,9 @@
         socket.setSoTimeout(wait);
         int n = in.read(buffer, filled, buffer.length - filled);
         filled += Math.max(0, n);
+        if (pause > 0 && n > 0) {
+            limit = Math.min(limit + n * eachByte, System.nanoTime() + pause);
+        }
         return n > 0;
     }
 
@@ -95,6 +112,11 @@
     Head request() throws IOException, BadMessage {
         Head head = head();
         String[] s = head.start;
+        if (s.length == 3 && s[1].startsWith("http://")) {
+            // The absolute form means the same here, wherever it is sent.
+            int path = s[1].indexOf('/', "http://".length());
+            s[1] = path < 0 ? "/" : s[1].substring(path);
+        }
         if (s.length != 3 || !token(s[0]) || !target(s[1]) || !s[2].startsWith("HTTP/")) {
             throw new BadMessage(400, "not a request line");
         }
@@ -108,14 +130,14 @@
         return head;
     }
 
-    /** The head of the final answer: milliseconds until one begins, and from then until all has come. */
-    Head answer(long begun, long whole) throws IOException, BadMessage {
+    /** The head of the final answer: milliseconds until one begins, and from then on for any pause. */
+    Head answer(long begun, long gap) throws IOException, BadMessage {
         while (true) {
             within(begun);
             if (!await()) {
                 throw new IOException("the answer ends early");
             }
-            within(whole);
+            paced(gap, ANY_RATE);
             Head head = head();
             String[] s = head.start;
             boolean version = s[0].equals("HTTP/1.1") || s[0].equals("HTTP/1.0");
@@ -242,12 +264,22 @@
         }
     }
 
-    /** Reads the whole body of the message whose head came last; on failure its buffers are given back. */
-    Body body(Buffers buffers, int most) throws IOException, BadMessage {
-        Body body = new Body(buffers);
+    /** How long the body is said to be; -1 where that is not told. */
+    long length() {
+        return bodyOver ? 0 : chunked || left == TO_THE_END ? -1 : left;
+    }
+
+    /** Whether all of the body has been read. */
+    boolean over() {
+        return bodyOver;
+    }
+
+    /** Reads the whole body of the message whose head came last; on failure it is given back. */
+    Body body(Buffers buffers, Spools spools, long most) throws IOException, BadMessage {
+        Body body = new Body(buffers, spools);
         boolean whole = false;
         try {
-            if (!chunked && left > most && left != TO_THE_END) {
+            if (length() > most) {
                 throw new BadMessage(413, "the body is too large");
             }
             while (more()) {
@@ -267,6 +299,43 @@
         }
     }
 
+    /** Reads the body if it can be held, else none or only the first of it; see {@link #over}. */
+    Body first(Buffers buffers) throws IOException, BadMessage {
+        Body body = new Body(buffers, null);
+        boolean done = false;
+        try {
+            while (length() <= Body.IN_HAND && more() && body.length() < Body.IN_HAND) {
+                int n = (int) Math.min(Math.min(left, filled - at), Body.IN_HAND - body.length());
+                body.add(buffer, at, n);
+                took(n);
+            }
+            done = true;
+            return body;
+        } finally {
+            if (!done) {
+                body.release();
+            }
+        }
+    }
+
+    /** What takes the pieces of a body that is passed on. */
+    interface Taker {
+        void piece(byte[] from, int at, int count) throws IOException;
+    }
+
+    /** Passes on what is left of the body, piece by piece as it comes. */
+    void pass(Taker taker) throws IOException {
+        try {
+            while (more()) {
+                int n = (int) Math.min(left, filled - at);
+                taker.piece(buffer, at, n);
+                took(n);
+            }
+        } catch (BadMessage e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
     /** The next line of a body of lines, without its end; null at the end of the body. */
     String line(int longest) throws IOException, BadMessage {
         StringBuilder line = new StringBuilder();
@@ -325,7 +394,8 @@
 
     private long chunkSize() throws IOException, BadMessage {
         String size = chunkLine().split(";", 2)[0].trim();
-        if (!size.matches("[0-9a-fA-F]{1,7}")) {
+        // Some pad it with zeros.
+        if (!size.matches("0{0,16}[0-9a-fA-F]{1,8}")) {
             throw new BadMessage(400, "not the size of a chunk");
         }
         return Long.parseLong(size, 16);
--- a/src/main/java/cottonlock/net/HttpWriter.java
+++ b/src/main/java/cottonlock/net/HttpWriter.java
@@ -7,6 +7,9 @@
 
 /** Writes HTTP/1.1 messages, in one piece where they fit into one buffer. */
 final class HttpWriter {
+    private static final byte[] LINE_END = {'\r', '\n'};
+    private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
+
     private final Buffers buffers;
 
     HttpWriter(Buffers buffers) {
@@ -25,7 +28,7 @@
         field(head, "Idempotency-Key", wi.ticket);
         field(head, "Content-Type", wi.contentType);
         if (wi.body.length() > 0 || !wi.method.equals("GET")) {
-            field(head, "Content-Length", Integer.toString(wi.body.length()));
+            field(head, "Content-Length", Long.toString(wi.body.length()));
         }
         send(out, head, wi.body);
     }
@@ -36,11 +39,46 @@
         StringBuilder head = new StringBuilder(128);
         head.append("HTTP/1.1 ").append(status).append(' ').append(reason(status)).append("\r\n");
         field(head, name, value);
-        field(head, "Content-Length", Integer.toString(body == null ? 0 : body.length()));
+        field(head, "Content-Length", Long.toString(body == null ? 0 : body.length()));
         field(head, "Connection", close ? "close" : null);
         send(out, head, body);
     }
 
+    /** The head of a long answer that is passed on as it comes, and what of it is in hand; -1: length
+     * unknown, and the rest follows in chunks where the client knows them. */
+    void begin(OutputStream out, long length, boolean chunked, Body part, boolean close) throws IOException {
+        StringBuilder head = new StringBuilder(128);
+        head.append("HTTP/1.1 200 OK\r\n");
+        field(head, "Content-Length", length < 0 ? null : Long.toString(length));
+        field(head, "Transfer-Encoding", chunked ? "chunked" : null);
+        field(head, "Connection", close ? "close" : null);
+        if (chunked && part.length() > 0) {
+            head.append("\r\n").append(Long.toHexString(part.length()));
+        }
+        send(out, head, part);
+        if (chunked && part.length() > 0) {
+            out.write(LINE_END);
+        }
+    }
+
+    /** The next piece of it. */
+    void piece(OutputStream out, boolean chunked, byte[] from, int at, int count) throws IOException {
+        if (chunked) {
+            out.write((Integer.toHexString(count) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        }
+        out.write(from, at, count);
+        if (chunked) {
+            out.write(LINE_END);
+        }
+    }
+
+    /** Its end, by which the client knows that it is whole. */
+    void end(OutputStream out, boolean chunked) throws IOException {
+        if (chunked) {
+            out.write(LAST_CHUNK);
+        }
+    }
+
     /** An answer to a request that is wrong in itself, with one plain line that names the fault. */
     void refusal(OutputStream out, int status, String fault) throws IOException {
         byte[] line = (fault + "\n").getBytes(StandardCharsets.UTF_8);
@@ -67,12 +105,12 @@
             out.write(bytes);
             return;
         }
-        if (bytes.length + body.length() <= Buffers.SIZE) {
+        if (!body.spooled() && bytes.length + body.length() <= Buffers.SIZE) {
             byte[] whole = buffers.take();
             try {
                 System.arraycopy(bytes, 0, whole, 0, bytes.length);
                 body.copyTo(whole, bytes.length);
-                out.write(whole, 0, bytes.length + body.length());
+                out.write(whole, 0, bytes.length + (int) body.length());
             } finally {
                 buffers.give(whole);
             }
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -21,6 +21,8 @@
     final int category;
     final int tenant;
     final boolean repeated;
+    /** Whether its client reads chunked answers. */
+    final boolean knowsChunks;
     /** By the module's clock: its client waits no longer. */
     final long expiry;
     /** The ids of all work items that wait for their answer, its own among them. */
@@ -34,22 +36,23 @@
     final List<HandOff> handOffs = new ArrayList<>(1);
     int out;
 
-    Item(Client client, Head head, Body body, String requestId, String ticket, int category,
-         String categoryName, int tenant, String tenantName, boolean repeated, long expiry,
-         Set<String> openIds) throws BadMessage {
+    Item(Client client, Admission.Asked asked, Body body, long expiry, Set<String> openIds)
+        throws BadMessage {
+        Head head = asked.head();
         this.openIds = openIds;
         this.client = client;
         this.method = head.start[0];
         this.target = head.start[1];
         this.contentType = head.only("Content-Type");
-        this.requestId = requestId;
-        this.ticket = ticket;
+        this.requestId = asked.id();
+        this.ticket = asked.ticket();
         this.body = body;
-        this.category = category;
-        this.categoryName = categoryName;
-        this.tenant = tenant;
-        this.tenantName = tenantName;
-        this.repeated = repeated;
+        this.category = asked.category();
+        this.categoryName = asked.name();
+        this.tenant = asked.tenant();
+        this.tenantName = asked.tenantName();
+        this.repeated = "1".equals(head.only("X-Retried"));
+        this.knowsChunks = head.start[2].equals("HTTP/1.1");
         this.expiry = expiry;
     }
 
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -8,8 +8,9 @@
 
 /** One connection to a backend. Its thread connects and reads; the backend's actor writes on it later. */
 final class Link implements Runnable {
-    /** Milliseconds from an answer's first byte to its last: backends write it in one go. */
-    private static final long WHOLE = 500;
+    /** Milliseconds of a pause in an answer: some backends take seconds to write it, in pieces. One that
+     * stops short would hold its work item until nothing else can be tried any more. */
+    private static final long GAP = 1_200;
 
     private final BackendActor backend;
     private final InetSocketAddress address;
@@ -170,10 +171,8 @@
 
     /** Reads one answer; false when the connection is to end. */
     private boolean exchange(HttpReader reader) throws IOException, BadMessage {
-        // One that stops short would hold its work item until nothing else can be tried any more.
-        Head head = reader.answer(0, WHOLE);
-        Body body = reader.body(buffers, Body.MOST_OF_ANSWER);
-        reader.within(0);
+        Head head = reader.answer(0, GAP);
+        Body body = reader.first(buffers);
         try {
             Item.HandOff ho;
             boolean keep = head.keepsAlive(head.start[0]);
@@ -185,7 +184,11 @@
             if (ho == null) {
                 return false;
             }
-            pass(ho, head, body);
+            boolean passed = pass(ho, head, body, reader);
+            reader.within(0);
+            if (!passed) {
+                return false;
+            }
             if (keep && reader.surplus()) {
                 // A second copy or noise: the next hand-off on this connection would be answered with it.
                 log.warn("surplus", "more than its answer, from " + address);
@@ -200,19 +203,25 @@
         }
     }
 
-    private void pass(Item.HandOff ho, Head head, Body body) throws BadMessage {
+    /** Settles the hand-off and passes its answer on; false when some of it is left unread. */
+    private boolean pass(Item.HandOff ho, Head head, Body body, HttpReader reader) throws BadMessage {
         int status = Integer.parseInt(head.start[1]);
         boolean notRun = "1".equals(head.only("X-Not-Processed"));
         if (status != 200) {
             ho.settle((status == 503 || status == 504) && notRun ? Outcome.TURNED_AWAY : Outcome.ERROR);
-            return;
+            return reader.over();
         }
         // Claimed first: the module must learn that the work item is over, by this hand-off.
         boolean owed = ho.wi.claim();
         ho.settle(Outcome.FINISHED);
+        if (!reader.over()) {
+            // Begun, it is the client's: no other hand-off could answer it any more, nor would one be needed.
+            return owed && ho.wi.client.relay(ho.wi, body, reader);
+        }
         if (owed) {
             ho.wi.client.finish(ho.wi, 200, null, null, body);
         }
+        return true;
     }
 
     /** Ends the connection at once, from any thread. */
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -31,6 +31,8 @@
     /** Where the settings give none, in their microseconds: a far network's connect, a common idle time. */
     private static final double CONNECT = 250_000;
     private static final double IDLE = 15_000_000;
+    /** One of so many sockets is left for the file of a long body. */
+    private static final int FOR_BODIES = 12;
     /** Milliseconds between looks at whether all is answered. */
     private static final long LOOK = 5;
 
@@ -79,6 +81,7 @@
         Clock clock = new Clock();
         SplittableRandom random = new SplittableRandom(config.seed());
         int sockets = Math.max(4, config.limit("sockets", 1024) - OWN_SOCKETS);
+        sockets -= sockets / FOR_BODIES;
         int toBackends = Math.max(2, (int) (sockets * TO_BACKENDS));
         int memoryMb = config.limit("memory_mb", 192);
         int fromClients = Math.min(sockets - toBackends,
@@ -86,6 +89,8 @@
         // An eighth of the memory, a third of the heap at most: one for each connection, the rest for bodies.
         long bytes = Math.min(((long) memoryMb << 20) / 8, Runtime.getRuntime().maxMemory() / 3);
         buffers = new Buffers((int) Math.max(fromClients + toBackends, bytes / Buffers.SIZE));
+        Path spooled = folder == null ? Path.of(System.getProperty("java.io.tmpdir")) : folder;
+        Spools spools = new Spools(spooled, Math.max(2, sockets / FOR_BODIES));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
         Places places = new Places(toBackends);
@@ -123,7 +128,7 @@
         admission = new Admission(clock, rules);
         InetSocketAddress listen = config.address("listen");
         listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from,
-            module, admission, buffers, writer, watchdog, figures, log), workers, log);
+            module, admission, buffers, spools, writer, watchdog, figures, log), workers, log);
         longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
--- a/src/main/java/cottonlock/net/Watchdog.java
+++ b/src/main/java/cottonlock/net/Watchdog.java
@@ -1,5 +1,6 @@
 package cottonlock.net;
 
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -10,8 +11,9 @@
 final class Watchdog implements Runnable {
     /** How often it looks, in milliseconds: the limits are far longer. */
     private static final long LOOK = 200;
-    /** Longer than any network here stalls for, shorter than the work of a minute piles up. */
-    private static final long LIMIT = 2_000_000_000L;
+    /** Nanoseconds without a byte taken: readers pause for two or three seconds; one that never reads on
+     * would hold its connection for good. */
+    private static final long LIMIT = 5_000_000_000L;
 
     private final Map<Socket, Long> writing = new ConcurrentHashMap<>();
 
@@ -20,11 +22,18 @@
         void to(OutputStream out) throws IOException;
     }
 
-    /** Carries out a write that fails when it takes too long. */
+    /** Carries out a write that fails when none of it is taken for too long. */
     void write(Socket socket, Write write) throws IOException {
         writing.put(socket, System.nanoTime());
         try {
-            write.to(socket.getOutputStream());
+            write.to(new FilterOutputStream(socket.getOutputStream()) {
+                @Override
+                public void write(byte[] bytes, int from, int count) throws IOException {
+                    out.write(bytes, from, count);
+                    // A long body is many writes, and each piece taken is a sign of life.
+                    writing.put(socket, System.nanoTime());
+                }
+            });
         } finally {
             writing.remove(socket);
         }
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -7,12 +7,14 @@
 
 import cottonlock.decision.Member;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.Example;
@@ -242,4 +244,114 @@
         assertTrue(processes[1].isAlive());
         assertEquals("ACK\n", ask(ports[2], "ONLINE c"));
     }
+
+    /** A backend that sends so many bytes, in chunks or with their length told, and stops after some. */
+    private StandIn bulk(int bytes, boolean chunked, int stopAfter) throws IOException {
+        StandIn backend = new StandIn(request -> CLOSE);
+        backend.play = request -> {
+            OutputStream out = backend.sockets.get(backend.sockets.size() - 1).getOutputStream();
+            out.write(("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + (chunked
+                ? "Transfer-Encoding: chunked" : "Content-Length: " + bytes) + "\r\n\r\n").getBytes());
+            byte[] piece = new byte[10_000];
+            for (int sent = 0; sent < stopAfter; sent += piece.length) {
+                Arrays.fill(piece, (byte) ('a' + sent / piece.length % 26));
+                out.write((chunked ? "2710\r\n" : "").getBytes());
+                out.write(piece);
+                out.write((chunked ? "\r\n" : "").getBytes());
+            }
+            out.write((chunked && stopAfter == bytes ? "0\r\nX-Trailer: t\r\n\r\n" : "").getBytes());
+            return stopAfter == bytes ? SILENT : CLOSE;
+        };
+        return backend;
+    }
+
+    /** Reads an answer, with a pause each so many bytes; the bytes of its body, or -1 if it broke off. */
+    private static int readBulk(Socket socket, int pauseEach) throws Exception {
+        HttpReader reader = new HttpReader(socket, new byte[Buffers.SIZE]);
+        Head head = reader.answer(0, 8_000);
+        assertEquals("200", head.start[1]);
+        int[] read = {0};
+        try {
+            reader.pass((from, at, count) -> {
+                for (int i = 0; i < count; i++) {
+                    assertEquals('a' + (read[0] + i) / 10_000 % 26, from[at + i]);
+                }
+                if (pauseEach > 0 && (read[0] + count) / pauseEach > read[0] / pauseEach) {
+                    pause(150);
+                }
+                read[0] += count;
+            });
+        } catch (IOException e) {
+            return -1;
+        }
+        return read[0];
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Example
+    void longAnswersPassThroughOneBufferAndABrokenOneNeverLooksWhole() throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            StandIn backend = bulk(32_000_000, chunked, 32_000_000);
+            startManaged(null, settings(64, 1, "", backend.host("b")));
+            int before = proxy.freeBuffers();
+            try (Socket slow = connect(); Socket quick = connect(); Socket stopped = connect()) {
+                for (Socket socket : List.of(stopped, slow, quick)) {
+                    int sent = backend.requests.size();
+                    send(socket, request("read", "r" + sent, "", ""));
+                    eventually(() -> backend.requests.size() > sent, "each has a connection of its own");
+                    pause(50);
+                }
+                assertEquals(32_000_000, readBulk(quick, 0));
+                assertTrue(before - proxy.freeBuffers() < 12, "memory for parts only, not for 32 MB twice");
+                assertTrue(figure("inflight").equals("2"), "those that read slowly are under way");
+                assertEquals(32_000_000, readBulk(slow, 8_000_000), "longer than any expiry");
+            }
+            eventually(() -> figure("inflight").equals("0"), "the one that stopped reading has left");
+            proxy.close();
+            startManaged(null, settings(64, 1, "", bulk(1_000_000, chunked, 500_000).host("b")));
+            try (Socket socket = connect()) {
+                send(socket, request("read", "half", "", ""));
+                assertEquals(-1, readBulk(socket, 0), "chunked: " + chunked);
+            }
+            proxy.close();
+        }
+    }
+
+    @Example
+    void longBodiesOfSlowClientsArePassedOnWholeAndCostLittleMemory() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        startManaged(null, settings(64, 1, "", backend.host("b")));
+        int before = proxy.freeBuffers();
+        String body = "0123456789".repeat(300_000);
+        try (Socket slow = connect(); Socket cut = connect()) {
+            send(cut, request("once", "cut", "Transfer-Encoding: chunked\r\n", "") + "30d40\r\n"
+                + body.substring(0, 150_000));
+            String head = request("once", "slow", "Content-Length: " + body.length() + "\r\n", "");
+            send(slow, head.substring(0, 40));
+            pause(1_900);
+            send(slow, head.substring(40));
+            for (int i = 0; i < 3; i++) {
+                send(slow, body.substring(i * 1_000_000, (i + 1) * 1_000_000));
+                assertTrue(before - proxy.freeBuffers() <= 2 * (Body.IN_HAND / Buffers.SIZE + 2));
+                pause(i < 2 ? 600 : 0);
+            }
+            assertEquals(200, status(receive(slow)));
+            List<String> got = backend.requests.get(0);
+            assertEquals(body, got.get(got.size() - 1));
+            cut.shutdownOutput();
+            int cutOff = status(receive(cut));
+            assertTrue(cutOff == 0 || cutOff == 408, "a body that was cut off is no work item: " + cutOff);
+        }
+        assertEquals(1, backend.requests.size());
+        assertEquals(413, status(call(request("once", "huge", "Content-Length: 99000000\r\n", ""))));
+        assertEquals(200, status(call(request("read", "form", "", "")
+            .replace("GET /", "GET http://origin:80/"))), "the absolute form");
+    }
 }
