--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -107,6 +107,11 @@
         fleet.listFailed(now);
     }
 
+    /** How many of the ready backends get next to nothing now, as they are in doubt. */
+    public long avoided(long now) {
+        return fleet.ready.stream().filter(b -> fleet.doubts(b, now) > 2 * b.answers.sum(now) + 1).count();
+    }
+
     /** Another balancer of the tier has sent what it told by {@link Outlet#tellPeers}. */
     public void heard(long now, byte[] message) {
         fleet.heard(now, message);
@@ -395,22 +400,18 @@
 
         /** A work item stops counting as inside though it is not back yet. */
         void release(WorkItem wi) {
-            if (wi.inLane) {
-                wi.inLane = false;
-                inside--;
-            }
+            inside -= wi.inLane ? 1 : 0;
+            wi.inLane = false;
         }
 
         @Override
         void back(WorkItem wi, long now) {
-            if (wi.inLane) {
-                release(wi);
-                if (wi.ended) {
-                    latency.add(now, now - wi.enteredAt);
-                    latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
-                    finished.add(now, 1);
-                }
+            if (wi.inLane && wi.ended) {
+                latency.add(now, now - wi.enteredAt);
+                latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
+                finished.add(now, 1);
             }
+            release(wi);
             before.back(wi, now);
             advance(now);
         }
@@ -567,11 +568,9 @@
             if (!ran && !(last == Outcome.TURNED_AWAY && fleet.shape.balancers() > 2 * fleet.ready.size())) {
                 return true;
             }
-            if (ran && wi.category.repeat() == Repeat.EXCLUSIVE || repeats < 1) {
-                return false;
-            }
-            repeats--;
-            return true;
+            boolean may = (!ran || wi.category.repeat() != Repeat.EXCLUSIVE) && repeats >= 1;
+            repeats -= may ? 1 : 0;
+            return may;
         }
 
         void underWay(long now, long id, int number) {
@@ -837,11 +836,8 @@
             HandOff ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (usable.size() >= width) {
-                    break;
-                }
-                if (b.out <= spare + far * size(b, now) && !wi.tried(b) && sameGroup(b, wi, ran, now)
-                    && warmEnough(b, now) && trusted(b, now)) {
+                if (usable.size() < width && b.out <= spare + far * size(b, now) && !wi.tried(b)
+                    && sameGroup(b, wi, ran, now) && warmEnough(b, now) && trusted(b, now)) {
                     usable.add(b);
                 }
             }
@@ -849,13 +845,9 @@
         }
 
         private static boolean sameGroup(Backend b, WorkItem wi, HandOff ran, long now) {
-            if (ran == null || wi.category.repeat() == Repeat.RERUNNABLE) {
-                return true;
-            }
-            if (wi.category.repeat() == Repeat.EXCLUSIVE || now - ran.sentAt >= wi.category.repeatWindow()) {
-                return false;
-            }
-            return wi.category.scope().joins(ran.backend.member, b.member);
+            return ran == null || wi.category.repeat() == Repeat.RERUNNABLE
+                || wi.category.repeat() == Repeat.TICKETED && now - ran.sentAt < wi.category.repeatWindow()
+                && wi.category.scope().joins(ran.backend.member, b.member);
         }
 
         /** The listed size, less while cold, and by how quickly its kind answers. */
@@ -903,9 +895,11 @@
             double silence = silence(b, now);
             double doubts = doubts(b, now);
             // Earlier answers count less with each failure in a row since, and the longer the silence is.
-            double answers = Math.min(30, b.answers.sum(now) * Math.exp(-b.streak - silence / 2));
+            double answers = b.answers.sum(now) * Math.exp(-b.streak - silence / 2);
+            // Kept in proportion: one that failed half at once was trusted, and drew work by being free.
+            double many = Math.max(1, (answers + doubts) / 30);
             return doubts < 1
-                || Beta.draw(random, 1 + (int) answers, 1 + (int) Math.min(10, doubts)) > 0.5;
+                || Beta.draw(random, 1 + (int) (answers / many), 1 + (int) (doubts / many)) > 0.5;
         }
 
         /** Whether an answer took far longer than is usual in its category; keeps account of it too. */
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -11,6 +11,7 @@
 
     private final Clock clock;
     private volatile Rules rules;
+    /** By the module's clock: all must be answered by then, as the program leaves. */
     private volatile long leaving = Long.MAX_VALUE;
     private final Set<String> openIds = ConcurrentHashMap.newKeySet();
 
--- a/src/main/java/cottonlock/net/Body.java
+++ b/src/main/java/cottonlock/net/Body.java
@@ -37,10 +37,15 @@
     }
 
     void add(byte[] from, int at, int count) throws IOException {
-        while (count > 0 && inHand < IN_HAND) {
+        while (count > 0 && inHand < IN_HAND && rest == null) {
             int used = inHand % Buffers.SIZE;
             if (used == 0) {
-                parts.add(buffers.take());
+                // The first may be waited for; where more bodies come than fit, the rest goes into files.
+                byte[] part = parts.isEmpty() || spools == null ? buffers.take() : buffers.spare();
+                if (part == null) {
+                    break;
+                }
+                parts.add(part);
             }
             int n = Math.min(count, Buffers.SIZE - used);
             System.arraycopy(from, at, parts.get(parts.size() - 1), used, n);
--- a/src/main/java/cottonlock/net/Buffers.java
+++ b/src/main/java/cottonlock/net/Buffers.java
@@ -14,9 +14,11 @@
 
     private final ConcurrentLinkedDeque<byte[]> free = new ConcurrentLinkedDeque<>();
     private final Semaphore left;
+    private final int most;
 
     Buffers(int most) {
         this.left = new Semaphore(most);
+        this.most = most;
     }
 
     /** All buffers are out, and stayed out for as long as one may wait. */
@@ -40,6 +42,11 @@
         return buffer != null ? buffer : new byte[SIZE];
     }
 
+    /** One that the others can spare now, or null: a quarter is left for heads and for what is passed on. */
+    byte[] spare() throws IOException {
+        return left.availablePermits() * 4L > most ? take() : null;
+    }
+
     void give(byte[] buffer) {
         free.addLast(buffer);
         left.release();
--- a/src/main/java/cottonlock/net/Config.java
+++ b/src/main/java/cottonlock/net/Config.java
@@ -50,6 +50,11 @@
         if (names.isEmpty() || names.contains("") || Set.copyOf(names).size() < names.size()) {
             throw new Malformed("settings.Categories has no category, or one without a name of its own");
         }
+        List<String> tenants = before.settings().each("Projects", "Name");
+        if (!tenants.equals(settings.each("Projects", "Name"))) {
+            // Lanes and quotas are laid out by their order: one moved would get another's.
+            throw new Malformed("settings.Projects names other tenants, for which a new process is needed");
+        }
         for (int i = 0; i < names.size(); i++) {
             above(settings, "Categories." + i + ".DueTime");
             above(settings, "Categories." + i + ".Expiry");
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -121,6 +121,7 @@
             // The module sets its next time itself; if it failed on the way, it would never be woken again.
             wakeAt = now + AGAIN;
             balancer.wake(now);
+            count();
         }
         if (shadow != null) {
             shadow.due(now);
@@ -222,7 +223,8 @@
 
     private void count() {
         figures.backends(listed.size(), (int) listed.values().stream()
-            .filter(m -> bans.told(m).state() != Member.State.READY).count());
+            .filter(m -> bans.told(m).state() != Member.State.READY).count()
+            + (int) balancer.avoided(clock.now()));
     }
 
     /** Waits until all is done that it has been told so far, a second at most. */
--- a/src/main/java/cottonlock/net/Succession.java
+++ b/src/main/java/cottonlock/net/Succession.java
@@ -5,7 +5,7 @@
 /** Tells whether another process has taken over from this one: whoever said last that it serves. */
 final class Succession {
     private final Shared shared;
-    private final String me = Long.toString(ProcessHandle.current().pid());
+    private final String me = named(ProcessHandle.current());
 
     Succession(Shared shared) {
         this.shared = shared;
@@ -19,7 +19,16 @@
     /** Whether another process serves that has begun after this one; a dead one's word counts for nothing. */
     boolean replaced() {
         List<String> lines = shared.read();
-        return lines.size() == 1 && HttpReader.digits(lines.get(0)) && !lines.get(0).equals(me)
-            && ProcessHandle.of(Long.parseLong(lines.get(0))).map(ProcessHandle::isAlive).orElse(false);
+        if (lines.size() != 1 || lines.get(0).equals(me)) {
+            return false;
+        }
+        String pid = lines.get(0).split(" ")[0];
+        // With its start: the number of one that has died may be another program's by now.
+        return HttpReader.digits(pid) && ProcessHandle.of(Long.parseLong(pid))
+            .filter(p -> p.isAlive() && named(p).equals(lines.get(0))).isPresent();
+    }
+
+    private static String named(ProcessHandle process) {
+        return process.pid() + " " + process.info().startInstant().map(Object::toString).orElse("-");
     }
 }
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -183,66 +183,171 @@
             .mapToInt(n -> Integer.parseInt(n.toString())).sum() + "");
     }
 
-    @Example
-    void aSecondProcessTakesOverWithoutACallTurnedAway() throws Exception {
-        StandIn backend = new StandIn(request -> {
-            Thread.sleep(field(request, "X-Request-ID", "").equals("long") ? 900 : 5);
-            return OK;
-        });
-        int[] ports = new int[3];
-        for (int i = 0; i < 3; i++) {
+    /** A process of one proxy: all have the same listen and folder, each a mgmt of its own. */
+    private Process launch(Path folder, int listen, int mgmt, StandIn... backends) throws Exception {
+        Path config = config(settings(128, 1, "\"name\":\"p\",\"mgmt\":\"127.0.0.1:" + mgmt + "\",",
+            backends[0].host("b"), backends[1].host("c")).replace("127.0.0.1:0", "127.0.0.1:" + listen));
+        ProcessBuilder builder = new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"), "cottonlock.Main", "serve");
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        Process process = builder.redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        open.add(process::destroyForcibly);
+        eventually(() -> {
+            try {
+                return ask(mgmt, "HEALTH").equals("ACK\n");
+            } catch (IOException e) {
+                assertTrue(process.isAlive());
+                return false;
+            }
+        }, "it serves");
+        return process;
+    }
+
+    private static int[] freePorts(int many) throws IOException {
+        int[] ports = new int[many];
+        for (int i = 0; i < many; i++) {
             try (ServerSocket free = new ServerSocket(0)) {
                 ports[i] = free.getLocalPort();
             }
         }
-        Path folder = Files.createTempDirectory("two");
-        Process[] processes = new Process[2];
-        for (int i = 0; i < 2; i++) {
-            Path config = config(settings(128, 1, "\"mgmt\":\"127.0.0.1:" + ports[1 + i] + "\",",
-                backend.host("b"), backend.host("c")).replace("127.0.0.1:0", "127.0.0.1:" + ports[0]));
-            ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "cottonlock.Main", "serve");
-            builder.environment().put("EDGE_CONFIG", config.toString());
-            builder.environment().put("TMPDIR", folder.toString());
-            processes[i] = builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
-            Process process = processes[i];
-            int port = ports[1 + i];
-            open.add(process::destroyForcibly);
-            eventually(() -> {
-                try {
-                    return ask(port, "HEALTH").equals("ACK\n");
-                } catch (IOException e) {
-                    assertTrue(process.isAlive());
-                    return false;
+        return ports;
+    }
+
+    private static int callAt(int port, String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(4_000);
+            send(socket, request);
+            return status(receive(socket));
+        }
+    }
+
+    @Example
+    void twoUpgradesInARowTurnNobodyAway() throws Exception {
+        StandIn one = new StandIn(request -> {
+            Thread.sleep(field(request, "X-Request-ID", "").startsWith("long") ? 900 : 5);
+            return OK;
+        });
+        StandIn two = new StandIn(request -> OK);
+        int[] ports = freePorts(4);
+        Path folder = Files.createTempDirectory("upgrades");
+        Files.writeString(folder.resolve("cottonlock-p-127.0.0.1_" + ports[0] + ".serving"), "stale\n");
+        Process old = launch(folder, ports[0], ports[1], one, two);
+        assertEquals("ACK\n", ask(ports[1], "OFFLINE c"));
+        for (int i = 1; i < 3; i++) {
+            int before = two.requests.size();
+            Process next = launch(folder, ports[0], ports[1 + i], one, two);
+            assertTrue(ask(ports[1 + i], "DUMP").contains("\"hosts_down\":1"), "bans are known at once");
+            Process leaving = old;
+            try (Socket kept = new Socket("127.0.0.1", ports[0]);
+                 Socket held = new Socket("127.0.0.1", ports[0])) {
+                // Held by one of the two; whichever it is, its work item is answered.
+                send(kept, request("read", "first" + i, "", ""));
+                assertEquals(200, status(receive(kept)));
+                send(held, request("once", "long" + i, "", "body"));
+                leaving.destroy();
+                for (int k = 0; k < 40; k++) {
+                    String call = request("read", "during" + i + "-" + k, "", "");
+                    assertEquals(200, callAt(ports[0], call), call);
                 }
-            }, "it serves");
-            if (i == 0) {
-                assertEquals("ACK\n", ask(port, "OFFLINE c"));
+                assertEquals(200, status(receive(held)));
+                send(kept, request("read", "second" + i, "", ""));
+                assertEquals(200, status(receive(kept)));
             }
+            eventually(() -> !leaving.isAlive(), "the old one leaves");
+            assertTrue(next.isAlive());
+            assertEquals(before, two.requests.size(), "who is out gets nothing from either");
+            old = next;
         }
-        assertTrue(ask(ports[2], "DUMP").contains("\"hosts_down\":1"), "bans are known at once");
-        try (Socket kept = new Socket("127.0.0.1", ports[0]);
-             Socket held = new Socket("127.0.0.1", ports[0])) {
-            // Held by one of the two; whichever it is, its work item is answered.
-            send(kept, request("read", "first", "", ""));
-            assertEquals(200, status(receive(kept)));
-            send(held, request("once", "long", "", "body"));
-            processes[0].destroy();
-            for (int i = 0; i < 60; i++) {
-                try (Socket socket = new Socket("127.0.0.1", ports[0])) {
-                    send(socket, request("read", "during" + i, "", ""));
-                    assertEquals(200, status(receive(socket)), "call " + i);
-                }
+        assertEquals("ACK\n", ask(ports[3], "ONLINE c"));
+        eventually(() -> callAt(ports[0], request("read", "t" + System.nanoTime(), "", "")) == 200
+            && !two.requests.isEmpty(), "it gets work again");
+    }
+
+    @Example
+    void theOldProcessMayBeKilledInTheMiddleAndTheNewOneRetuned() throws Exception {
+        StandIn one = new StandIn(request -> {
+            Thread.sleep(300);
+            return OK;
+        });
+        StandIn two = new StandIn(request -> OK);
+        int[] ports = freePorts(3);
+        Path folder = Files.createTempDirectory("killed");
+        Process old = launch(folder, ports[0], ports[1], one, two);
+        Process next = launch(folder, ports[0], ports[2], one, two);
+        assertEquals("ACK\n", ask(ports[1], "OFFLINE c"), "made at the old one");
+        eventually(() -> ask(ports[2], "DUMP").contains("\"hosts_down\":1"), "in force at the new one");
+        assertEquals("ACK\n", ask(ports[2], "ONLINE c"), "lifted there");
+        eventually(() -> ask(ports[1], "DUMP").contains("\"hosts_down\":0"), "and at the old one");
+        assertEquals("ACK\n", ask(ports[1], "OFFLINE c"));
+        Socket[] open = new Socket[6];
+        for (int i = 0; i < open.length; i++) {
+            open[i] = new Socket("127.0.0.1", ports[0]);
+            // A ticketed one is repeated to whichever process it reaches; backends know it by its ticket.
+            send(open[i], request("book", "same" + i, "Idempotency-Key: k\r\n", "body")
+                .replaceFirst("Idempotency-Key: ksame.\r\n", ""));
+        }
+        old.destroy();
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + next.pid()).start().waitFor());
+        Thread.sleep(40);
+        old.destroyForcibly();
+        old.waitFor();
+        int answered = 0;
+        for (Socket socket : open) {
+            socket.setSoTimeout(3_000);
+            try (socket) {
+                answered += status(receive(socket)) == 200 ? 1 : 0;
+            } catch (IOException e) {
+                // What the killed one held is its client's to repeat.
+            }
+        }
+        assertTrue(one.requests.stream().allMatch(r -> field(r, "Idempotency-Key", "").equals("k")));
+        assertTrue(answered <= one.requests.size());
+        for (int k = 0; k < 20; k++) {
+            assertEquals(200, callAt(ports[0], request("read", "after" + k, "", "")));
+        }
+        assertEquals(0, two.requests.size(), "who was taken out at a process that has died stays out");
+        eventually(() -> ask(ports[2], "DUMP").contains("\"reconfig_ok\":1"), "SIGHUP was heard");
+        assertTrue(next.isAlive());
+    }
+
+    @Example
+    void moreBodiesThanMemoryAndAThousandHalfHeadsLoseNothing() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        startManaged(null, settings(128, 1, "", backend.host("b")).replace("\"memory_mb\":64",
+            "\"memory_mb\":4"));
+        buffersAtFirst = proxy.freeBuffers();
+        String body = "0123456789".repeat(6_500);
+        assertTrue(buffersAtFirst < 12 * body.length() / Buffers.SIZE, "fewer than come");
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Socket socket = connect();
+            sockets.add(socket);
+            String text = request("once", "b" + i, "Content-Length: " + body.length() + "\r\n", "");
+            send(socket, text + body.substring(0, 60_000));
+        }
+        for (Socket socket : sockets) {
+            send(socket, body.substring(60_000));
+        }
+        for (Socket socket : sockets) {
+            assertEquals(200, status(receive(socket)));
+            socket.close();
+        }
+        assertTrue(backend.requests.stream().allMatch(r -> r.get(r.size() - 1).equals(body)));
+        for (int i = 0; i < 1_000; i++) {
+            Socket half = new Socket("127.0.0.1", proxy.port());
+            open.add(half);
+            send(half, "GET /read HTTP/1.1\r\nHost: x\r\nX-Req");
+            if (i % 50 == 49) {
+                assertEquals(200, status(call(request("read", "r" + i, "", ""))), "beside the crowd, " + i);
+                long before = System.nanoTime();
+                assertTrue(ask("DUMP").endsWith("--\n") && ask("HEALTH").equals("ACK\n"));
+                assertTrue(System.nanoTime() - before < 1_000_000_000L);
             }
-            assertEquals(200, status(receive(held)));
-            send(kept, request("read", "second", "", ""));
-            assertEquals(200, status(receive(kept)));
         }
-        eventually(() -> !processes[0].isAlive(), "the old one leaves");
-        assertTrue(processes[1].isAlive());
-        assertEquals("ACK\n", ask(ports[2], "ONLINE c"));
+        assertEquals("0", figure("inflight"));
     }
 
     /** A backend that sends so many bytes, in chunks or with their length told, and stops after some. */
