Half requests give way after a quarter second of silence; connections keep their buffers

Change: bodies take only what the pool holds beyond a buffer for each connection, the rest goes into files; a half request may give way after 250 ms without a byte, the longest silent first, counted from its last byte.

--- a/src/main/java/cottonlock/net/Buffers.java
+++ b/src/main/java/cottonlock/net/Buffers.java
@@ -14,11 +14,12 @@
 
     private final ConcurrentLinkedDeque<byte[]> free = new ConcurrentLinkedDeque<>();
     private final Semaphore left;
-    private final int most;
+    private final int reserved;
 
-    Buffers(int most) {
+    /** So many, of which some are kept for connections. */
+    Buffers(int most, int reserved) {
         this.left = new Semaphore(most);
-        this.most = most;
+        this.reserved = reserved;
     }
 
     /** All buffers are out, and stayed out for as long as one may wait. */
@@ -42,9 +43,9 @@
         return buffer != null ? buffer : new byte[SIZE];
     }
 
-    /** One that the others can spare now, or null: a quarter is left for heads and for what is passed on. */
+    /** One that the others can spare now, or null: bodies must not take what connections need to be read. */
     byte[] spare() throws IOException {
-        return left.availablePermits() * 4L > most ? take() : null;
+        return left.availablePermits() > reserved ? take() : null;
     }
 
     void give(byte[] buffer) {
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -17,8 +17,9 @@
     private static final long READ = 2_600;
     /** Bytes a second of a body at least: a little less than the slowest clients send. */
     private static final long SLOWEST = 48 << 10;
-    /** Nanoseconds after which a request that has not come whole is a half one: no sender pauses so long. */
-    private static final long HALF = 1_000_000_000L;
+    /** Nanoseconds of silence after which a request that has not come whole may give way: with a second, a
+     * crowd of half ones held all places, and those who came were closed unread. */
+    private static final long HALF = 250_000_000L;
     /** Milliseconds for what a refused client still sends, so that it sees the answer before the end. */
     private static final long LINGER = 300;
     /** Milliseconds that a backend may pause within a long answer: some take seconds to write on. */
@@ -37,6 +38,7 @@
     private final Figures figures;
     private final Log log;
     private Item wi;
+    private HttpReader coming;
     private boolean reading;
     private boolean closing;
     private boolean inputEnded;
@@ -67,6 +69,9 @@
             socket.setTcpNoDelay(true);
             buffer = buffers.take();
             HttpReader reader = new HttpReader(socket, buffer);
+            synchronized (this) {
+                coming = reader;
+            }
             while (awaitRequest(reader) && serve(reader)) {
                 // One work item after the other.
             }
@@ -326,9 +331,9 @@
         }
     }
 
-    /** When it last began to rest or to be read, by the monotonic clock. */
+    /** Since when it rests, or the last byte of what is being read came, by the monotonic clock. */
     synchronized long since() {
-        return since;
+        return reading && coming != null ? coming.readAt() : since;
     }
 
     /** Whether it has ever brought a work item. */
@@ -344,7 +349,7 @@
     /** Ends it, unless a work item is under way or may be just about to come in whole. */
     void giveWay() {
         synchronized (this) {
-            if (wi != null || reading && System.nanoTime() - since < HALF) {
+            if (wi != null || reading && System.nanoTime() - since() < HALF) {
                 return;
             }
             closing = true;
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -21,6 +21,7 @@
     private int at;
     private int filled;
     private long limit;
+    private volatile long readAt = System.nanoTime();
     /** Nanoseconds that a pause may last at most, each byte adding to the limit as many; 0: it stays. */
     private long pause;
     private long eachByte;
@@ -60,6 +61,11 @@
         return at < filled && buffer[at] != '\r' && (buffer[at] < 'A' || buffer[at] > 'Z');
     }
 
+    /** When something came last, by the monotonic clock; from any thread. */
+    long readAt() {
+        return readAt;
+    }
+
     /** Whether something has come beyond the last message. */
     boolean surplus() throws IOException {
         return at < filled || in.available() > 0;
@@ -86,6 +92,7 @@
         socket.setSoTimeout(wait);
         int n = in.read(buffer, filled, buffer.length - filled);
         filled += Math.max(0, n);
+        readAt = System.nanoTime();
         if (pause > 0 && n > 0) {
             limit = Math.min(limit + n * eachByte, System.nanoTime() + pause);
         }
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -88,7 +88,8 @@
             Math.max(16, (memoryMb - OWN_MEMORY) * CLIENTS_A_MB));
         // An eighth of the memory, a third of the heap at most: one for each connection, the rest for bodies.
         long bytes = Math.min(((long) memoryMb << 20) / 8, Runtime.getRuntime().maxMemory() / 3);
-        buffers = new Buffers((int) Math.max(fromClients + toBackends, bytes / Buffers.SIZE));
+        int connections = fromClients + toBackends;
+        buffers = new Buffers((int) Math.max(connections, bytes / Buffers.SIZE), connections);
         Path spooled = folder == null ? Path.of(System.getProperty("java.io.tmpdir")) : folder;
         Spools spools = new Spools(spooled, Math.max(2, sockets / FOR_BODIES));
         HttpWriter writer = new HttpWriter(buffers);
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -390,7 +390,7 @@
 
     @Example
     void oneAnswerIsClaimedAndThenTheBodyIsGone() throws Exception {
-        Buffers buffers = new Buffers(1);
+        Buffers buffers = new Buffers(1, 0);
         Body body = new Body(buffers, null);
         body.add(new byte[10], 0, 10);
         Head head = new Head(new String[] {"POST", "/once", "HTTP/1.1"});
@@ -717,7 +717,7 @@
         for (int i = 0; spoilt && i < 3; i++) {
             text.setCharAt(random.nextInt(text.length()), (char) random.nextInt(256));
         }
-        Buffers buffers = new Buffers(40);
+        Buffers buffers = new Buffers(40, 0);
         byte[] buffer = buffers.take();
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
              Socket sender = new Socket("127.0.0.1", server.getLocalPort());
