Gone is not binding where the settings say so: who answers is used on

One that drained stays bound. The proxy keeps its connections until the module lets go of it.

Test: BalancerTest, with and without the setting.

--- a/src/main/java/cottonlock/config/PlatformFile.java
+++ b/src/main/java/cottonlock/config/PlatformFile.java
@@ -113,6 +113,7 @@
         }
         limits.mayHoldMore();
         Fields obligations = settings.table("Obligations");
+        obligations.flag("RemovalNotBinding", false);
         obligations.number("ColdShare", 1, 0, 1);
         obligations.number("FallMultiple", 1, 0, 1e6);
         for (String time : List.of("AskWithin", "Cold", "Fall")) {
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -9,6 +9,8 @@
     Member member;
     /** When this balancer learned that it drains or is gone; -1 while it is ready. */
     long leavingSince = -1;
+    /** Gone from the list without draining, where that binds nobody. */
+    boolean delisted;
     int out;
     /** Whose lane it is in; the number of tenants where in none. */
     int lane;
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -102,6 +102,11 @@
         fleet.list(now, members, whole, cached);
     }
 
+    /** Whether a backend may get work, also one that has gone from a list that binds nobody. */
+    public boolean uses(String id) {
+        return fleet.known.containsKey(id) && fleet.known.get(id).leavingSince < 0;
+    }
+
     /** A call for the list failed, or its changes no longer come. */
     public void listFailed(long now) {
         fleet.listFailed(now);
@@ -685,7 +690,7 @@
         void list(long now, List<Member> members, boolean whole, boolean cached) {
             if (whole) {
                 var listed = members.stream().map(Member::id).collect(toSet());
-                known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> b.leave(now));
+                known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> removed(b, now));
             }
             for (Member m : members) {
                 Backend b = known.computeIfAbsent(m.id(), id -> new Backend(m, cold.fall()));
@@ -695,8 +700,13 @@
                     b.answers.clear();
                 }
                 b.member = m;
-                b.leave(now);
-                b.leavingSince = m.state() == Member.State.READY ? -1 : b.leavingSince;
+                b.delisted = false;
+                if (m.state() == Member.State.GONE) {
+                    removed(b, now);
+                } else {
+                    b.leave(now);
+                    b.leavingSince = m.state() == Member.State.READY ? -1 : b.leavingSince;
+                }
             }
             layLanes();
             if (shape.mustAsk()) {
@@ -708,6 +718,14 @@
             }
         }
 
+        /** Gone from the list, which may be wrong: where that binds nobody, it is used while it answers. */
+        private void removed(Backend b, long now) {
+            b.delisted = !shape.removalBinds();
+            if (!b.delisted || b.answers.sum(now) == 0) {
+                b.leave(now);
+            }
+        }
+
         void listFailed(long now) {
             failedAsks++;
             // Twice as long after each failure, at random, for all ask at once; a quarter of the limit.
@@ -744,6 +762,10 @@
                     sent += b.sent.sum(now);
                 }
             }
+            if (ready.stream().anyMatch(b -> b.delisted && b.answers.sum(now) == 0)) {
+                ready.stream().filter(b -> b.delisted).forEach(b -> removed(b, now));
+                layLanes();
+            }
             keptAt = now;
             sentPerSize = size > 0 ? sent / size : sentPerSize;
         }
--- a/src/main/java/cottonlock/decision/Shape.java
+++ b/src/main/java/cottonlock/decision/Shape.java
@@ -11,9 +11,10 @@
  * @param mayTell   whether balancers may send each other messages
  * @param mustAsk   whether changes of the list come only to those that ask for them
  * @param askWithin how long a balancer may go without asking
+ * @param removalBinds whether one that has gone from the list without draining gets nothing more
  */
 public record Shape(int balancers, int me, boolean alike, double rest, boolean mayTell, boolean mustAsk,
-                    long askWithin) {
+                    long askWithin, boolean removalBinds) {
     /** Takes one balancer for the least there can be. */
     public Shape {
         balancers = Math.max(1, balancers);
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -16,6 +16,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -39,6 +40,7 @@
     private final Log log;
     /** The backends in the list, as discovery has told them, and their ids for others to see. */
     private final Map<String, Member> listed = new TreeMap<>();
+    private final Set<String> unlisted = new TreeSet<>();
     private volatile Set<String> ids = Set.of();
     private boolean listLost;
     private Bans bans;
@@ -121,6 +123,7 @@
             // The module sets its next time itself; if it failed on the way, it would never be woken again.
             wakeAt = now + AGAIN;
             balancer.wake(now);
+            retireUnlisted();
             count();
         }
         if (shadow != null) {
@@ -210,17 +213,25 @@
                 shadow.list(clock.now(), members, news.whole(), cached);
             }
             balancer.list(clock.now(), members, news.whole(), cached);
-            absent.forEach((id, actor) -> {
-                backends.remove(id);
-                if (actor != null) {
-                    actor.leave();
-                }
-            });
+            unlisted.addAll(absent.keySet());
+            listed.keySet().forEach(unlisted::remove);
+            retireUnlisted();
             ids = Set.copyOf(listed.keySet());
             count();
         });
     }
 
+    /** Where removal from the list binds nobody, the module may use one for some time after it. */
+    private void retireUnlisted() {
+        unlisted.removeIf(id -> {
+            BackendActor actor = balancer.uses(id) ? null : backends.remove(id);
+            if (actor != null) {
+                actor.leave();
+            }
+            return !balancer.uses(id);
+        });
+    }
+
     private void count() {
         figures.backends(listed.size(), (int) listed.values().stream()
             .filter(m -> bans.told(m).state() != Member.State.READY).count()
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -32,7 +32,8 @@
         Settings s = settings;
         return new Shape(s.count("FleetSize", 1), s.count("Me", 0),
             !s.text("Workload", "chain").equals("mesh"), restOfConnections(),
-            s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"));
+            s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"),
+            !s.flag("Obligations.RemovalNotBinding", false));
     }
 
     /** A module that answers through the given outlet. */
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -52,6 +52,28 @@
         assertArrayEquals(new int[0], Balancer.Fleet.laneSizes(List.of(), 10));
     }
 
+    @Example
+    void whoHasGoneWithoutDrainingIsUsedWhileItAnswersWhereThatBindsNobody() {
+        for (boolean binds : new boolean[] {false, true}) {
+            Ledger ledger = new Ledger(PLAIN, TWO, 5, false, true,
+                new Shape(2, 0, true, 0, true, false, 100_000, binds));
+            ledger.list(Ledger.ready(0, 3), true, true);
+            for (int i = 0; i < 30; i++) {
+                ledger.arrive(0, i % 2, 20_000);
+                ledger.pass(100);
+                finishAll(ledger);
+            }
+            Member draining = new Member("b2", 2, 0, 1, Member.State.DRAINING, 1, 0);
+            ledger.list(List.of(draining), false, false);
+            // Past the ledger, which holds all to what binds elsewhere: the list loses both others.
+            ledger.balancer.list(ledger.now, List.of(), true, false);
+            assertEquals(!binds, ledger.balancer.uses("b0") && ledger.balancer.uses("b1"));
+            assertFalse(ledger.balancer.uses("b2"), "draining binds, whatever the list says after it");
+            ledger.pass(25_000);
+            assertFalse(ledger.balancer.uses("b0") || ledger.balancer.uses("b1"), "they answer no more");
+        }
+    }
+
     @Example
     void lanesAreAlikeInEveryOrderOfTheListAndShareNothing() {
         Ledger one = ledger(true, TWO, 8);
@@ -110,7 +132,7 @@
     /** Where each client has a balancer of its own, and where keeping connections costs something. */
     private static Ledger apart(int me, double rest, int backends) {
         Ledger ledger = new Ledger(PLAIN, List.of(new Tenant(1, 100)), 7 + me, true, true,
-            new Shape(200, me, false, rest, false, false, 0));
+            new Shape(200, me, false, rest, false, false, 0, true));
         ledger.list(Ledger.ready(0, backends), true, true);
         return ledger;
     }
