--- a/deploy/Rehearsal.java
+++ b/deploy/Rehearsal.java
@@ -29,36 +29,46 @@
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
         try (ServerSocket backend = new ServerSocket(0, 50, loopback);
              ServerSocket discovery = new ServerSocket(0, 50, loopback);
-             ServerSocket free = new ServerSocket(0, 50, loopback)) {
+             ServerSocket free = new ServerSocket(0, 50, loopback);
+             ServerSocket other = new ServerSocket(0, 50, loopback)) {
             String list = String.format(LIST, backend.getLocalPort());
             int port = free.getLocalPort();
             free.close();
+            int mgmt = other.getLocalPort();
+            other.close();
             answer(backend, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
             answer(discovery, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 + Integer.toHexString(list.length() + 1) + "\r\n" + list + "\n\r\n");
             Path folder = Files.createTempDirectory("rehearsal");
             Path config = folder.resolve("config.json");
-            Files.writeString(config, "{\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+            Files.writeString(config, "{\"listen\":\"127.0.0.1:" + port + "\",\"mgmt\":\"127.0.0.1:"
+                + mgmt + "\",\"discovery\":\"127.0.0.1:"
                 + discovery.getLocalPort() + "\",\"seed\":\"1\",\"known\":" + list + ",\"settings\":{"
                 + "\"Categories\":[{\"Name\":\"c\",\"DueTime\":1000000,\"Expiry\":2000000}],"
                 + "\"Projects\":[{\"Name\":\"t\",\"Share\":1.0,\"QuotaRps\":1000}],\"Zones\":[\"z\"],"
                 + "\"Flavors\":[\"k\"],\"MembershipMode\":\"subscribe\",\"Limits\":{\"MaxHandOffs\":2,"
                 + "\"ConnIdle\":60000000,\"ConnectTimeout\":200000},\"Obligations\":{\"AskWithin\":4000000}}}");
             try {
-                rehearse(config, port, Path.of(args[0]));
+                rehearse(config, port, mgmt, Path.of(args[0]));
             } finally {
-                Files.delete(config);
+                try (var files = Files.list(folder)) {
+                    for (Path file : files.toList()) {
+                        Files.delete(file);
+                    }
+                }
                 Files.delete(folder);
             }
         }
     }
 
-    private static void rehearse(Path config, int port, Path archive) throws Exception {
+    private static void rehearse(Path config, int port, int mgmt, Path archive) throws Exception {
         Files.deleteIfExists(archive);
         ProcessBuilder builder = new ProcessBuilder(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
             "-XX:ArchiveClassesAtExit=" + archive, "-jar", "target/cottonlock.jar", "serve"));
         builder.environment().put("EDGE_CONFIG", config.toString());
+        // What the processes of a proxy share is rehearsed too, in a folder that ends with the rehearsal.
+        builder.environment().put("TMPDIR", config.getParent().toString());
         Process proxy = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD)
             .start();
         try {
@@ -75,6 +85,13 @@
                     Thread.sleep(50);
                 }
             }
+            for (String call : List.of("HEALTH", "DUMP", "OFFLINE b", "ONLINE b")) {
+                try (Socket socket = new Socket("127.0.0.1", mgmt)) {
+                    write(socket, call + "\n");
+                    socket.setSoTimeout(2_000);
+                    socket.getInputStream().readAllBytes();
+                }
+            }
             proxy.destroy();
             proxy.waitFor(20, TimeUnit.SECONDS);
         } finally {
--- a/src/main/java/cottonlock/net/Bans.java
+++ b/src/main/java/cottonlock/net/Bans.java
@@ -71,6 +71,16 @@
         return room;
     }
 
+    /** Waits until another process of this proxy, if there is one, has seen the last change too. */
+    void seenByAll() {
+        try {
+            // A yes given earlier was found too early: the other process still sent a work item after it.
+            Thread.sleep(shared.stamp() == null ? 0 : LOOK * 3 / 2);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static List<String> lines(State state) {
         List<String> lines = new ArrayList<>();
         state.out.forEach(id -> lines.add("out " + id));
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -283,39 +283,25 @@
 
     /** Reads the whole body of the message whose head came last; on failure it is given back. */
     Body body(Buffers buffers, Spools spools, long most) throws IOException, BadMessage {
-        Body body = new Body(buffers, spools);
-        boolean whole = false;
-        try {
-            if (length() > most) {
-                throw new BadMessage(413, "the body is too large");
-            }
-            while (more()) {
-                int n = (int) Math.min(left, filled - at);
-                if (body.length() + n > most) {
-                    throw new BadMessage(413, "the body is too large");
-                }
-                body.add(buffer, at, n);
-                took(n);
-            }
-            whole = true;
-            return body;
-        } finally {
-            if (!whole) {
-                body.release();
-            }
-        }
+        return read(new Body(buffers, spools), most, true);
     }
 
     /** Reads the body if it can be held, else none or only the first of it; see {@link #over}. */
     Body first(Buffers buffers) throws IOException, BadMessage {
-        Body body = new Body(buffers, null);
+        return read(new Body(buffers, null), Body.IN_HAND, false);
+    }
+
+    private Body read(Body body, long most, boolean whole) throws IOException, BadMessage {
         boolean done = false;
         try {
-            while (length() <= Body.IN_HAND && more() && body.length() < Body.IN_HAND) {
-                int n = (int) Math.min(Math.min(left, filled - at), Body.IN_HAND - body.length());
+            while (length() <= most && more() && body.length() < most) {
+                int n = (int) Math.min(Math.min(left, filled - at), most - body.length());
                 body.add(buffer, at, n);
                 took(n);
             }
+            if (whole && (length() > most || more())) {
+                throw new BadMessage(413, "the body is too large");
+            }
             done = true;
             return body;
         } finally {
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -173,7 +173,11 @@
             if (!module.lists(id) && !bans.out(id)) {
                 return "no backend has that id";
             }
-            return bans.change(id, out) ? null : "too many backends are out";
+            if (!bans.change(id, out)) {
+                return "too many backends are out";
+            }
+            bans.seenByAll();
+            return null;
         }
     }
 
