--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -318,8 +318,8 @@
         StandIn backend = new StandIn(request -> OK);
         startManaged(null, settings(128, 1, "", backend.host("b")).replace("\"memory_mb\":64",
             "\"memory_mb\":4"));
-        // 16 clients' and 36 links': asked of the pool now, the list's watch might hold one.
-        buffersAtFirst = 52;
+        // An eighth of the memory: asked of the pool now, the watch of the list might hold one.
+        buffersAtFirst = (4 << 20) / 8 / Buffers.SIZE;
         String body = "0123456789".repeat(6_500);
         assertTrue(buffersAtFirst < 12 * body.length() / Buffers.SIZE, "fewer than come");
         List<Socket> sockets = new ArrayList<>();
