Excess gets in only below two for each backend; spans of measures follow due times

A line of proxy n0: "inside=22 fin=20 calm=9.2E16 typ=1007 steady=13.68 floor=4.27 {enterOver=6, enterWaited=9, ... turnOver=117}": no calm was known (20 answers in 2 s are needed), so nothing told the room that answers took longer, and Little's law gave what was inside the room for more.

Change: work over its quota gets in while the fleet is not pressed and fewer than two for each backend are inside, as a proxy's part.

--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -25,12 +25,12 @@
     boolean lost;
     /** When it last gave a sign of life, or last went from nothing out to something out. */
     long quietSince;
-    /** Answers and failures of the last two seconds: older ones say little of how it is now. */
-    final Ring answers = new Ring(20_000, 8);
-    final Ring failures = new Ring(20_000, 8);
-    /** Gaps between signs of life while something was out: their number and sum, over half a minute. */
-    final Ring gapCount = new Ring(300_000, 10);
-    final Ring gapSum = new Ring(300_000, 10);
+    /** Answers and failures of late: older ones say little of how it is now. */
+    final Ring answers;
+    final Ring failures;
+    /** Gaps between signs of life while something was out: their number and sum. */
+    final Ring gapCount;
+    final Ring gapSum;
     final Ring sent;
     /** While cold: when it last got work, the part of the usual gap until the next, and of which start. */
     long spacedFrom;
@@ -39,7 +39,15 @@
     /** The work items handed to it and still out, in the order of sending. */
     final Map<Long, WorkItem> held = new LinkedHashMap<>();
 
-    Backend(Member member, long sentSpan) {
+    /** In due times: what an answer says of how a backend is now, and what its gaps say of its usual ones. */
+    private static final double NOW = 1.28;
+    private static final double USUAL = 19.2;
+
+    Backend(Member member, long sentSpan, long due) {
+        answers = new Ring(Math.round(NOW * due), 8);
+        failures = new Ring(Math.round(NOW * due), 8);
+        gapCount = new Ring(Math.round(USUAL * due), 10);
+        gapSum = new Ring(Math.round(USUAL * due), 10);
         this.id = member.id();
         this.member = member;
         this.sent = new Ring(sentSpan, 10);
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -238,13 +238,14 @@
 
     /** Lets no more in than can be answered in time. */
     public static final class Line extends Stage {
-        /** Two seconds: enough for a steady rate, yet follows a fleet that slows down. */
-        private static final long SPAN = 20_000;
+        /** In due times, as much as answers take: enough for a steady rate, yet follows a fleet that slows. */
+        private static final double SPAN = 1.28;
+        /** Times as long: the calm that is remembered. */
+        private static final int CALM = 15;
         /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
         private static final double SPARSE = 0.5;
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
-        private static final double OVER_CALM = 0.9;
         /** In the logarithm of the latency: a fifth longer than calm. */
         private static final double PRESSED = 0.2;
         /** Part of the due time that a work item may wait. */
@@ -254,11 +255,12 @@
         private final int balancers;
         private final boolean bounded;
         private final SplittableRandom random;
-        private final Ring finished = new Ring(SPAN, 20);
-        private final Ring latency = new Ring(SPAN, 20);
-        private final Ring latencyLog = new Ring(SPAN, 20);
-        /** The lowest typical latency over the span that the last half minute has seen. */
-        private final Lowest calm = new Lowest(300_000, 6);
+        private final long span;
+        private final Ring finished;
+        private final Ring latency;
+        private final Ring latencyLog;
+        /** The lowest typical latency over the span that has been seen of late. */
+        private final Lowest calm;
         /** What is within its quota and waits for room. */
         private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
         private final Entry[] lanes;
@@ -271,6 +273,11 @@
         /** Bounded: whether this balancer may turn work away, not where others have worked on it. */
         public Line(Fleet fleet, SplittableRandom random, List<Tenant> tenants, Shape shape,
                     boolean bounded) {
+            span = Math.round(SPAN * shape.due());
+            finished = new Ring(span, 20);
+            latency = new Ring(span, 20);
+            latencyLog = new Ring(span, 20);
+            calm = new Lowest(CALM * span, 6);
             this.fleet = fleet;
             this.random = random;
             this.balancers = shape.balancers();
@@ -309,7 +316,7 @@
         }
 
         private double span(long now) {
-            return Math.min(SPAN, Math.max(1, now - firstAt));
+            return Math.min(span, Math.max(1, now - firstAt));
         }
 
         /** The mean logarithm of the latency: a few costly work items hardly move it. */
@@ -323,9 +330,12 @@
                 return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
+            if (wi.overQuota) {
+                // Let in beyond that, excess made its own room until the whole fleet choked on it.
+                return !pressed(now) && inside + random.nextDouble() < floor;
+            }
             // What is usually inside, less while the fleet is not calm, and two or four spreads of chance.
-            double over = wi.overQuota ? OVER_CALM : WITHIN_CALM;
-            double calmer = Math.min(1, over * Math.exp(calm.value() - typical(now)));
+            double calmer = Math.min(1, WITHIN_CALM * Math.exp(calm.value() - typical(now)));
             double steady = latency.sum(now) / span(now) * calmer;
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
             double room = steady + (atEase ? 4 : 2) * Math.sqrt(steady);
@@ -437,7 +447,7 @@
             }
             advance(now);
             // Soon after a start or a standstill only the quick ones have come back: the room would shrink.
-            if (now - firstAt >= SPAN && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
+            if (now - firstAt >= span && finished.sum(now) >= 20 && finished.sum(now) >= 2 * inside) {
                 calm.add(now, typical(now));
             }
         }
@@ -620,12 +630,12 @@
     public static final class Fleet {
         /** Bytes of a message to peers, at most. */
         private static final int LONGEST = 256;
-        /** Ten seconds of answers make a usual time even where few come. */
-        private static final long USUAL_SPAN = 100_000;
+        /** In due times: so much of answers makes a usual time even where few come. */
+        private static final double USUAL_SPAN = 6.4;
         /** Three times the usual: work of uneven cost mostly stays under it; 2 and 2.5 did no better. */
         private static final double SLOW = 3;
-        /** Four seconds: a few answers of each tenant even at many balancers, yet soon enough for a lane. */
-        private static final long STAY_SPAN = 40_000;
+        /** In due times: a few answers of each tenant even at many balancers, yet soon enough for a lane. */
+        private static final double STAY_SPAN = 2.56;
         /** With a part of two backends or more, what a balancer has in flight tells it enough. */
         private static final double FEW = 2;
         /** So full of what backends may hold, the fleet lends none to lanes; 0.6 left quiet lanes short. */
@@ -652,14 +662,15 @@
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
         /** How long hand-offs have been out in the last seconds, added up at looks; how many were sent. */
-        private final Ring heldTime = new Ring(STAY_SPAN, 8);
-        private final Ring sends = new Ring(STAY_SPAN, 8);
+        private final long staySpan;
+        private final Ring heldTime;
+        private final Ring sends;
         private long keptAt;
         private long stoodAt = -1;
         private long stoodFor;
-        private final Averages times = new Averages(USUAL_SPAN);
+        private final Averages times;
         /** How long hand-offs stay: at 0 anywhere, at odd numbers by lane, at even ones by kind. */
-        private final Averages stays = new Averages(USUAL_SPAN);
+        private final Averages stays;
         /** The order in which this balancer takes backends where it uses only some of a lane. */
         private final Comparator<Backend> own;
         /** Hand-offs that are out, by tenant. */
@@ -674,6 +685,11 @@
             this.tenants = tenants;
             this.shape = shape;
             this.cold = cold;
+            staySpan = Math.round(STAY_SPAN * shape.due());
+            heldTime = new Ring(staySpan, 8);
+            sends = new Ring(staySpan, 8);
+            times = new Averages(Math.round(USUAL_SPAN * shape.due()));
+            stays = new Averages(Math.round(USUAL_SPAN * shape.due()));
             // The larger a backend, the more balancers have it first.
             this.own = shape.rest() <= 0 ? Comparator.comparing(b -> b.id)
                 : Comparator.comparingDouble(b -> -Math.log(Hash.part(-1 - shape.me(), b.id)) / b.size());
@@ -693,7 +709,7 @@
                 known.values().stream().filter(b -> !listed.contains(b.id)).forEach(b -> removed(b, now));
             }
             for (Member m : members) {
-                Backend b = known.computeIfAbsent(m.id(), id -> new Backend(m, cold.fall()));
+                Backend b = known.computeIfAbsent(m.id(), id -> new Backend(m, cold.fall(), shape.due()));
                 if (m.startedAt() > b.member.startedAt()) {
                     b.streak = 0;
                     b.failures.clear();
@@ -825,7 +841,7 @@
         boolean crowded(int tenant, double far, long now) {
             double over = laneStay(tenant, now) / Math.max(1, stays.mean(now, 0, 0, 0));
             // Where one can tell what all hold, less than two for each backend is never a crowd.
-            double held = heldTime.sum(now) * over * shape.balancers() / STAY_SPAN / ready.size();
+            double held = heldTime.sum(now) * over * shape.balancers() / staySpan / ready.size();
             return FEW * shape.balancers() > ready.size() && (held > 2 || !shape.alike())
                 && random.nextDouble() * over > far;
         }
@@ -843,9 +859,9 @@
 
         /** How many backends a lane is worth: its warm and trusted ones, and what the fleet has to lend. */
         double able(int tenant, double most, long now) {
-            double held = heldTime.sum(now) * (double) shape.balancers() / STAY_SPAN;
+            double held = heldTime.sum(now) * (double) shape.balancers() / staySpan;
             // In the first seconds nothing has come back yet, and an idle fleet would be lent to all.
-            boolean lends = shape.alike() && now - firstSent >= STAY_SPAN;
+            boolean lends = shape.alike() && now - firstSent >= staySpan;
             double lent = lends ? Math.max(0, LEND * ready.size() - held / most) : 0;
             return Math.max(1, lent + lane(tenant).stream().filter(b -> b.streak < 3)
                 .mapToDouble(b -> cold.warmth(b.member, now)).sum());
--- a/src/main/java/cottonlock/decision/Shape.java
+++ b/src/main/java/cottonlock/decision/Shape.java
@@ -12,11 +12,14 @@
  * @param mustAsk   whether changes of the list come only to those that ask for them
  * @param askWithin how long a balancer may go without asking
  * @param removalBinds whether one that has gone from the list without draining gets nothing more
+ * @param due       the mean due time of the categories: spans of measures are told in it, as work that may
+ *                  take longer brings fewer answers in the same time
  */
 public record Shape(int balancers, int me, boolean alike, double rest, boolean mayTell, boolean mustAsk,
-                    long askWithin, boolean removalBinds) {
-    /** Takes one balancer for the least there can be. */
+                    long askWithin, boolean removalBinds, long due) {
+    /** Takes one balancer for the least there can be, and a second and a half for shorter due times. */
     public Shape {
         balancers = Math.max(1, balancers);
+        due = Math.max(15_625, due);
     }
 }
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -33,7 +33,8 @@
         return new Shape(s.count("FleetSize", 1), s.count("Me", 0),
             !s.text("Workload", "chain").equals("mesh"), restOfConnections(),
             s.flag("Limits.PeerMessages", false), mustAsk(), s.timeDown("Obligations.AskWithin"),
-            !s.flag("Obligations.RemovalNotBinding", false));
+            !s.flag("Obligations.RemovalNotBinding", false),
+            (long) categories.stream().mapToLong(Category::dueTime).average().orElse(0));
     }
 
     /** A module that answers through the given outlet. */
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -8,8 +8,10 @@
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.Category.Scope;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import net.jqwik.api.Example;
@@ -56,7 +58,7 @@
     void whoHasGoneWithoutDrainingIsUsedWhileItAnswersWhereThatBindsNobody() {
         for (boolean binds : new boolean[] {false, true}) {
             Ledger ledger = new Ledger(PLAIN, TWO, 5, false, true,
-                new Shape(2, 0, true, 0, true, false, 100_000, binds));
+                new Shape(2, 0, true, 0, true, false, 100_000, binds, 0));
             ledger.list(Ledger.ready(0, 3), true, true);
             for (int i = 0; i < 30; i++) {
                 ledger.arrive(0, i % 2, 20_000);
@@ -132,7 +134,7 @@
     /** Where each client has a balancer of its own, and where keeping connections costs something. */
     private static Ledger apart(int me, double rest, int backends) {
         Ledger ledger = new Ledger(PLAIN, List.of(new Tenant(1, 100)), 7 + me, true, true,
-            new Shape(200, me, false, rest, false, false, 0, true));
+            new Shape(200, me, false, rest, false, false, 0, true, 0));
         ledger.list(Ledger.ready(0, backends), true, true);
         return ledger;
     }
@@ -228,6 +230,51 @@
         assertTrue(letIn[0] > letIn[1], letIn[0] + " within quota, " + letIn[1] + " beyond");
     }
 
+    /** Answers what has been out for so long: a fleet that slows down as more is inside. */
+    private static int answerOlder(Ledger ledger, Map<Long, Long> sentAt, long age) {
+        for (long id : List.copyOf(ledger.items.keySet())) {
+            Ledger.Item item = ledger.items.get(id);
+            if (item != null && item.sent.size() == 1 && item.sent.get(0).out
+                && ledger.now - sentAt.get(id) >= age) {
+                ledger.settle(id, 0, Outcome.FINISHED);
+            }
+        }
+        return (int) ledger.items.values().stream().filter(i -> i.sent.stream().anyMatch(s -> s.out)).count();
+    }
+
+    /** Danger: what is inside made the room for more excess, until a hundred small balancers choked. */
+    @Example
+    void excessMakesNoRoomOfItsOwn() {
+        Ledger ledger = new Ledger(PLAIN, List.of(new Tenant(1, 2)), 7, true, false, true, 8);
+        ledger.list(Ledger.ready(0, 16), true, true);
+        Map<Long, Long> sentAt = new HashMap<>();
+        int most = 0;
+        for (int i = 0; i < 1_000; i++) {
+            sentAt.put(ledger.arrive(0, 0, 20_000), ledger.now);
+            ledger.pass(50);
+            int inside = answerOlder(ledger, sentAt, 1_500 + 300L * most);
+            most = Math.max(most, inside);
+        }
+        // Two for each of a part of two backends, one by chance, and a little that is within the quota.
+        assertTrue(most <= 8, () -> "so much excess inside of one of eight before 16 backends");
+        assertTrue(most >= 4, "while nothing is pressed, excess is served");
+    }
+
+    /** Danger: where due times are long, two seconds hold too few answers to learn a calm from. */
+    @Example
+    void spansOfMeasuresFollowDueTimes() {
+        assertEquals(20_000, Math.round(1.28 * new Shape(1, 0, true, 0, true, true, 0, true, 0).due()));
+        Ledger ledger = new Ledger(PLAIN, TWO, 7, true, true,
+            new Shape(2, 0, true, 0, true, false, 100_000, true, 60_000));
+        ledger.list(Ledger.ready(0, 3), true, true);
+        ledger.arrive(0, 0, 20_000);
+        finishAll(ledger);
+        ledger.pass(30_000);
+        Backend answered = ledger.fleet.known.values().stream()
+            .filter(b -> ledger.sends.containsKey(b.id)).findFirst().orElseThrow();
+        assertEquals(1, answered.answers.sum(ledger.now), "an answer of three seconds ago, half a due time");
+    }
+
     @Example
     void failedCallsForTheListAreRepeatedInTime() {
         Ledger ledger = new Ledger(PLAIN, TWO, 3, true, true);
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -80,7 +80,7 @@
     Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mustAsk,
            boolean mayRecall, int balancers) {
         this(categories, tenants, seed, first, mayRecall,
-            new Shape(balancers, 0, true, 0, true, mustAsk, 100_000, true));
+            new Shape(balancers, 0, true, 0, true, mustAsk, 100_000, true, 0));
     }
 
     Ledger(List<Category> categories, List<Tenant> tenants, long seed, boolean first, boolean mayRecall,
--- a/src/test/java/cottonlock/decision/RulesTest.java
+++ b/src/test/java/cottonlock/decision/RulesTest.java
@@ -29,7 +29,7 @@
             tenants.add(new Tenant(random.nextInt(4) / 4.0, random.nextInt(40)));
         }
         Shape shape = new Shape(1 + random.nextInt(60), random.nextInt(9), random.nextBoolean(),
-            random.nextInt(2) * 50, true, mustAsk, 100_000, true);
+            random.nextInt(2) * 50, true, mustAsk, 100_000, true, random.nextInt(2) * 50_000);
         Ledger ledger = new Ledger(categories, tenants, seed, first, mayRecall, shape);
         ledger.now = random.nextInt(100_000);
         ledger.list(Ledger.ready(0, backends), true, true);
