--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -238,7 +238,7 @@
 
     /** Lets no more in than can be answered in time. */
     public static final class Line extends Stage {
-        /** In due times, as much as answers take: enough for a steady rate, yet follows a fleet that slows. */
+        /** In due times, as long as answers take: enough for a steady rate, yet follows a slower fleet. */
         private static final double SPAN = 1.28;
         /** Times as long: the calm that is remembered. */
         private static final int CALM = 15;
