--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -246,12 +246,14 @@
         private static final double SPARSE = 0.5;
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
+        private static final double OVER_CALM = 0.9;
         /** In the logarithm of the latency: a fifth longer than calm. */
         private static final double PRESSED = 0.2;
         /** Part of the due time that a work item may wait. */
         private static final double WAIT = 0.15;
 
         private final Fleet fleet;
+        private final Shape shape;
         private final int balancers;
         private final boolean bounded;
         private final SplittableRandom random;
@@ -280,6 +282,7 @@
             calm = new Lowest(CALM * span, 6);
             this.fleet = fleet;
             this.random = random;
+            this.shape = shape;
             this.balancers = shape.balancers();
             this.bounded = bounded;
             this.quotas = tenants.stream().mapToDouble(Tenant::quota).sum() / 10_000;
@@ -330,12 +333,13 @@
                 return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
             }
             double floor = 2.0 * fleet.ready.size() / balancers;
-            if (wi.overQuota) {
+            if (wi.overQuota && shape.many()) {
                 // Let in beyond that, excess made its own room until the whole fleet choked on it.
                 return !pressed(now) && inside + random.nextDouble() < floor;
             }
             // What is usually inside, less while the fleet is not calm, and two or four spreads of chance.
-            double calmer = Math.min(1, WITHIN_CALM * Math.exp(calm.value() - typical(now)));
+            double over = wi.overQuota ? OVER_CALM : WITHIN_CALM;
+            double calmer = Math.min(1, over * Math.exp(calm.value() - typical(now)));
             double steady = latency.sum(now) / span(now) * calmer;
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
             double room = steady + (atEase ? 4 : 2) * Math.sqrt(steady);
--- a/src/main/java/cottonlock/decision/Shape.java
+++ b/src/main/java/cottonlock/decision/Shape.java
@@ -17,9 +17,17 @@
  */
 public record Shape(int balancers, int me, boolean alike, double rest, boolean mayTell, boolean mustAsk,
                     long askWithin, boolean removalBinds, long due) {
-    /** Takes one balancer for the least there can be, and a second and a half for shorter due times. */
+    /** With 2 to 4 on sockets, where little is hidden from one, what holds for many lost 0.3; 15 need it. */
+    private static final int FEW = 8;
+
+    /** Takes one balancer for the least there can be; of few, and for shorter due times, 1.56 s. */
     public Shape {
         balancers = Math.max(1, balancers);
-        due = Math.max(15_625, due);
+        due = balancers > FEW ? Math.max(15_625, due) : 15_625;
+    }
+
+    /** Whether there are so many balancers that each sees little of what comes to all. */
+    boolean many() {
+        return balancers > FEW;
     }
 }
