--- a/src/main/java/cottonlock/decision/Shape.java
+++ b/src/main/java/cottonlock/decision/Shape.java
@@ -17,7 +17,7 @@
  */
 public record Shape(int balancers, int me, boolean alike, double rest, boolean mayTell, boolean mustAsk,
                     long askWithin, boolean removalBinds, long due) {
-    /** Measured: 15 need what holds for many; 2 to 4 on sockets were no better with it, little is hidden there. */
+    /** Measured: 15 need what holds for many; 2 to 4 on sockets, with little hidden, did no better by it. */
     private static final int FEW = 8;
 
     /** Takes one balancer for the least there can be; of few, and for shorter due times, 1.56 s. */
