Membership: who is there and who has failed, free of I/O, with fleets in virtual time

Need: every proxy decides as if all in its settings lived; nobody finds out that one has died, hangs or is cut off.

The machine (cottonlock.membership, @Decides) probes in shuffled rounds, asks others where no answer comes, doubts with a time-out that shrinks with confirmations, contradicts by a turn of its own, and doubts itself first. Words on a member are in one order, so views that heard the same agree; digests in each datagram tell who differs, pages of names mend it.

Nothing uses it yet.

--- a/src/main/java/cottonlock/decision/Hash.java
+++ b/src/main/java/cottonlock/decision/Hash.java
@@ -1,7 +1,7 @@
 package cottonlock.decision;
 
 /** The hash of a tenant and a backend, the same on every balancer: FNV-1a, then mixed well. */
-final class Hash {
+public final class Hash {
     private Hash() { }
 
     /** The same as a number above 0 and below 1. */
@@ -9,7 +9,7 @@
         return ((of(tenant, id) >>> 11) + 0.5) / (1L << 53);
     }
 
-    static long of(int tenant, String id) {
+    public static long of(int tenant, String id) {
         long h = 0xcbf29ce484222325L ^ tenant;
         for (int i = 0; i < id.length(); i++) {
             h = (h ^ id.charAt(i)) * 0x100000001b3L;
--- /dev/null
+++ b/src/main/java/cottonlock/lab/world/World.java
@@ -0,0 +1,104 @@
+package cottonlock.lab.world;
+
+import cottonlock.decision.Decides;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * Virtual time, and the way of datagrams between numbered places: what is lost, late, doubled or spoilt, and
+ * what is cut. Times are tenths of a millisecond. Tasks of one moment run in the order of their setting.
+ */
+@Decides
+public final class World {
+    /** Whether nothing gets through from one place to another. */
+    public interface Cut {
+        boolean cuts(int from, int to);
+    }
+
+    private record Task(long at, long order, Runnable run) implements Comparable<Task> {
+        @Override
+        public int compareTo(Task other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private final SplittableRandom chance;
+    private long now;
+    private long orders;
+    private double loss;
+    private double twice;
+    private double spoilt;
+    private long least = 2;
+    private long spread = 8;
+    private Cut cut = (from, to) -> false;
+
+    public World(long seed) {
+        chance = new SplittableRandom(seed);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    /** Chance for whoever lives in this world. */
+    public SplittableRandom chance() {
+        return chance;
+    }
+
+    /** The parts of datagrams that are lost, that come twice, and of which a byte is changed. */
+    public void trouble(double lost, double doubled, double changed) {
+        loss = lost;
+        twice = doubled;
+        spoilt = changed;
+    }
+
+    /** How long a datagram takes: this at least, and evenly drawn up to so much more, so some overtake. */
+    public void delay(long shortest, long upTo) {
+        least = shortest;
+        spread = upTo;
+    }
+
+    public void cut(Cut which) {
+        cut = which;
+    }
+
+    /** Runs a task at a time, now at the earliest. */
+    public void at(long time, Runnable task) {
+        tasks.add(new Task(Math.max(now, time), orders++, task));
+    }
+
+    /** Sends a datagram; {@code arrives} is given it when it comes, once, twice or never. */
+    public void send(int from, int to, byte[] datagram, java.util.function.Consumer<byte[]> arrives) {
+        if (cut.cuts(from, to)) {
+            return;
+        }
+        int copies = twice > 0 && chance.nextDouble() < twice ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (loss > 0 && chance.nextDouble() < loss) {
+                continue;
+            }
+            byte[] bytes = datagram;
+            if (spoilt > 0 && chance.nextDouble() < spoilt) {
+                bytes = datagram.clone();
+                bytes[chance.nextInt(bytes.length)] ^= (byte) (1 + chance.nextInt(255));
+            }
+            byte[] carried = bytes;
+            at(now + least + (spread > 0 ? chance.nextLong(spread + 1) : 0), () -> {
+                if (!cut.cuts(from, to)) {
+                    arrives.accept(carried);
+                }
+            });
+        }
+    }
+
+    /** Goes on until a time; what is set for later stays. */
+    public void until(long time) {
+        while (!tasks.isEmpty() && tasks.peek().at <= time) {
+            Task task = tasks.poll();
+            now = task.at;
+            task.run.run();
+        }
+        now = time;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Exchange.java
@@ -0,0 +1,158 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import cottonlock.membership.Message.Kind;
+import cottonlock.setup.MembershipRules;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Mends views that differ: in short first, part by part of the names; then page by page what differs, each way.
+ */
+@Decides
+class Exchange {
+    /** Pages sent at one request, so that a large view takes several requests, and several givers. */
+    private static final int PAGES = 4;
+    /** Members of one part of the names, about: what a datagram holds. */
+    private static final int PART = 8;
+
+    private final MembershipRules rules;
+    private final Table table;
+    private final Ring ring;
+    private final Post post;
+    private final long[] counts;
+    private long at = Known.NEVER;
+    private long last = Known.NEVER;
+
+    Exchange(MembershipRules rules, Table table, Ring ring, Post post, long[] counts) {
+        this.rules = rules;
+        this.table = table;
+        this.ring = ring;
+        this.post = post;
+        this.counts = counts;
+    }
+
+    /** When it wants to be called. */
+    long at() {
+        return at;
+    }
+
+    private boolean joining() {
+        return table.me().state() == State.JOINING;
+    }
+
+    private long pause() {
+        return rules.period() / (joining() ? 4 : 2);
+    }
+
+    /** Changes that ride on probes are given so long before views are compared part by part. */
+    private long settle() {
+        return joining() ? 0 : rules.period();
+    }
+
+    /** A member's digest has come; returns whether it is this one's. */
+    boolean compare(long now, Known k, long digest) {
+        if (digest == table.digest()) {
+            k.differsSince = Known.NEVER;
+            return true;
+        }
+        if (k.differsSince == Known.NEVER) {
+            k.differsSince = now;
+            at = Math.min(at, Math.max(now, last + pause()) + settle());
+        }
+        return false;
+    }
+
+    /** Begins with one of those whose view has differed for long enough. */
+    void wake(long now) {
+        at = now + pause();
+        List<Known> differing = ring.some(1, k -> k.differs() && now - k.differsSince >= settle()
+            && now - k.heardAt < 4 * rules.period());
+        if (differing.isEmpty() || !mends()) {
+            boolean any = table.all().stream().anyMatch(Known::differs);
+            at = now + (any ? pause() : 4 * rules.period());
+            return;
+        }
+        last = now;
+        counts[Count.EXCHANGES.ordinal()]++;
+        Known k = differing.get(0);
+        int parts = Math.min(Codec.MOST_PARTS, Integer.highestOneBit(Math.max(1, (table.alive() + 1) / PART)));
+        if (parts == 1) {
+            page(now, k, 1, 0, PAGES);
+        } else {
+            Message m = post.message(Kind.MARKS);
+            m.marks = table.marks(parts);
+            post.send(now, k.word.address(), post.begin(m), Post.SPARE);
+        }
+    }
+
+    /** Whether differences are mended at all. */
+    boolean mends() {
+        return true;
+    }
+
+    /** Another's view in short: sends pages of the parts that differ, from a random one on. */
+    void marks(long now, Message m, Known k, int from) {
+        int[] mine = table.marks(m.marks.length);
+        int left = PAGES;
+        for (int i = 0; i < mine.length && left > 0; i++) {
+            int part = Math.floorMod(from + i, mine.length);
+            if (mine[part] != m.marks[part]) {
+                left -= page(now, k, mine.length, part, left);
+            }
+        }
+    }
+
+    /** Sends the words of one part of the names, in several pages if need be; returns how many it sent. */
+    private int page(long now, Known to, int parts, int part, int most) {
+        List<Word> words = table.words(parts, part);
+        String after = "";
+        int next = 0;
+        for (int sent = 0; sent < most;) {
+            Message m = post.message(Kind.PAGE);
+            m.parts = parts;
+            m.part = part;
+            m.after = after;
+            Codec.Writer out = post.begin(m);
+            while (next < words.size() && out.word(words.get(next))) {
+                after = words.get(next++).name();
+            }
+            if (next == words.size()) {
+                out.end();
+            }
+            if (!post.send(now, to.word.address(), out, Post.SPARE)) {
+                break;
+            }
+            sent++;
+            if (next == words.size()) {
+                return sent;
+            }
+        }
+        return most;
+    }
+
+    /** A page has been taken: its sender is told what is newer here, or lacking there. */
+    void correct(long now, Message m, Known k) {
+        TreeMap<String, Word> theirs = new TreeMap<>();
+        m.words.forEach(w -> theirs.put(w.name(), w));
+        String last = m.end || theirs.isEmpty() ? null : theirs.lastKey();
+        List<Word> news = new ArrayList<>();
+        for (Known mine : table.between(m.parts, m.part, m.after, last)) {
+            Word their = theirs.get(mine.word.name());
+            if (mine != k && (their == null ? mine.word.state().lives() : mine.word.outweighs(their))) {
+                news.add(mine.word);
+            }
+        }
+        int next = 0;
+        for (int sent = 0; next < news.size() && sent < PAGES; sent++) {
+            Codec.Writer out = post.begin(post.message(Kind.WORDS));
+            while (next < news.size() && out.word(news.get(next))) {
+                next++;
+            }
+            if (!post.send(now, k.word.address(), out, Post.SPARE)) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Membership.java
@@ -0,0 +1,646 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import cottonlock.membership.Message.Kind;
+import cottonlock.setup.MembershipRules;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * What one proxy knows of the others of its tier, and how it finds out.
+ *
+ * <p>One thread tells it what has come and when its time has come, each with the time in tenths of a
+ * millisecond, never going back; it answers by datagrams during the call. It probes one member after the
+ * other in shuffled rounds, has others probe who does not answer, and doubts who answers nobody. Doubt that
+ * its subject does not clear in time becomes a failure. Changes ride on what is sent anyway; a digest in each
+ * datagram tells whose view differs, and what differs is exchanged. docs/membership.md tells why.
+ */
+@Decides
+public class Membership {
+    /** Tenths of a millisecond: called so much too late, it has stood still itself, as a busy core does. */
+    private static final long STILL = 1_000;
+    /** How often a starting process raises its life above others of its name before it gives way. */
+    private static final int RAISES = 4;
+    /** How often a leaving process says so, a quarter of a period apart. */
+    private static final int FAREWELLS = 3;
+
+    /** Where its datagrams go, and who is told of changes. */
+    public interface Outlet {
+        /** Sends a datagram, or loses it. */
+        void send(String address, byte[] datagram);
+
+        /** A member is something else now, for a reason in words. */
+        void changed(String name, State state, String reason);
+
+        /** Another subsystem of that member's process has told something; {@code topic} says which. */
+        default void rode(String name, long life, int topic, byte[] body) {
+        }
+    }
+
+    private final MembershipRules rules;
+    private final Outlet outlet;
+    private final SplittableRandom random;
+    private final Set<String> contacts;
+    private final boolean closed;
+    private final long[] counts = new long[Count.values().length];
+    private final Table table;
+    private final Post post;
+    private final Ring ring;
+    private final Prober prober;
+    private final Exchange exchange;
+    private final Set<Known> suspects = new LinkedHashSet<>();
+    /** Whoever else goes by this name and is the later one; null: nobody. */
+    private Word displacedBy;
+    /** A doubt of this process that it must not clear while its module stands still. */
+    private Word accused;
+    private int raises;
+    private int farewells;
+    private long wakeAt;
+    private long contactAt;
+    private long joinUntil;
+    private long startedAt;
+    private long stateSince;
+    private long tidyAt;
+    private long moduleAt = Long.MAX_VALUE;
+
+    /**
+     * A process that has just started.
+     *
+     * @param contacts addresses at which others may be found; its own may be among them
+     * @param closed   whether nobody else's address is taken
+     * @param life     milliseconds since 1970, by this machine's clock, however wrong
+     * @param tag      bytes of each datagram that must stay free, for a tag
+     * @throws IllegalArgumentException for a name that can't be a member's
+     */
+    public Membership(MembershipRules rules, Outlet outlet, String name, String address,
+                      List<String> contacts, boolean closed, long life, int tag, SplittableRandom random) {
+        if (!Codec.isName(name)) {
+            throw new IllegalArgumentException("expected a name of 1 to " + Codec.LONGEST_NAME
+                + " letters, digits and marks, found \"" + name + "\"");
+        }
+        this.rules = rules;
+        this.outlet = outlet;
+        this.contacts = new TreeSet<>(contacts);
+        this.contacts.remove(address);
+        this.closed = closed;
+        this.random = random;
+        long begun = Math.max(1, Math.min(life, Codec.LAST_LIFE / 2));
+        this.table = new Table(new Word(name, address, begun, 0, State.JOINING, 0), rules.most());
+        this.post = new Post(rules, table, outlet, counts, tag);
+        this.ring = new Ring(random);
+        this.prober = new Prober(rules, table, ring, post, this::doubt, random);
+        this.exchange = exchange(rules, table, ring, post, counts);
+    }
+
+    /** How views that differ are mended. */
+    Exchange exchange(MembershipRules how, Table of, Ring among, Post by, long[] counted) {
+        return new Exchange(how, of, among, by, counted);
+    }
+
+    /** It begins; to be called again at the time returned. */
+    public long start(long now) {
+        startedAt = now;
+        stateSince = now;
+        prober.start(now);
+        contactAt = now;
+        joinUntil = now + rules.join();
+        tidyAt = now + rules.forget() / 4;
+        wakeAt = now;
+        return wakeAt;
+    }
+
+    /** When the module's thread last made progress: to be told before each call, by the same clock. */
+    public void module(long progressAt) {
+        moduleAt = progressAt;
+    }
+
+    private long lag(long now) {
+        return Math.max(0, now - moduleAt);
+    }
+
+    private boolean hung(long now) {
+        return lag(now) > rules.hung();
+    }
+
+    /** Something is counted that happened outside: a datagram was turned down before it came here. */
+    public void count(Count what) {
+        counts[what.ordinal()]++;
+    }
+
+    // What has come
+
+    /** A datagram has come; returns when to be called again. */
+    public long heard(long now, String from, byte[] bytes, int length) {
+        post.lag(lag(now));
+        Message m = Codec.read(bytes, length);
+        if (m == null) {
+            count(Count.MALFORMED);
+        } else if (!m.sender.address().equals(from) || closed && !contacts.contains(from)) {
+            count(Count.STRANGERS);
+        } else if (m.sender.name().equals(table.me().name())) {
+            // Another process of this name; from this very address it is an echo.
+            aboutMe(now, m.sender, m.sender.name());
+            tellOutdated(now, from, table.me());
+        } else {
+            heard(now, m, from);
+        }
+        return plan(now);
+    }
+
+    private void heard(long now, Message m, String from) {
+        Known k = table.get(m.sender.name());
+        if (k != null && k.word.compareLives(m.sender) > 0) {
+            // Of a former life: it may be late, or the process does not know yet that it was there before.
+            count(Count.OUTDATED);
+            tellOutdated(now, from, k.word);
+            return;
+        }
+        boolean anew = k == null || k.word.compareLives(m.sender) < 0;
+        if (!anew && !k.fresh(m.counter)) {
+            count(Count.REPEATED);
+            return;
+        }
+        take(now, m.sender, m.sender.name());
+        k = table.get(m.sender.name());
+        if (k == null) {
+            if (m.kind == Kind.PING && displacedBy == null) {
+                // There is no room for it; unanswered it would take this process for dead.
+                post.send(now, from, null, post.message(Kind.ACK, m.seq), 0);
+            }
+            return;
+        }
+        if (anew) {
+            k.fresh(m.counter);
+        }
+        prober.heard(now);
+        k.heardAt = now;
+        k.lag = m.lag;
+        for (Word w : m.words) {
+            take(now, w, m.sender.name());
+        }
+        if (displacedBy == null) {
+            act(now, m, k);
+            if (exchange.compare(now, k, m.digest) && table.me().state() == State.JOINING
+                && m.sender.state() == State.ALIVE) {
+                join(now);
+            }
+            if (k.accused() && m.kind != Kind.PING) {
+                tell(now, k);
+            }
+        }
+    }
+
+    private void act(long now, Message m, Known k) {
+        switch (m.kind) {
+            case PING -> {
+                Message answer = post.message(Kind.ACK, m.seq);
+                Known asker = m.behalf.isEmpty() ? k : table.get(m.behalf);
+                answer.heard = asker != null && now - asker.heardAt < 3 * rules.period();
+                post.send(now, k, answer);
+            }
+            case ACK -> prober.answered(now, m, k);
+            case ASK -> prober.favour(now, m, k);
+            case RELAY, NACK -> prober.helped(now, m);
+            case MARKS -> exchange.marks(now, m, k, random.nextInt(Codec.MOST_PARTS));
+            case PAGE -> exchange.correct(now, m, k);
+            case RIDER -> outlet.rode(k.word.name(), k.word.life(), m.topic, m.body);
+            default -> {
+            }
+        }
+    }
+
+    // What is said of members
+
+    /** Takes a word into the view if it outweighs what is there. */
+    private void take(long now, Word w, String teller) {
+        if (w.name().equals(table.me().name())) {
+            aboutMe(now, w, teller);
+            return;
+        }
+        Known k = table.get(w.name());
+        if (k == null) {
+            if (w.state().lives() && (!closed || contacts.contains(w.address())) && room()) {
+                k = table.add(w, now);
+                ring.add(k);
+                changed(now, k, w, true, by(w, teller));
+            }
+        } else if (outweighs(w, k.word)) {
+            if (w.state() == State.FAILED && k.word.state().lives() && !heardOut(now, k, w)) {
+                // Both sides of a cut have called each other failed: when it heals, that is no news of the
+                // dead. Whoever lives hears of it and contradicts in the time that it is in doubt here.
+                Word less = w.with(State.SUSPECT, w.by());
+                if (less.outweighs(k.word)) {
+                    changed(now, k, less, false, by(w, teller));
+                }
+                k.suspicion.certain();
+            } else {
+                changed(now, k, w, false, by(w, teller));
+            }
+        } else if (w.state() == State.SUSPECT && k.suspicion != null && !k.word.outweighs(w)
+            && k.suspicion.confirm(w.by())) {
+            post.repeat(w);
+        }
+    }
+
+    /** Whether a word holds in place of another. */
+    boolean outweighs(Word one, Word other) {
+        return one.outweighs(other);
+    }
+
+    /** Whether it has been in doubt here for long enough to be held for failed by another's word. */
+    boolean heardOut(long now, Known k, Word w) {
+        return k.suspicion != null && k.word.turn() == w.turn() && k.word.compareLives(w) == 0
+            && k.suspicion.heard(now);
+    }
+
+    private String by(Word w, String teller) {
+        if (w.name().equals(teller)) {
+            return w.state() == State.LEFT ? "it says so itself" : "heard from it";
+        }
+        Known accuser = w.by() == 0 ? null : table.hashed(w.by());
+        return (accuser != null && !accuser.word.name().equals(teller) ? "by the word of "
+            + accuser.word.name() + ", " : "") + "told by " + teller;
+    }
+
+    /** A member's word is another now; first: nothing was known of it. */
+    private void changed(long now, Known k, Word w, boolean first, String reason) {
+        boolean anew = !first && k.word.compareLives(w) != 0;
+        boolean other = first || anew || k.word.state() != w.state();
+        if (anew) {
+            k.startedAnew();
+        }
+        table.replace(k, w, !first);
+        suspects.remove(k);
+        k.suspicion = null;
+        if (w.state() == State.SUSPECT) {
+            double fleet = Math.max(1, Math.log10(table.alive() + 1));
+            long least = Math.round(rules.suspicion() * fleet * rules.period());
+            k.suspicion = new Suspicion(now, w.by(), least, Math.round(least * rules.longest()),
+                Math.min(rules.confirmations(), table.alive() - 1));
+            suspects.add(k);
+            prober.urge(k);
+        }
+        post.repeat(w);
+        if (other) {
+            k.since = now;
+            k.reason = anew ? "started again, " + reason : reason;
+            outlet.changed(w.name(), w.state(), k.reason);
+        }
+    }
+
+    /** Makes room for one more, at the cost of the one that has been dead for longest. */
+    private boolean room() {
+        if (!table.full()) {
+            return true;
+        }
+        Known oldest = table.longestDead();
+        if (oldest == null) {
+            count(Count.FULL);
+            return false;
+        }
+        drop(oldest);
+        return true;
+    }
+
+    private void drop(Known k) {
+        table.drop(k);
+        ring.remove(k);
+        suspects.remove(k);
+    }
+
+    private void doubt(long now, Known k, String reason) {
+        int self = Word.hash(table.me().name());
+        if (k.word.state() == State.SUSPECT) {
+            if (k.suspicion.confirm(self)) {
+                post.repeat(k.word.with(State.SUSPECT, self));
+            }
+        } else if (k.word.state().lives()) {
+            count(Count.SUSPICIONS);
+            changed(now, k, k.word.with(State.SUSPECT, self), false, reason);
+        }
+    }
+
+    private void judge(long now) {
+        for (Known k : List.copyOf(suspects)) {
+            if (now < k.suspicion.end()) {
+                continue;
+            }
+            // Own ears count for more than what others say they have not heard.
+            if (k.heardAt > k.suspicion.since() && prober.sound(k.lag) && k.suspicion.defer(now)) {
+                tell(now, k);
+                continue;
+            }
+            count(Count.FAILURES);
+            String reason = "doubted for " + (now - k.suspicion.since()) / 10 + " ms by "
+                + k.suspicion.accusers() + ", not cleared";
+            changed(now, k, k.word.with(State.FAILED, Word.hash(table.me().name())), false, reason);
+        }
+    }
+
+    // What is said of this process itself
+
+    private void aboutMe(long now, Word w, String teller) {
+        Word me = table.me();
+        int lives = w.compareLives(me);
+        if (lives < 0 || me.state() == State.LEFT) {
+            return;
+        }
+        if (lives > 0) {
+            if (!w.state().lives() || me.state() == State.JOINING && displacedBy == null && raises < RAISES) {
+                // It was this proxy in its former life, whatever the clocks say, or has given the name free.
+                raises += w.state().lives() ? 1 : 0;
+                be(now, new Word(me.name(), me.address(), w.life() + 1, 0, State.JOINING, 0));
+                joinUntil = now + rules.join();
+                if (displacedBy != null) {
+                    displacedBy = null;
+                    prober.start(now);
+                    outlet.changed(me.name(), State.JOINING, "the other process of this name is gone");
+                }
+            } else {
+                if (displacedBy == null) {
+                    outlet.changed(me.name(), State.LEFT, "displaced: another process at " + w.address()
+                        + " goes by this name and has started later, told by " + teller);
+                }
+                displacedBy = w;
+            }
+        } else if (w.state() == State.LEFT) {
+            be(now, new Word(me.name(), me.address(), w.life() + 1, 0, me.state(), 0));
+        } else if (w.turn() > me.turn() || w.turn() == me.turn() && w.state().compareTo(State.ALIVE) > 0) {
+            accused = accused == null || w.outweighs(accused) ? w : accused;
+            refute(now, teller);
+        }
+    }
+
+    private void refute(long now, String teller) {
+        if (accused != null && !hung(now)) {
+            Word me = table.me();
+            count(Count.REFUTATIONS);
+            outlet.changed(me.name(), me.state(), "contradicts that it is "
+                + accused.state().name().toLowerCase(Locale.ROOT) + ", told by " + teller);
+            if (accused.compareLives(me) == 0 && accused.turn() >= me.turn()) {
+                be(now, new Word(me.name(), me.address(), me.life(), raised(accused.turn()), me.state(), 0));
+            }
+            accused = null;
+            prober.doubtMore(1);
+        }
+    }
+
+    /** The turn that contradicts a word of this turn. */
+    int raised(int turn) {
+        return turn + 1;
+    }
+
+    /** This process says something else of itself. */
+    private void be(long now, Word w) {
+        if (w.compareLives(table.me()) != 0) {
+            post.startAnew();
+        }
+        if (w.state() != table.me().state()) {
+            stateSince = now;
+        }
+        table.be(w);
+        post.repeat(w);
+    }
+
+    // What is done by itself
+
+    /** The time asked for has come, or is past; returns when to be called again. */
+    public long wake(long now) {
+        post.lag(lag(now));
+        if (now > wakeAt + STILL) {
+            stood(now, now - wakeAt);
+        }
+        refute(now, "others");
+        if (table.me().state() == State.LEFT) {
+            farewell(now);
+        } else if (displacedBy != null) {
+            if (now >= contactAt) {
+                askAfterMyself(now);
+            }
+        } else {
+            prober.wake(now);
+            judge(now);
+            if (now >= contactAt) {
+                call(now);
+            }
+            if (table.me().state() == State.JOINING && now >= joinUntil) {
+                join(now);
+            }
+            if (now >= exchange.at()) {
+                exchange.wake(now);
+            }
+        }
+        if (now >= tidyAt) {
+            tidy(now);
+        }
+        return plan(now);
+    }
+
+    private long plan(long now) {
+        long at = Math.min(tidyAt, contactAt);
+        if (table.me().state() != State.LEFT && displacedBy == null) {
+            at = Math.min(at, Math.min(prober.at(), exchange.at()));
+            for (Known k : suspects) {
+                at = Math.min(at, k.suspicion.end());
+            }
+            if (table.me().state() == State.JOINING) {
+                at = Math.min(at, joinUntil);
+            }
+        }
+        wakeAt = Math.max(now, at);
+        return wakeAt;
+    }
+
+    /** This process has stood still: what it waited for meanwhile may have come and gone unheard. */
+    private void stood(long now, long late) {
+        if (!doubtsItself()) {
+            return;
+        }
+        count(Count.STANDSTILLS);
+        prober.doubtMore(late > rules.period() ? 2 : 1);
+        prober.start(now);
+        for (Known k : suspects) {
+            k.suspicion.stood(now, late);
+        }
+        if (late > rules.forget() / 2 && table.me().state() != State.LEFT) {
+            // Others may have forgotten who has died meanwhile: nothing that it knows may pass for news.
+            List.copyOf(table.all()).forEach(this::drop);
+            Word me = table.me();
+            be(now, new Word(me.name(), me.address(), me.life(), me.turn() + 1, State.JOINING, 0));
+            joinUntil = now + rules.join();
+        }
+    }
+
+    /** Whether its own standstills keep it from judging. */
+    boolean doubtsItself() {
+        return rules.doubts() > 0;
+    }
+
+    /** Calls where nobody is known to live: who has failed may be back, or beyond a cut. */
+    private void call(long now) {
+        Set<String> calls = new TreeSet<>(contacts);
+        for (Known k : table.all()) {
+            if (k.word.state() == State.FAILED) {
+                calls.add(k.word.address());
+            }
+        }
+        for (Known k : table.all()) {
+            if (k.word.state().lives()) {
+                calls.remove(k.word.address());
+            }
+        }
+        calls.remove(table.me().address());
+        boolean alone = table.me().state() == State.JOINING || table.alive() == 0;
+        List<String> open = new ArrayList<>(calls);
+        for (int n = alone ? 2 : 1; n > 0 && !open.isEmpty(); n--) {
+            String address = open.remove(random.nextInt(open.size()));
+            post.send(now, address, null, post.message(Kind.PING, post.next()), 0);
+        }
+        contactAt = now + rules.period() * (alone ? 1 : rules.contact());
+    }
+
+    /** Another process goes by this name: asks around whether it still does. */
+    private void askAfterMyself(long now) {
+        for (Known k : ring.some(2, k -> k.word.state().lives())) {
+            Message m = post.message(Kind.PING, post.next());
+            m.target = k.word.name();
+            post.send(now, k.word.address(), null, m, 0);
+        }
+        contactAt = now + 4 * rules.period();
+    }
+
+    /** Takes itself for one of them once its view is theirs, or for the first where nobody is. */
+    private void join(long now) {
+        boolean agrees = table.alive() == 0 || table.all().stream()
+            .anyMatch(k -> k.word.state().lives() && k.heardAt >= startedAt && !k.differs());
+        if (agrees || now - startedAt > 5 * rules.join()) {
+            be(now, table.me().with(State.ALIVE, 0));
+            outlet.changed(table.me().name(), State.ALIVE,
+                table.alive() == 0 ? "nobody else is there" : "its view is that of others");
+        } else {
+            joinUntil = now + rules.join() / 4;
+        }
+    }
+
+    private void tidy(long now) {
+        tidyAt = now + rules.forget() / 4;
+        for (Known k : List.copyOf(table.all())) {
+            if (!k.word.state().lives() && now - k.since >= rules.forget()) {
+                drop(k);
+            }
+        }
+    }
+
+    /** The process ends on purpose: it says so, and answers on until it has ended. */
+    public long leave(long now) {
+        if (table.me().state() != State.LEFT) {
+            be(now, table.me().with(State.LEFT, 0));
+            contactAt = now;
+            farewell(now);
+        }
+        return plan(now);
+    }
+
+    private void farewell(long now) {
+        if (now < contactAt) {
+            return;
+        }
+        farewells++;
+        contactAt = farewells < FAREWELLS ? now + rules.period() / 4 : Long.MAX_VALUE;
+        if (displacedBy == null) {
+            for (Known k : ring.some(2 + rules.helpers(), k -> k.word.state().lives())) {
+                post.send(now, k, post.message(Kind.WORDS));
+            }
+        }
+    }
+
+    /** Tells a member what is held of it, so that it can contradict. */
+    private void tell(long now, Known k) {
+        if (now - k.toldAt >= rules.answer()) {
+            k.toldAt = now;
+            post.send(now, k, post.message(Kind.WORDS));
+        }
+    }
+
+    /** Tells whoever speaks for a former life what is known of a later one. */
+    private void tellOutdated(long now, String address, Word newer) {
+        if (!address.equals(table.me().address())) {
+            Codec.Writer out = post.begin(post.message(Kind.WORDS));
+            out.word(newer);
+            post.send(now, address, out, Post.SPARE);
+        }
+    }
+
+    // What others ride on, and what is seen
+
+    /** What a rider's body may hold at most, in bytes. */
+    public int riderRoom() {
+        return post.room(Kind.RIDER);
+    }
+
+    /** Sends what another subsystem tells a live member; false: it could not be sent now. */
+    public boolean ride(long now, String name, int topic, byte[] body) {
+        Known k = table.get(name);
+        if (k == null || !k.word.state().lives() || table.me().state() == State.LEFT || displacedBy != null) {
+            return false;
+        }
+        Message m = post.message(Kind.RIDER);
+        m.topic = topic;
+        m.body = body;
+        return post.send(now, k.word.address(), post.begin(m), Post.SPARE);
+    }
+
+    /** The view as it stands. */
+    public View view(long now) {
+        List<View.Line> lines = new ArrayList<>();
+        Word me = table.me();
+        lines.add(new View.Line(me.name(), me.address(), me.life(), me.turn(), me.state(), stateSince,
+            displacedBy == null ? "this process" : "displaced by one at " + displacedBy.address(),
+            View.Reach.SELF, -1));
+        for (Known k : table.all()) {
+            lines.add(new View.Line(k.word.name(), k.word.address(), k.word.life(), k.word.turn(),
+                k.word.state(), k.since, k.reason, reach(k, now), k.differs() ? now - k.differsSince : -1));
+        }
+        Map<Count, Long> counted = new EnumMap<>(Count.class);
+        for (Count c : Count.values()) {
+            counted.put(c, counts[c.ordinal()]);
+        }
+        return new View(lines, table.digest(), prober.doubt(), hung(now), counted);
+    }
+
+    /** Whether it is reached directly, and which way is cut where it is not. */
+    private View.Reach reach(Known k, long now) {
+        if (!k.word.state().lives()) {
+            return View.Reach.NONE;
+        }
+        if (k.answeredAt >= k.relayedAt) {
+            return k.answeredAt == Known.NEVER ? View.Reach.UNTRIED : View.Reach.BOTH;
+        }
+        long round = rules.period() * (table.alive() + 2) * (1 + prober.doubt());
+        return now - k.heardAt < 2 * round ? View.Reach.HEARS_NOT
+            : k.hearsMe ? View.Reach.NOT_HEARD : View.Reach.BY_OTHERS;
+    }
+
+    /** All that decides what comes next, for whoever plays every order of messages: alike means the same. */
+    String fingerprint(long now) {
+        StringBuilder text = new StringBuilder();
+        text.append(table.me()).append(displacedBy).append(accused).append(raises).append(' ')
+            .append(contactAt - now).append(' ').append(exchange.at() - now).append(' ')
+            .append(joinUntil - now).append('\n').append(prober.fingerprint(now)).append('\n').append(ring);
+        for (Known k : table.all()) {
+            text.append('\n').append(k.word).append(k.differs()).append(k.lag)
+                .append(now - k.heardAt < 3 * rules.period()).append(k.heardAt >= startedAt);
+            if (k.suspicion != null) {
+                text.append(k.suspicion.accusers()).append(' ').append(k.suspicion.end() - now);
+            }
+        }
+        return text.append(post.repeating()).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Post.java
@@ -0,0 +1,111 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import cottonlock.membership.Message.Kind;
+import cottonlock.setup.MembershipRules;
+
+/** Writes and sends datagrams within the allowance, and has changes ride on them. */
+@Decides
+final class Post {
+    /** Part of the allowance that must be left beside what is less urgent than a probe or its answer. */
+    static final double SPARE = 0.4;
+
+    private final MembershipRules rules;
+    private final Table table;
+    private final Membership.Outlet outlet;
+    private final long[] counts;
+    private final int tag;
+    private final Allowance allowance;
+    private final Repeats repeats;
+    private long counter;
+    private int sequence;
+    /** Hundredths of a second for which the module has stood still. */
+    private int lag;
+
+    /** Tag: bytes of each datagram that stay free. */
+    Post(MembershipRules rules, Table table, Membership.Outlet outlet, long[] counts, int tag) {
+        this.rules = rules;
+        this.table = table;
+        this.outlet = outlet;
+        this.counts = counts;
+        this.tag = tag;
+        this.allowance = new Allowance(rules.bytes());
+        this.repeats = new Repeats(rules.most());
+    }
+
+    /** A change to be told on. */
+    void repeat(Word w) {
+        repeats.add(w);
+    }
+
+    /** How many changes are being told. */
+    int repeating() {
+        return repeats.size();
+    }
+
+    /** How often a change is told. */
+    int times() {
+        return (int) Math.ceil(rules.repeats() * Math.log(table.alive() + 2) / Math.log(2));
+    }
+
+    /** Another life of this process begins: its datagrams count anew. */
+    void startAnew() {
+        counter = 0;
+    }
+
+    void lag(long tenths) {
+        lag = (int) Math.min(0xffff, tenths / 100);
+    }
+
+    /** A number that an answer is known by. */
+    int next() {
+        return ++sequence;
+    }
+
+    Message message(Kind kind) {
+        return new Message(kind, table.me(), ++counter & 0xffff_ffffL, table.digest(), lag);
+    }
+
+    Message message(Kind kind, int seq) {
+        Message m = message(kind);
+        m.seq = seq;
+        return m;
+    }
+
+    Codec.Writer begin(Message m) {
+        return Codec.begin(m, Codec.LONGEST - tag);
+    }
+
+    /** What a message of that kind leaves for more. */
+    int room(Kind kind) {
+        return Codec.LONGEST - tag - begin(message(kind)).size();
+    }
+
+    /** Sends an urgent message to a member with what there is to tell. */
+    boolean send(long now, Known to, Message m) {
+        return send(now, to.word.address(), to, m, 0);
+    }
+
+    /** The same; to null where nobody is known there yet. First what is held of it, if it is not well. */
+    boolean send(long now, String address, Known to, Message m, double rest) {
+        Codec.Writer out = begin(m);
+        if (to != null && to.accused()) {
+            out.word(to.word);
+        }
+        if (allowance.has(now, Codec.LONGEST, SPARE)) {
+            repeats.fill(out, times(), to == null ? "" : to.word.name());
+        }
+        return send(now, address, out, rest);
+    }
+
+    /** Sends what was written, if that part of the allowance is left then. */
+    boolean send(long now, String address, Codec.Writer out, double rest) {
+        boolean may = allowance.has(now, out.size() + tag, rest);
+        counts[(may ? Count.SENT : Count.HELD).ordinal()]++;
+        if (may) {
+            allowance.take(now, out.size() + tag);
+            outlet.send(address, out.done());
+        }
+        return may;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Prober.java
@@ -0,0 +1,266 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import cottonlock.membership.Message.Kind;
+import cottonlock.setup.MembershipRules;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Probes one member after the other, directly and by others' help, and makes probes for others. The less it is
+ * answered at all, the more it doubts itself, and the longer it takes over everything.
+ */
+@Decides
+final class Prober {
+
+    /** Who is told what came of a probe. */
+    interface Judge {
+        /** A member has not answered, or badly, for a reason in words. */
+        void doubt(long now, Known k, String reason);
+    }
+
+    /** A probe that has begun. */
+    private static final class Probe {
+        final Known target;
+        final int seq;
+        final long askAt;
+        /** Others that were asked to help; -1: there was nobody to ask; 0: not yet. */
+        int asked;
+        int refused;
+        boolean over;
+
+        Probe(Known target, int seq, long askAt) {
+            this.target = target;
+            this.seq = seq;
+            this.askAt = askAt;
+        }
+
+        boolean isAsking() {
+            return !over && asked == 0;
+        }
+    }
+
+    /** A probe made for another member. */
+    private record Favour(int seq, int theirSeq, String asker, String target, long until) {
+    }
+
+    private final MembershipRules rules;
+    private final Table table;
+    private final Ring ring;
+    private final Post post;
+    private final Judge judge;
+    private final SplittableRandom random;
+    private final Deque<Known> urgent = new ArrayDeque<>();
+    private final List<Favour> favours = new ArrayList<>();
+    private Probe probe;
+    private int doubt;
+    private long roundAt;
+    /** When this process last heard anybody. */
+    private long heardAt = Known.NEVER;
+
+    Prober(MembershipRules rules, Table table, Ring ring, Post post, Judge judge, SplittableRandom random) {
+        this.rules = rules;
+        this.table = table;
+        this.ring = ring;
+        this.post = post;
+        this.judge = judge;
+        this.random = random;
+    }
+
+    /** Begins, or begins anew: what was under way comes to nothing. */
+    void start(long now) {
+        probe = null;
+        favours.clear();
+        roundAt = now + random.nextLong(rules.period());
+    }
+
+    /** Somebody has been heard. */
+    void heard(long now) {
+        heardAt = now;
+    }
+
+    /** How far this process doubts itself. */
+    int doubt() {
+        return doubt;
+    }
+
+    void doubtMore(int by) {
+        doubt = Math.min(rules.doubts(), doubt + by);
+    }
+
+    private void doubtLess() {
+        doubt = Math.max(0, doubt - 1);
+    }
+
+    /** Somebody else doubts it: a large fleet's members look at once by chance, or it could not answer all. */
+    void urge(Known k) {
+        if (random.nextInt(1 + table.alive()) < 2 * rules.confirmations() && urgent.size() < rules.most()) {
+            urgent.add(k);
+        }
+    }
+
+    /** When it wants to be called. */
+    long at() {
+        long at = roundAt;
+        if (probe != null && probe.isAsking()) {
+            at = Math.min(at, probe.askAt);
+        }
+        for (Favour f : favours) {
+            at = Math.min(at, f.until);
+        }
+        return at;
+    }
+
+    void wake(long now) {
+        if (probe != null && probe.isAsking() && now >= probe.askAt) {
+            askOthers(now);
+        }
+        if (now >= roundAt) {
+            round(now);
+        }
+        for (Favour f : List.copyOf(favours)) {
+            if (now >= f.until) {
+                favours.remove(f);
+                done(now, f, Kind.NACK, false);
+            }
+        }
+    }
+
+    private void round(long now) {
+        if (probe != null && !probe.over) {
+            probe.over = true;
+            // Of those asked for help none has answered either, or nobody at all: the fault may lie here.
+            if (probe.asked > 0 ? probe.refused == 0 : now - heardAt > 2 * rules.period()) {
+                doubtMore(1);
+            }
+            judge.doubt(now, probe.target, "no answer to " + table.me().name()
+                + (probe.asked > 0 ? " nor to " + probe.asked + " others" : ""));
+        }
+        roundAt = now + rules.period() * (1 + doubt);
+        remind(now);
+        Known target = next();
+        probe = target == null ? null
+            : new Probe(target, post.next(), now + rules.answer() * (1 + doubt));
+        if (probe != null) {
+            ping(now, probe.target, probe.seq);
+        }
+    }
+
+    private void ping(long now, Known target, int seq) {
+        Message m = post.message(Kind.PING, seq);
+        m.target = target.word.name();
+        post.send(now, target, m);
+    }
+
+    /** Whom this process doubts hears of it from here, and need not wait for the word to go round. */
+    private void remind(long now) {
+        int self = Word.hash(table.me().name());
+        List<Known> mine = ring.some(1, k -> k.suspicion != null && k.suspicion.accusedBy(self));
+        if (!mine.isEmpty()) {
+            ping(now, mine.get(0), post.next());
+        }
+    }
+
+    private Known next() {
+        int self = Word.hash(table.me().name());
+        while (!urgent.isEmpty()) {
+            Known k = urgent.poll();
+            if (!k.gone && k.suspicion != null && !k.suspicion.accusedBy(self)) {
+                return k;
+            }
+        }
+        return ring.next();
+    }
+
+    private void askOthers(long now) {
+        List<Known> helpers = ring.some(rules.helpers(),
+            k -> k != probe.target && k.word.state() == State.ALIVE);
+        for (Known helper : helpers) {
+            Message m = post.message(Kind.ASK, probe.seq);
+            m.target = probe.target.word.name();
+            m.address = probe.target.word.address();
+            post.send(now, helper, m);
+        }
+        probe.asked = helpers.isEmpty() ? -1 : helpers.size();
+        // The first may have been lost.
+        ping(now, probe.target, probe.seq);
+    }
+
+    /** An answer has come, to a probe of one's own or to one made for another. */
+    void answered(long now, Message m, Known k) {
+        if (probe != null && probe.seq == m.seq && !probe.over) {
+            probe.over = true;
+            if (probe.target != k) {
+                judge.doubt(now, probe.target, k.word.name() + " answers at its address");
+            } else if (sound(m.lag)) {
+                k.answeredAt = now;
+                k.hearsMe = true;
+                doubtLess();
+            } else {
+                judge.doubt(now, k, "its module stands still for " + m.lag / 100.0 + " s");
+            }
+        }
+        for (Favour f : List.copyOf(favours)) {
+            if (f.seq == m.seq && f.target.equals(k.word.name())) {
+                favours.remove(f);
+                done(now, f, sound(m.lag) ? Kind.RELAY : Kind.NACK, m.heard);
+            }
+        }
+    }
+
+    /** Whether a module that has stood still for so many hundredths of a second still counts as serving. */
+    boolean sound(int hundredths) {
+        return hundredths * 100L <= rules.hung();
+    }
+
+    /** One that was asked to help has an answer, or has none. */
+    void helped(long now, Message m) {
+        if (probe == null || probe.seq != m.seq || probe.over) {
+            return;
+        }
+        if (m.kind == Kind.NACK) {
+            probe.refused++;
+        } else {
+            probe.target.relayedAt = now;
+            probe.target.hearsMe = m.heard;
+            probe.over = true;
+            doubtLess();
+        }
+    }
+
+    /** Another asks for help. */
+    void favour(long now, Message m, Known asker) {
+        if (m.target.equals(table.me().name()) || favours.size() >= rules.most()) {
+            return;
+        }
+        Message ping = post.message(Kind.PING, post.next());
+        ping.target = m.target;
+        ping.behalf = asker.word.name();
+        favours.add(new Favour(ping.seq, m.seq, asker.word.name(), m.target, now + rules.answer()));
+        post.send(now, m.address, table.get(m.target), ping, 0);
+    }
+
+    private void done(long now, Favour f, Kind kind, boolean heard) {
+        Known asker = table.get(f.asker);
+        if (asker != null && asker.word.state().lives()) {
+            Message m = post.message(kind, f.theirSeq);
+            m.heard = heard;
+            post.send(now, asker, m);
+        }
+    }
+
+    /** All that decides what it does next. */
+    String fingerprint(long now) {
+        StringBuilder text = new StringBuilder().append(doubt).append(' ').append(roundAt - now);
+        if (probe != null) {
+            text.append(' ').append(probe.target.word.name()).append(probe.over).append(probe.asked)
+                .append(probe.refused).append(' ').append(probe.askAt - now);
+        }
+        favours.forEach(f -> text.append(' ').append(f.asker).append(f.target).append(f.until - now));
+        urgent.forEach(k -> text.append(' ').append(k.word.name()));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Ring.java
@@ -0,0 +1,71 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+
+/** The order in which members are probed: each once in a round, and each round shuffled anew. */
+@Decides
+final class Ring {
+    private final SplittableRandom random;
+    private final List<Known> order = new ArrayList<>();
+    private int place;
+
+    Ring(SplittableRandom random) {
+        this.random = random;
+    }
+
+    /** A newcomer gets a random place in what is left of the round, so that rounds stay shuffled. */
+    void add(Known k) {
+        order.add(place + random.nextInt(order.size() - place + 1), k);
+    }
+
+    void remove(Known k) {
+        int at = order.indexOf(k);
+        if (at >= 0) {
+            order.remove(at);
+            place -= at < place ? 1 : 0;
+        }
+    }
+
+    /** The next that may live; null: nobody. */
+    Known next() {
+        for (int left = order.size(); left > 0; left--) {
+            if (place >= order.size()) {
+                for (int j = order.size() - 1; j > 0; j--) {
+                    Collections.swap(order, j, random.nextInt(j + 1));
+                }
+                place = 0;
+            }
+            Known k = order.get(place++);
+            if (k.word.state().lives()) {
+                return k;
+            }
+        }
+        return null;
+    }
+
+    /** Some of those that are wanted, from a random place on: a stretch of what is shuffled is random. */
+    List<Known> some(int most, Predicate<Known> wanted) {
+        List<Known> some = new ArrayList<>();
+        int n = order.size();
+        int from = n == 0 ? 0 : random.nextInt(n);
+        for (int i = 0; i < n && some.size() < most; i++) {
+            Known k = order.get((from + i) % n);
+            if (wanted.test(k)) {
+                some.add(k);
+            }
+        }
+        return some;
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder names = new StringBuilder().append(place);
+        order.forEach(k -> names.append(' ').append(k.word.name()));
+        return names.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Suspicion.java
@@ -0,0 +1,80 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One doubt of one member: it lasts long while one accuser stands alone, whose own ears may be at fault, and
+ * the shorter the more others say the same. Times are tenths of a millisecond.
+ */
+@Decides
+final class Suspicion {
+    private final long least;
+    private final long most;
+    private final int needed;
+    /** The accusers, as many as count; the first began it. */
+    private final List<Integer> by = new ArrayList<>();
+    private long since;
+    /** Not before this, whatever others say. */
+    private long notBefore;
+
+    /** Needed: how many others must confirm it for the shortest time to hold. */
+    Suspicion(long now, int accuser, long least, long most, int needed) {
+        this.since = now;
+        this.least = least;
+        this.most = Math.max(least, most);
+        this.needed = needed;
+        by.add(accuser);
+    }
+
+    /** Whether it is news that this one doubts too. */
+    boolean confirm(int accuser) {
+        if (by.size() > needed || by.contains(accuser)) {
+            return false;
+        }
+        return by.add(accuser);
+    }
+
+    /** Others have waited for long enough; here it still gets the shortest time to clear itself. */
+    void certain() {
+        while (by.size() <= needed) {
+            by.add(0);
+        }
+    }
+
+    /** Whether it has had the shortest time. */
+    boolean heard(long now) {
+        return now - since >= least;
+    }
+
+    boolean accusedBy(int accuser) {
+        return by.contains(accuser);
+    }
+
+    /** When it is certain enough. */
+    long end() {
+        double part = needed <= 0 ? 1 : Math.log(by.size()) / Math.log(needed + 1);
+        return Math.max(notBefore, since + Math.round(most - (most - least) * part));
+    }
+
+    /** Whoever judges has stood still: that time counts for nothing, and a refutation may be late. */
+    void stood(long now, long stoodStill) {
+        since += stoodStill;
+        notBefore = now + least;
+    }
+
+    /** A sign of life defers the judgement, not beyond twice the longest time: each doubt must end. */
+    boolean defer(long now) {
+        notBefore = Math.min(now + least / 2, since + 2 * most);
+        return notBefore > now;
+    }
+
+    long since() {
+        return since;
+    }
+
+    int accusers() {
+        return by.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/membership/Word.java
@@ -0,0 +1,51 @@
+package cottonlock.membership;
+
+import cottonlock.decision.Decides;
+import cottonlock.decision.Hash;
+
+/**
+ * What is said of one member. Words on the same name are in one order, and the highest holds wherever it has
+ * come to, by whatever way and in whatever order: so views that hear the same words agree.
+ *
+ * @param name    of the proxy, the same over its restarts
+ * @param address where its datagrams come from and go to
+ * @param life    of the process: begun with the milliseconds since 1970 at its start, raised by itself where
+ *                another was known; only the process itself begins one
+ * @param turn    raised by the process itself whenever it must contradict
+ * @param by      a hash of the name of whoever doubts it or holds it for failed; 0 for its own word. It does
+ *                not count in the order
+ */
+record Word(String name, String address, long life, int turn, State state, int by) {
+
+    /** Whether it holds in place of the other. */
+    boolean outweighs(Word other) {
+        int order = compareLives(other);
+        if (order == 0) {
+            order = Integer.compare(turn, other.turn);
+        }
+        return order != 0 ? order > 0 : state.compareTo(other.state) > 0;
+    }
+
+    /** Which process is the later one of that name; two of the same millisecond are told by address. */
+    int compareLives(Word other) {
+        return life != other.life ? Long.compare(life, other.life) : address.compareTo(other.address);
+    }
+
+    Word with(State other, int accuser) {
+        return new Word(name, address, life, turn, other, accuser);
+    }
+
+    /**
+     * For digests: two views are alike when the sums of these are. Doubts don't count: they come and go, and
+     * what they lead to does.
+     */
+    long mark() {
+        return Hash.of((state == State.JOINING ? 1 : 0) + 2 * turn, name + ' ' + address + ' ' + life);
+    }
+
+    /** What stands for a name where there is no room for it; never 0. */
+    static int hash(String name) {
+        int hash = (int) Hash.of(0, name);
+        return hash == 0 ? 1 : hash;
+    }
+}
