--- a/src/main/java/cottonlock/membership/Exchange.java
+++ b/src/main/java/cottonlock/membership/Exchange.java
@@ -8,7 +8,7 @@
 import java.util.TreeMap;
 
 /**
- * Mends views that differ: in short first, part by part of the names; then page by page what differs, each way.
+ * Mends views that differ: in short first, part by part of the names; then page by page, each way.
  */
 @Decides
 class Exchange {
@@ -77,7 +77,8 @@
         last = now;
         counts[Count.EXCHANGES.ordinal()]++;
         Known k = differing.get(0);
-        int parts = Math.min(Codec.MOST_PARTS, Integer.highestOneBit(Math.max(1, (table.alive() + 1) / PART)));
+        int wanted = Math.max(1, (table.alive() + 1) / PART);
+        int parts = Math.min(Codec.MOST_PARTS, Integer.highestOneBit(wanted));
         if (parts == 1) {
             page(now, k, 1, 0, PAGES);
         } else {
--- a/src/main/java/cottonlock/membership/Prober.java
+++ b/src/main/java/cottonlock/membership/Prober.java
@@ -10,8 +10,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Probes one member after the other, directly and by others' help, and makes probes for others. The less it is
- * answered at all, the more it doubts itself, and the longer it takes over everything.
+ * Probes one member after the other, directly and by others' help, and makes probes for others. The less it
+ * is answered at all, the more it doubts itself, and the longer it takes over everything.
  */
 @Decides
 final class Prober {
@@ -95,7 +95,7 @@
         doubt = Math.max(0, doubt - 1);
     }
 
-    /** Somebody else doubts it: a large fleet's members look at once by chance, or it could not answer all. */
+    /** Somebody else doubts it: of a large fleet some look at once, by chance, or it could not answer all. */
     void urge(Known k) {
         if (random.nextInt(1 + table.alive()) < 2 * rules.confirmations() && urgent.size() < rules.most()) {
             urgent.add(k);
--- a/src/main/java/cottonlock/membership/Word.java
+++ b/src/main/java/cottonlock/membership/Word.java
@@ -15,6 +15,7 @@
  * @param by      a hash of the name of whoever doubts it or holds it for failed; 0 for its own word. It does
  *                not count in the order
  */
+@Decides
 record Word(String name, String address, long life, int turn, State state, int by) {
 
     /** Whether it holds in place of the other. */
