serve joins the fleet of its tier where the operator's file says so

Need: the membership machine must run in real processes, and be seen.

A thread on one UDP socket carries it (MembersActor): the platform's peer_listen, shared with the module's datagrams, or an address of its own. Tags by HmacSHA256 where a key file is named, two keys at once. SIGTERM leaves by word; of the two processes of a replacement the older falls silent. MEMBERS on the management address, figures, a log line for each change. [membership] in the operator's file, checked, off by default. Addresses are now checked to be addresses.

A standstill is noticed with the first datagram too: it was lost when datagrams came before the timer.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -4,9 +4,9 @@
 import cottonlock.cli.Cli;
 import cottonlock.net.Proxy;
 import cottonlock.setup.Malformed;
+import cottonlock.setup.Operator;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.Map;
 import sun.misc.Signal;
 
 /** Starts cottonlock; see README.md. */
@@ -20,7 +20,7 @@
         String command = args.length == 1 ? args[0] : "";
         // The command line's library must cost the platform's starts nothing: it is not loaded on this way.
         if (command.equals("serve") && System.getenv("COTTONLOCK_OPERATOR") == null) {
-            System.exit(serve(Map.of()));
+            System.exit(serve(Operator.NONE));
         }
         System.exit(command.equals("wirehost") ? wireHost() : Cli.run(args, Main::serve, Main::wireHost));
     }
@@ -34,7 +34,7 @@
         }
     }
 
-    private static int serve(Map<String, String> watched) {
+    private static int serve(Operator operator) {
         try {
             String configuration = System.getenv("EDGE_CONFIG");
             if (configuration == null) {
@@ -42,7 +42,7 @@
             }
             System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
             String folder = System.getenv("TMPDIR");
-            Proxy proxy = new Proxy(Path.of(configuration), watched, System.getenv("EDGE_MGMT"),
+            Proxy proxy = new Proxy(Path.of(configuration), operator, System.getenv("EDGE_MGMT"),
                 folder == null || folder.isEmpty() ? null : Path.of(folder));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
--- a/src/main/java/cottonlock/admin/Figures.java
+++ b/src/main/java/cottonlock/admin/Figures.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
 
 /** What this process has counted since it started; each count is defined here, and kept where it happens. */
 public final class Figures {
@@ -18,6 +19,8 @@
     private final LongAdder filesRefused = new LongAdder();
     private volatile int listed;
     private volatile int avoided;
+    /** More fields, each behind a comma; null: none. */
+    private volatile Supplier<String> more;
 
     /** A category is in force: it stands among the figures from now on, with 0 at first. */
     public void category(String name) {
@@ -56,6 +59,11 @@
         (taken ? filesTaken : filesRefused).increment();
     }
 
+    /** Further figures of a part that is there: fields of a JSON object, each behind a comma. */
+    public void also(Supplier<String> fields) {
+        more = fields;
+    }
+
     /** All of it as one line of JSON. */
     public String json() {
         StringBuilder json = new StringBuilder(512).append('{');
@@ -66,7 +74,8 @@
             .append(",\"inflight\":").append(Math.max(0, inflight.get()))
             .append(",\"hosts_listed\":").append(listed).append(",\"hosts_down\":").append(avoided)
             .append(",\"reconfig_ok\":").append(filesTaken.sum())
-            .append(",\"reconfig_failed\":").append(filesRefused.sum()).append('}').toString();
+            .append(",\"reconfig_failed\":").append(filesRefused.sum())
+            .append(more == null ? "" : more.get()).append('}').toString();
     }
 
     private void counts(StringBuilder json, String name, End end) {
--- a/src/main/java/cottonlock/admin/Management.java
+++ b/src/main/java/cottonlock/admin/Management.java
@@ -31,6 +31,9 @@
         /** The figures as one line of JSON. */
         String figures();
 
+        /** The view of the fleet, in lines; null where membership is off. */
+        String members();
+
         /** Takes a backend out; null, or why not. */
         String takeOut(String id);
 
@@ -137,6 +140,10 @@
             if (words.length == 1 && words[0].equals("DUMP")) {
                 return desk.figures() + "\n--\n";
             }
+            if (words.length == 1 && words[0].equals("MEMBERS")) {
+                String members = desk.members();
+                return members == null ? "NAK membership is off\n" : members + "--\n";
+            }
             if (words.length == 1 && words[0].equals("HEALTH")) {
                 fault = desk.serves() ? null : "not serving yet";
             } else if (words.length == 2 && words[0].equals("OFFLINE")) {
@@ -144,7 +151,7 @@
             } else if (words.length == 2 && words[0].equals("ONLINE")) {
                 fault = desk.takeBack(words[1]);
             } else {
-                fault = "expected HEALTH, DUMP, OFFLINE ID or ONLINE ID";
+                fault = "expected HEALTH, DUMP, MEMBERS, OFFLINE ID or ONLINE ID";
             }
         } catch (RuntimeException e) {
             fault = "fault: " + e;
--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -4,11 +4,11 @@
 import cottonlock.config.OperatorFile;
 import cottonlock.config.PlatformFile;
 import cottonlock.lab.Lab;
+import cottonlock.setup.Operator;
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.function.IntSupplier;
 import java.util.function.ToIntFunction;
@@ -35,19 +35,19 @@
 
     @Spec
     private CommandSpec spec;
-    private final ToIntFunction<Map<String, String>> serve;
+    private final ToIntFunction<Operator> serve;
     private final IntSupplier wireHost;
 
-    private Cli(ToIntFunction<Map<String, String>> serve, IntSupplier wireHost) {
+    private Cli(ToIntFunction<Operator> serve, IntSupplier wireHost) {
         this.serve = serve;
         this.wireHost = wireHost;
     }
 
     /**
-     * Runs the command that the arguments name, and returns the exit status. {@code serve} is given the
-     * settings of the module that is only watched, by path; none where the operator's file asks for no watch.
+     * Runs the command that the arguments name, and returns the exit status. {@code serve} is given what the
+     * operator's file asks for.
      */
-    public static int run(String[] args, ToIntFunction<Map<String, String>> serve, IntSupplier wireHost) {
+    public static int run(String[] args, ToIntFunction<Operator> serve, IntSupplier wireHost) {
         return new CommandLine(new Cli(serve, wireHost)).setUsageHelpAutoWidth(true).execute(args);
     }
 
@@ -84,17 +84,17 @@
 
         @Override
         public Integer call() {
-            Map<String, String> watched = Map.of();
+            Operator asked = Operator.NONE;
             try {
                 if (operator != null && !operator.toString().isEmpty()) {
                     OperatorFile file = OperatorFile.read(operator);
                     LogLines.install(file.logFormat(), file.logLevel());
-                    watched = file.watched();
+                    asked = new Operator(file.watched(), file.membership());
                 }
             } catch (BadFile e) {
                 return tell(spec, e);
             }
-            return parent.serve.applyAsInt(watched);
+            return parent.serve.applyAsInt(asked);
         }
     }
 
--- a/src/main/java/cottonlock/config/Fields.java
+++ b/src/main/java/cottonlock/config/Fields.java
@@ -15,6 +15,11 @@
 public final class Fields {
     /** The most edits at which a known key is named as the one that was probably meant. */
     private static final int NEAR = 3;
+    private static final String BYTE = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+    private static final String ADDRESS = "(" + BYTE + "(\\." + BYTE + "){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}";
+    private static final int LAST_PORT = 0xffff;
+    /** What an address looks like, in words. */
+    public static final String ADDRESS_WORDS = "an address of digits with a port, such as 127.0.0.1:5000";
 
     /** One fault and the line that it is told of. */
     private record Fault(int line, String text) {
@@ -147,6 +152,22 @@
         return text;
     }
 
+    /** Whether a text is an address of digits with a port. */
+    public static boolean isAddress(String text) {
+        return text.matches(ADDRESS)
+            && Integer.parseInt(text.substring(text.lastIndexOf(':') + 1)) <= LAST_PORT;
+    }
+
+    /** An address of digits with a port; a default of "" makes it one that may be left empty. */
+    public String address(String key, String otherwise) {
+        String text = text(key, otherwise);
+        if (has(key) && doc.map().get(key).plain() instanceof String && !isAddress(text)
+            && !(text.isEmpty() && otherwise != null)) {
+            fault(key, "expected " + ADDRESS_WORDS + ", found \"" + text + "\"");
+        }
+        return text;
+    }
+
     public boolean flag(String key, boolean otherwise) {
         Doc at = get(key);
         if (at == null) {
--- a/src/main/java/cottonlock/config/OperatorFile.java
+++ b/src/main/java/cottonlock/config/OperatorFile.java
@@ -1,6 +1,9 @@
 package cottonlock.config;
 
+import cottonlock.setup.MembershipPlan;
+import cottonlock.setup.MembershipRules;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -11,8 +14,11 @@
  * @param logFormat {@code text}: a line with level and text; {@code json}: an object a line (RFC 8259)
  * @param logLevel  the lowest level that is written: {@code info}, {@code warning} or {@code off}
  * @param watched   settings, by path, of a module whose decisions are only counted; empty: none is watched
+ * @param membership how the proxies know one another; null: they don't
  */
-public record OperatorFile(String logFormat, String logLevel, Map<String, String> watched) {
+public record OperatorFile(String logFormat, String logLevel, Map<String, String> watched,
+                           MembershipPlan membership) {
+
     /** The settings that a watch may change, as the file names them. */
     private static final Map<String, String> FEES =
         Map.of("connection_fee", "Fees.Connection", "handshake_fee", "Fees.Handshake");
@@ -22,11 +28,67 @@
         Fields top = Fields.of(Doc.toml(file));
         Fields log = top.table("log");
         OperatorFile read = new OperatorFile(log.word("format", "text", "text", "json"),
-            log.word("level", "info", "info", "warning", "off"), watched(top.table("watch")));
+            log.word("level", "info", "info", "warning", "off"), watched(top.table("watch")),
+            membership(top.table("membership"), file));
         top.end();
         return read;
     }
 
+    /** The table of that name of a file in the given place, which key files are named from. */
+    public static MembershipPlan membership(Fields f, Path file) {
+        MembershipRules usual = MembershipRules.USUAL;
+        boolean enabled = f.flag("enabled", false);
+        String listen = f.address("listen", "");
+        String advertise = f.address("advertise", "");
+        List<String> seeds = f.texts("seeds", List.of());
+        for (String seed : seeds) {
+            if (!Fields.isAddress(seed)) {
+                f.fault("seeds", "expected " + Fields.ADDRESS_WORDS + ", found \"" + seed + "\"");
+            }
+        }
+        String key = key(f, "key_file", file);
+        String next = key(f, "next_key_file", file);
+        if (key.isEmpty() && !next.isEmpty()) {
+            f.fault("next_key_file", "expected key_file beside it: tags are made with that one");
+        }
+        long period = millis(f, "period_ms", usual.period(), 50, 60_000);
+        long answer = millis(f, "answer_ms", Math.min(usual.answer(), period * 3 / 10), 10, 60_000);
+        if (answer >= period) {
+            f.fault(f.has("answer_ms") ? "answer_ms" : "period_ms", "expected answer_ms to be less than "
+                + "period_ms, found " + answer / 10 + " and " + period / 10);
+        }
+        MembershipRules rules = new MembershipRules(period, answer,
+            f.whole("helpers", usual.helpers(), 0, 16),
+            f.number("suspicion_periods", usual.suspicion(), 0.5, 1_000),
+            f.number("suspicion_longest", usual.longest(), 1, 100),
+            f.whole("confirmations", usual.confirmations(), 0, 16),
+            millis(f, "hung_ms", usual.hung(), 100, 600_000), f.number("repeats", usual.repeats(), 0.5, 20),
+            f.whole("most", usual.most(), 2, 4_096),
+            10_000L * f.whole("forget_s", (int) (usual.forget() / 10_000), 10, 86_400),
+            f.whole("bytes_per_second", usual.bytes(), 1_024, 1 << 20),
+            f.whole("self_doubt", usual.doubts(), 0, 16), millis(f, "join_ms", usual.join(), 100, 60_000),
+            f.whole("contact_periods", usual.contact(), 1, 100));
+        return enabled ? new MembershipPlan(listen, advertise, seeds, key, next, rules) : null;
+    }
+
+    private static long millis(Fields f, String key, long tenths, int least, int most) {
+        return 10L * f.whole(key, (int) (tenths / 10), least, most);
+    }
+
+    /** A file of a key, as the process will read it; it must be there. */
+    private static String key(Fields f, String key, Path file) {
+        String name = f.text(key, "");
+        if (name.isEmpty()) {
+            return name;
+        }
+        Path folder = file.toAbsolutePath().getParent();
+        Path at = folder.resolve(name);
+        if (!java.nio.file.Files.isRegularFile(at)) {
+            f.fault(key, "there is no file " + at);
+        }
+        return at.toString();
+    }
+
     private static Map<String, String> watched(Fields watch) {
         Map<String, String> settings = new TreeMap<>();
         if (watch.flag("on", false)) {
--- a/src/main/java/cottonlock/config/PlatformFile.java
+++ b/src/main/java/cottonlock/config/PlatformFile.java
@@ -11,8 +11,6 @@
  * reads.
  */
 public final class PlatformFile {
-    private static final String ADDRESS = "([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}";
-    private static final String WORDS = "an address of digits with a port, such as 127.0.0.1:5000";
     /** Microseconds: a day, beyond which a time is taken for a slip in its unit. */
     private static final double DAY = 86_400e6;
 
@@ -23,15 +21,15 @@
     public static void check(Path file) throws BadFile {
         Fields top = Fields.of(Doc.json(file));
         top.text("name", "");
-        top.formed("listen", null, ADDRESS, WORDS);
-        top.formed("discovery", null, ADDRESS, WORDS);
+        top.address("listen", null);
+        top.address("discovery", null);
         top.formed("seed", null, "[0-9a-fA-F]{1,16}", "up to 16 hex digits");
-        top.formed("mgmt", "", ADDRESS, WORDS);
-        top.formed("peer_listen", "", ADDRESS, WORDS);
-        top.formed("peers_all", "", ADDRESS, WORDS);
+        top.address("mgmt", "");
+        top.address("peer_listen", "");
+        top.address("peers_all", "");
         for (String peer : top.texts("peers", List.of())) {
-            if (!peer.matches(ADDRESS)) {
-                top.fault("peers", "expected " + WORDS + ", found \"" + peer + "\"");
+            if (!Fields.isAddress(peer)) {
+                top.fault("peers", "expected " + Fields.ADDRESS_WORDS + ", found \"" + peer + "\"");
             }
         }
         Fields limits = top.table("limits");
@@ -55,7 +53,7 @@
             if (!hosts.add(host.text("host", null))) {
                 host.fault("host", "stands twice in the list");
             }
-            host.formed("dial", null, ADDRESS, WORDS);
+            host.address("dial", null);
             host.word("health", null, "active", "leaving", "left");
             host.number("share", 1, 0, 1e6);
             host.number("born_ms", 0, 0, Double.MAX_VALUE);
--- a/src/main/java/cottonlock/membership/Membership.java
+++ b/src/main/java/cottonlock/membership/Membership.java
@@ -104,8 +104,15 @@
         return new Exchange(how, of, among, by, counted);
     }
 
-    /** It begins; to be called again at the time returned. */
+    /** It begins, or begins anew after another spoke for it; to be called again at the time returned. */
     public long start(long now) {
+        Word me = table.me();
+        if (me.state() != State.JOINING) {
+            be(now, new Word(me.name(), me.address(), me.life() + 1, 0, State.JOINING, 0));
+        }
+        List.copyOf(table.all()).forEach(this::drop);
+        displacedBy = null;
+        raises = 0;
         startedAt = now;
         stateSince = now;
         prober.start(now);
@@ -134,11 +141,20 @@
         counts[what.ordinal()]++;
     }
 
+    /** Each call from outside begins with this. */
+    private void begin(long now) {
+        post.lag(lag(now));
+        if (now > wakeAt + STILL) {
+            stood(now, now - wakeAt);
+            wakeAt = now;
+        }
+    }
+
     // What has come
 
     /** A datagram has come; returns when to be called again. */
     public long heard(long now, String from, byte[] bytes, int length) {
-        post.lag(lag(now));
+        begin(now);
         Message m = Codec.read(bytes, length);
         if (m == null) {
             count(Count.MALFORMED);
@@ -413,10 +429,7 @@
 
     /** The time asked for has come, or is past; returns when to be called again. */
     public long wake(long now) {
-        post.lag(lag(now));
-        if (now > wakeAt + STILL) {
-            stood(now, now - wakeAt);
-        }
+        begin(now);
         refute(now, "others");
         if (table.me().state() == State.LEFT) {
             farewell(now);
--- a/src/main/java/cottonlock/net/Log.java
+++ b/src/main/java/cottonlock/net/Log.java
@@ -6,6 +6,8 @@
 /** Lines for whoever is on call: one of each kind a second at most, with how many were left out. */
 final class Log {
     private static final long GAP = 1_000_000_000L;
+    /** Lines a second of what is told each by each: more than a fleet in a storm can be read at. */
+    private static final int EACH = 40;
 
     private final System.Logger logger;
     private final Map<String, long[]> kinds = new HashMap<>();
@@ -22,6 +24,28 @@
         say(System.Logger.Level.INFO, kind, text);
     }
 
+    /** For what must be told one by one, as far as anybody can read it. */
+    void each(String kind, String text) {
+        long leftOut;
+        synchronized (kinds) {
+            long second = System.nanoTime() / GAP;
+            long[] told = kinds.computeIfAbsent(kind, k -> new long[3]);
+            if (told[0] == second && told[2] >= EACH) {
+                told[1]++;
+                return;
+            }
+            leftOut = told[1];
+            told[2] = told[0] == second ? told[2] + 1 : 1;
+            told[0] = second;
+            told[1] = 0;
+        }
+        logger.log(System.Logger.Level.INFO, kind + ": " + text + left(leftOut));
+    }
+
+    private static String left(long out) {
+        return out > 0 ? " (and " + out + " like it)" : "";
+    }
+
     private void say(System.Logger.Level level, String kind, String text) {
         long leftOut;
         synchronized (kinds) {
@@ -35,6 +59,6 @@
             last[0] = now;
             last[1] = 0;
         }
-        logger.log(level, kind + ": " + text + (leftOut > 0 ? " (and " + leftOut + " like it)" : ""));
+        logger.log(level, kind + ": " + text + left(leftOut));
     }
 }
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -53,6 +53,8 @@
     private Peers peers;
     /** The module that is only watched, or null. */
     private Shadow shadow;
+    /** When its thread last came round, for whoever watches over it. */
+    private volatile long progressAt;
     private long lastNumber;
     private long wakeAt;
 
@@ -87,6 +89,7 @@
         }
         try {
             while (true) {
+                progressAt = clock.now();
                 if (next.isEmpty()) {
                     mailbox.next(untilDue() * 100);
                 } else {
@@ -238,6 +241,16 @@
             + (int) balancer.avoided(clock.now()));
     }
 
+    /** When its thread last made progress, by the module's clock; from any thread. */
+    long progressAt() {
+        return progressAt;
+    }
+
+    /** For tests alone: its thread stands still for as long as this takes. */
+    void hang(Runnable still) {
+        mailbox.put(still);
+    }
+
     /** Waits until all is done that it has been told so far, a second at most. */
     void settle() {
         CountDownLatch done = new CountDownLatch(1);
--- a/src/main/java/cottonlock/net/Peers.java
+++ b/src/main/java/cottonlock/net/Peers.java
@@ -4,6 +4,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.Arrays;
 import java.util.List;
@@ -20,20 +21,29 @@
     private final ModuleActor module;
     private final Log log;
 
-    /** Any address may be null where the settings give none. Shares: with another process of this proxy. */
-    Peers(InetSocketAddress own, boolean shares, List<InetSocketAddress> others, InetSocketAddress all,
-          ModuleActor module, Log log) throws IOException {
-        this.socket = own == null || all == null ? null : new DatagramSocket(null);
-        if (socket != null) {
-            socket.setOption(StandardSocketOptions.SO_REUSEPORT, shares);
-            socket.bind(own);
-        }
+    /** Socket and address may be null where the settings give none. */
+    Peers(DatagramSocket socket, List<InetSocketAddress> others, InetSocketAddress all, ModuleActor module,
+          Log log) {
+        this.socket = all == null ? null : socket;
         this.others = Set.copyOf(others);
         this.all = all;
         this.module = module;
         this.log = log;
     }
 
+    /** A socket at an address; shares: with another process of this proxy. */
+    static DatagramSocket socket(InetSocketAddress own, boolean shares) throws IOException {
+        DatagramSocket socket = new DatagramSocket(null);
+        try {
+            socket.setOption(StandardSocketOptions.SO_REUSEPORT, shares);
+            socket.bind(own);
+            return socket;
+        } catch (IOException e) {
+            socket.close();
+            throw new IOException("cannot listen for peers on " + own + ": " + e.getMessage(), e);
+        }
+    }
+
     /** Sends a datagram, or loses it. */
     void tell(byte[] message) {
         if (socket == null || message.length > LONGEST) {
@@ -56,11 +66,7 @@
             try {
                 packet.setLength(LONGEST + 1);
                 socket.receive(packet);
-                if (packet.getLength() > LONGEST || !others.contains(packet.getSocketAddress())) {
-                    log.warn("peers", "dropped an odd datagram from " + packet.getAddress().getHostAddress());
-                } else {
-                    module.heard(Arrays.copyOf(packet.getData(), packet.getLength()));
-                }
+                came(packet.getSocketAddress(), packet.getData(), packet.getLength());
             } catch (IOException e) {
                 if (!socket.isClosed()) {
                     log.info("peers", "a datagram could not be received: " + e.getMessage());
@@ -69,6 +75,15 @@
         }
     }
 
+    /** What has come at the socket, whoever has read it. */
+    void came(SocketAddress from, byte[] bytes, int length) {
+        if (length > LONGEST || !others.contains(from)) {
+            log.warn("peers", "dropped an odd datagram from " + from);
+        } else {
+            module.heard(Arrays.copyOf(bytes, length));
+        }
+    }
+
     void close() {
         if (socket != null) {
             socket.close();
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -3,8 +3,10 @@
 import cottonlock.admin.Figures;
 import cottonlock.admin.Management;
 import cottonlock.setup.Assembly;
+import cottonlock.setup.Operator;
 import cottonlock.setup.Settings;
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -51,6 +53,8 @@
     private final Admission admission;
     private final Listener listener;
     private final Peers peers;
+    /** What it knows of the other proxies; null where it knows nothing. */
+    private Members members;
     private final ModuleActor module;
     private final ListWatch watch;
     private final Workers workers = new Workers();
@@ -61,16 +65,14 @@
 
     /** Starts a proxy by its configuration file; it serves when this returns. */
     public Proxy(Path configuration) throws IOException {
-        this(configuration, Map.of(), null, null);
+        this(configuration, Operator.NONE, null, null);
     }
 
     /**
-     * The same; the decisions of a module with these settings in place of its own are counted beside it.
-     * Operators call at the configuration's address, else at the given one, if any. What the processes of one
-     * proxy share is kept in the folder; null: nothing is.
+     * The same, with what an operator's file asks for. Operators call at the configuration's address, else at
+     * the given one, if any. What the processes of one proxy share is kept in the folder; null: nothing is.
      */
-    public Proxy(Path configuration, Map<String, String> watched, String calledAt, Path folder)
-        throws IOException {
+    public Proxy(Path configuration, Operator operator, String calledAt, Path folder) throws IOException {
         this.configuration = configuration;
         Config config = Config.read(configuration);
         String operators = config.text("mgmt", calledAt);
@@ -112,12 +114,15 @@
         Directory.News known = config.known(directory);
         watch = new ListWatch(config.address("discovery"), directory, known.version(),
             assembly.mustAsk(), module, buffers, log, random.split());
-        peers = new Peers(config.addressIfAny("peer_listen"), shares, config.addresses("peers"),
-            config.addressIfAny("peers_all"), module, log);
+        InetSocketAddress all = config.addressIfAny("peers_all");
+        InetSocketAddress peerListen = config.addressIfAny("peer_listen");
+        boolean talks = peerListen != null && all != null;
+        DatagramSocket peerSocket = talks ? Peers.socket(peerListen, shares) : null;
+        peers = new Peers(peerSocket, config.addresses("peers"), all, module, log);
         module.join(assembly.balancer(module, random.nextLong()), watch, peers, bans);
-        if (!watched.isEmpty()) {
+        if (!operator.watched().isEmpty()) {
             Settings others = config.settings();
-            watched.forEach(others::put);
+            operator.watched().forEach(others::put);
             shadow = new Shadow(log);
             shadow.join(new Assembly(others).balancer(shadow, random.nextLong()));
             module.watch(shadow);
@@ -134,7 +139,14 @@
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
         threads.add(Sockets.start("list", watch));
-        threads.add(Sockets.start("peers", peers));
+        if (operator.membership() != null) {
+            members = new Members(operator.membership(), config, peerSocket, peers, module, clock,
+                kept == null ? null : succession, random.split(), log);
+            figures.also(members.actor()::figures);
+        }
+        if (members == null || !members.readsForPeers()) {
+            threads.add(Sockets.start("peers", peers));
+        }
         threads.add(Sockets.start("listener", listener));
         if (shares) {
             // Called before the module had the list, ids that are there were told to be nobody's.
@@ -144,6 +156,9 @@
             threads.add(Sockets.start("bans", bans));
         }
         succession.serving();
+        if (members != null) {
+            threads.add(Sockets.start("members", members.actor()));
+        }
         serves = true;
     }
 
@@ -159,6 +174,11 @@
             return figures.json();
         }
 
+        @Override
+        public String members() {
+            return members == null ? null : members.actor().lines();
+        }
+
         @Override
         public String takeOut(String id) {
             return change(id, true);
@@ -223,6 +243,9 @@
         long taking = Math.max(left / 2, left - LAST);
         admission.endWithin(left);
         Thread.sleep(taking);
+        if (members != null) {
+            members.actor().leave();
+        }
         listener.close();
         long until = System.nanoTime() + longestExpiry * 1_000_000;
         while (listener.busy() && System.nanoTime() < until) {
@@ -253,6 +276,9 @@
         listener.close();
         listener.abort();
         peers.close();
+        if (members != null) {
+            members.close();
+        }
         threads.forEach(Thread::interrupt);
         watch.close();
         workers.close();
--- /dev/null
+++ b/src/main/java/cottonlock/setup/Operator.java
@@ -0,0 +1,14 @@
+package cottonlock.setup;
+
+import java.util.Map;
+
+/**
+ * What an operator's file asks of a proxy.
+ *
+ * @param watched    settings, by path, of a module whose decisions are only counted; empty: none is watched
+ * @param membership how proxies know one another; null: they don't
+ */
+public record Operator(Map<String, String> watched, MembershipPlan membership) {
+    /** Without a file. */
+    public static final Operator NONE = new Operator(Map.of(), null);
+}
--- a/src/test/java/cottonlock/config/ConfigTest.java
+++ b/src/test/java/cottonlock/config/ConfigTest.java
@@ -37,7 +37,7 @@
 
     @Example
     void theOperatorsFileIsReadWithDefaults() throws Exception {
-        OperatorFile plain = new OperatorFile("text", "info", Map.of());
+        OperatorFile plain = new OperatorFile("text", "info", Map.of(), null);
         assertEquals(plain, OperatorFile.read(Files.createTempFile("empty", ".toml")));
         assertEquals(plain, OperatorFile.read(Path.of("deploy/operator.example.toml")));
         Path watch = Files.writeString(Files.createTempFile("watch", ".toml"),
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cottonlock.decision.Member;
+import cottonlock.setup.Operator;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.ServerSocket;
@@ -25,7 +26,7 @@
 
     private void startManaged(Path folder, String text) throws IOException {
         file = config(text.replace("{\"listen\"", "{\"mgmt\":\"127.0.0.1:0\",\"listen\""));
-        proxy = new Proxy(file, Map.of(), null, folder);
+        proxy = new Proxy(file, Operator.NONE, null, folder);
         buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
     }
 
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cottonlock.setup.Malformed;
+import cottonlock.setup.Operator;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -40,8 +41,8 @@
         String settings = settings(256, 1, "", backends[0].host("b0"), backends[1].host("b1"))
             .replace("\"Stage\":1", "\"Stage\":0,\"FleetSize\":40");
         buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
-        proxy = new Proxy(config(settings), Map.of("Workload", "mesh", "Fees.Connection", "0.05",
-            "Fees.Handshake", "0.00001"), null, null);
+        proxy = new Proxy(config(settings), new Operator(Map.of("Workload", "mesh", "Fees.Connection", "0.05",
+            "Fees.Handshake", "0.00001"), null), null, null);
         int finished = 0;
         for (int i = 0; i < 60; i++) {
             finished += status(call(request("read", "id" + i, "", ""))) == 200 ? 1 : 0;
@@ -59,8 +60,8 @@
     @Example
     void watchedSettingsThatCannotBeUsedAreToldAtTheStart() throws Exception {
         Path config = config(settings(256, 1, ""));
-        Malformed fault = assertThrows(Malformed.class, () -> new Proxy(config, Map.of("Fees.Handshake", "-1",
-            "Fees.Connection", "1"), null, null));
+        Malformed fault = assertThrows(Malformed.class, () -> new Proxy(config,
+            new Operator(Map.of("Fees.Handshake", "-1", "Fees.Connection", "1"), null), null, null));
         assertEquals("setting Fees.Handshake is below 0: -1.0", fault.getMessage());
     }
 
