lab: processes that know one another, with relays between them and a judge of their views

Need: each piece of the fleet is to be shown by real processes with faults between them, judged from outside.

Where a scenario has [membership], each proxy gets an operator's file and an address of the lab's for each other one: what passes there can be cut one way or both, lost, doubled, late, spoilt or forged, and is counted byte by byte. A judge holds each proxy's MEMBERS, asked ten times a second, against what is true; a process that only watches the clock tells a late machine.

--- a/src/main/java/cottonlock/config/Doc.java
+++ b/src/main/java/cottonlock/config/Doc.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
@@ -245,6 +246,15 @@
         return (List<Doc>) value;
     }
 
+    /** A plain value, or a list of such, as TOML has it. */
+    String toml() {
+        if (isList()) {
+            return list().stream().map(Doc::toml).collect(Collectors.joining(", ", "[", "]"));
+        }
+        return value instanceof String text
+            ? '"' + text.replace("\\", "\\\\").replace("\"", "\\\"") + '"' : String.valueOf(value);
+    }
+
     /** What kind of value it is, in words. */
     String kind() {
         if (isMap()) {
--- a/src/main/java/cottonlock/config/Fields.java
+++ b/src/main/java/cottonlock/config/Fields.java
@@ -16,7 +16,8 @@
     /** The most edits at which a known key is named as the one that was probably meant. */
     private static final int NEAR = 3;
     private static final String BYTE = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
-    private static final String ADDRESS = "(" + BYTE + "(\\." + BYTE + "){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}";
+    private static final String ADDRESS =
+        "(" + BYTE + "(\\." + BYTE + "){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}";
     private static final int LAST_PORT = 0xffff;
     /** What an address looks like, in words. */
     public static final String ADDRESS_WORDS = "an address of digits with a port, such as 127.0.0.1:5000";
@@ -289,6 +290,17 @@
         return doc.file;
     }
 
+    /** The table's plain values as lines of TOML, for a file made of it, but for some. */
+    public String toml(Set<String> without) {
+        StringBuilder lines = new StringBuilder();
+        doc.map().forEach((key, value) -> {
+            if (!without.contains(key)) {
+                lines.append(key).append(" = ").append(value.toml()).append('\n');
+            }
+        });
+        return lines.toString();
+    }
+
     /** A plain value in words, for messages and reports; empty where there is none. */
     public String shown(String key) {
         Map<String, Doc> map = doc.map();
--- a/src/main/java/cottonlock/lab/Lab.java
+++ b/src/main/java/cottonlock/lab/Lab.java
@@ -85,6 +85,9 @@
                 Report.write(folder, run, verdict);
             }
             run.ledger().lines().forEach(err::println);
+            if (run.judge() != null) {
+                run.judge().lines().forEach(err::println);
+            }
         } finally {
             try {
                 Runtime.getRuntime().removeShutdownHook(hook);
@@ -133,6 +136,7 @@
             TreeMap<String, Double> rest = new TreeMap<>(a.figures());
             rest.putAll(b.figures());
             List<String> keys = new ArrayList<>(Verdict.KEYS);
+            Verdict.MEMBERS.stream().filter(rest::containsKey).forEach(keys::add);
             rest.keySet().stream().filter(k -> !keys.contains(k)).forEach(keys::add);
             for (String key : keys) {
                 Double left = a.figures().get(key);
--- a/src/main/java/cottonlock/lab/ProxyConfig.java
+++ b/src/main/java/cottonlock/lab/ProxyConfig.java
@@ -11,16 +11,21 @@
     private ProxyConfig() {
     }
 
+    /** Where operators call, and how it talks to the others of its tier. */
+    record Talk(String management, String listen, List<String> peers, int me) {
+    }
+
     /**
      * The configuration as JSON.
      *
      * @param known the list of backends as discovery tells it, as JSON
      * @param fleet how many proxies the tier has
+     * @param talk  null where it talks to nobody
      */
     static String json(String name, String listen, String discovery, long seed, String known, int stage,
         int fleet,
                        Scenario.Proxies proxies, Scenario.Rules rules, List<String> rooms,
-                       List<Scenario.TenantPlan> tenants, List<Scenario.CategoryPlan> categories)
+                       List<Scenario.TenantPlan> tenants, List<Scenario.CategoryPlan> categories, Talk talk)
         throws IOException {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = new JsonFactory().createGenerator(text)) {
@@ -29,6 +34,11 @@
             json.writeStringField("listen", listen);
             json.writeStringField("discovery", discovery);
             json.writeStringField("seed", Long.toHexString(seed));
+            if (talk != null) {
+                json.writeStringField("mgmt", talk.management);
+                json.writeStringField("peer_listen", talk.listen);
+                strings(json, "peers", talk.peers);
+            }
             json.writeObjectFieldStart("limits");
             json.writeNumberField("memory_mb", proxies.memoryMb());
             json.writeNumberField("sockets", proxies.sockets());
@@ -38,6 +48,9 @@
             json.writeObjectFieldStart("settings");
             json.writeNumberField("Stage", stage);
             json.writeNumberField("FleetSize", fleet);
+            if (talk != null) {
+                json.writeNumberField("Me", talk.me);
+            }
             json.writeStringField("MembershipMode", "subscribe");
             strings(json, "Zones", rooms);
             strings(json, "Flavors", List.of("std"));
