Membership under hard cases: nobody is called failed without a look

What waited in the socket of a process stopped for longer than the dead are remembered brought them back. Two that took each other for outdated never told each other why. A claim at its own address silenced a process for good. A spoilt counter closed the ear to its sender: a CRC of four bytes ends each datagram.

--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -189,6 +189,31 @@
             return lab().compare(one, other);
         }
 
+        @Command(name = "members", mixinStandardHelpOptions = true,
+            description = "Plays fleets that know one another in virtual time: what it costs and brings.",
+            footer = {"", "One seed gives the same figures on any machine."})
+        int members(@Option(names = "--sizes", split = ",", defaultValue = "10,50,200",
+                    description = "Members; default ${DEFAULT-VALUE}.") List<Integer> sizes,
+                    @Option(names = "--losses", split = ",", defaultValue = "0,0.1,0.3",
+                    description = "Parts of datagrams that are lost.") List<Double> losses,
+                    @Option(names = "--seed", defaultValue = "1") long seed,
+                    @Option(names = "--deaths", defaultValue = "9",
+                    description = "Members killed, one after the other.") int deaths,
+                    @Option(names = "--quiet", defaultValue = "600", paramLabel = "SECONDS",
+                    description = "Without a fault, for false failures and bytes.") int quiet,
+                    @Option(names = "--operator", paramLabel = "FILE",
+                    description = "An operator's file whose [membership] is played.") Path operator,
+                    @Option(names = "--out", paramLabel = "DIR",
+                    description = "Where members.html goes.") Path out) {
+            if (sizes.stream().anyMatch(n -> n < 2 || n > 4_096) || deaths < 1 || quiet < 1
+                || losses.stream().anyMatch(l -> l < 0 || l > 0.9)) {
+                spec.commandLine().getErr().println("cottonlock lab members: expected sizes of 2 to 4096, "
+                    + "losses of 0 to 0.9, and one death and one second or more");
+                return UNUSABLE;
+            }
+            return lab().members(sizes, losses, seed, deaths, quiet, operator, out);
+        }
+
         @Command(name = "sweep", mixinStandardHelpOptions = true,
             description = "Plays a scenario for each of several values of one setting.")
         int sweep(@Parameters(paramLabel = "SCENARIO") Path file,
--- a/src/main/java/cottonlock/config/OperatorFile.java
+++ b/src/main/java/cottonlock/config/OperatorFile.java
@@ -34,9 +34,19 @@
         return read;
     }
 
+    /** How closely the proxies watch one another by an operator's file, whether or not it has them do so. */
+    public static MembershipRules rules(Path file) throws BadFile {
+        Fields top = Fields.of(Doc.toml(file));
+        top.mayHoldMore();
+        Fields table = top.table("membership");
+        MembershipRules rules = rules(table);
+        table.mayHoldMore();
+        top.end();
+        return rules;
+    }
+
     /** The table of that name of a file in the given place, which key files are named from. */
     public static MembershipPlan membership(Fields f, Path file) {
-        MembershipRules usual = MembershipRules.USUAL;
         boolean enabled = f.flag("enabled", false);
         String listen = f.address("listen", "");
         String advertise = f.address("advertise", "");
@@ -51,13 +61,19 @@
         if (key.isEmpty() && !next.isEmpty()) {
             f.fault("next_key_file", "expected key_file beside it: tags are made with that one");
         }
+        MembershipRules rules = rules(f);
+        return enabled ? new MembershipPlan(listen, advertise, seeds, key, next, rules) : null;
+    }
+
+    private static MembershipRules rules(Fields f) {
+        MembershipRules usual = MembershipRules.USUAL;
         long period = millis(f, "period_ms", usual.period(), 50, 60_000);
         long answer = millis(f, "answer_ms", Math.min(usual.answer(), period * 3 / 10), 10, 60_000);
         if (answer >= period) {
             f.fault(f.has("answer_ms") ? "answer_ms" : "period_ms", "expected answer_ms to be less than "
                 + "period_ms, found " + answer / 10 + " and " + period / 10);
         }
-        MembershipRules rules = new MembershipRules(period, answer,
+        return new MembershipRules(period, answer,
             f.whole("helpers", usual.helpers(), 0, 16),
             f.number("suspicion_periods", usual.suspicion(), 0.5, 1_000),
             f.number("suspicion_longest", usual.longest(), 1, 100),
@@ -68,7 +84,6 @@
             f.whole("bytes_per_second", usual.bytes(), 1_024, 1 << 20),
             f.whole("self_doubt", usual.doubts(), 0, 16), millis(f, "join_ms", usual.join(), 100, 60_000),
             f.whole("contact_periods", usual.contact(), 1, 100));
-        return enabled ? new MembershipPlan(listen, advertise, seeds, key, next, rules) : null;
     }
 
     private static long millis(Fields f, String key, long tenths, int least, int most) {
--- a/src/main/java/cottonlock/lab/Experiment.java
+++ b/src/main/java/cottonlock/lab/Experiment.java
@@ -226,7 +226,7 @@
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
-            }, tier == 0 && scenario.knowing != null ? "[membership]\n" + scenario.knowing.toml() : null);
+            }, tier == 0 && scenario.knowing != null ? operatorsFile() : null);
             at[0] = host;
             if (tier == 0 && scenario.knowing != null) {
                 talk[0] = talk(number, fleet, host);
@@ -238,6 +238,16 @@
         return self[0];
     }
 
+    private String operatorsFile() throws IOException {
+        String key = "";
+        if (scenario.knowing.keyed()) {
+            java.nio.file.Path file = folder.resolve("key");
+            Files.writeString(file, "a key of the lab's, seed " + scenario.seed);
+            key = "key_file = \"" + file + "\"\n";
+        }
+        return "[membership]\n" + key + scenario.knowing.toml();
+    }
+
     /** How a proxy of the first tier reaches the others: by the lab's own addresses of them. */
     private ProxyConfig.Talk talk(int number, int fleet, Host host) throws IOException {
         List<String> peers = new ArrayList<>();
--- a/src/main/java/cottonlock/lab/Lab.java
+++ b/src/main/java/cottonlock/lab/Lab.java
@@ -2,6 +2,8 @@
 
 import cottonlock.config.BadFile;
 import cottonlock.config.Doc;
+import cottonlock.config.OperatorFile;
+import cottonlock.setup.MembershipRules;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -209,6 +211,26 @@
         return UNUSABLE;
     }
 
+    /** Plays fleets in virtual time; {@link MembersStudy} says what is printed. */
+    public int members(List<Integer> sizes, List<Double> losses, long seed, int deaths, int quiet,
+                       Path operator, Path folder) {
+        try {
+            MembershipRules rules = operator == null ? MembershipRules.USUAL : OperatorFile.rules(operator);
+            MembersStudy study = new MembersStudy(sizes, losses, rules);
+            study.play(seed, deaths, quiet, out);
+            if (folder != null) {
+                Files.createDirectories(folder);
+                Files.writeString(folder.resolve("members.html"), study.page());
+            }
+            return 0;
+        } catch (BadFile e) {
+            e.faults().forEach(err::println);
+        } catch (IOException e) {
+            err.println(e.getMessage());
+        }
+        return UNUSABLE;
+    }
+
     private static String curve(Path file, String path, List<String> values, List<String> figures,
                                 double[][] means) {
         double[] xs = new double[values.size()];
--- a/src/main/java/cottonlock/membership/Codec.java
+++ b/src/main/java/cottonlock/membership/Codec.java
@@ -4,10 +4,13 @@
 
 import cottonlock.decision.Decides;
 import cottonlock.membership.Message.Kind;
+import java.util.Arrays;
+import java.util.zip.CRC32;
 
 /**
  * Messages as bytes. The first byte begins no UTF-8 text, so that they are told from the module's own
- * datagrams on the same socket. Numbers are big-endian. docs/membership.md has the layout.
+ * datagrams on the same socket; the last four are a check of all before, as UDP's own is short. Numbers are
+ * big-endian. docs/membership.md has the layout.
  */
 @Decides
 final class Codec {
@@ -26,6 +29,8 @@
     static final long LAST_LIFE = 1L << 47;
     private static final int HEARD = 1 << 3;
     private static final int END = 1 << 4;
+    /** Bytes of the check. */
+    private static final int CHECK = 4;
     /** Where the flags stand. */
     private static final int FLAGS = 2;
 
@@ -82,7 +87,12 @@
 
     /** Reads a datagram; null for bytes that are none of ours, whatever they are. */
     static Message read(byte[] bytes, int length) {
-        Reader in = new Reader(bytes, length);
+        int inner = Math.min(length, bytes.length) - CHECK;
+        if (length > LONGEST || inner < 1
+            || new Reader(bytes, inner, CHECK).number(CHECK) != check(bytes, inner)) {
+            return null;
+        }
+        Reader in = new Reader(bytes, 0, inner);
         if (in.number(1) != MAGIC) {
             return null;
         }
@@ -138,6 +148,12 @@
         return in.good() && in.over() ? m : null;
     }
 
+    private static long check(byte[] bytes, int length) {
+        CRC32 sum = new CRC32();
+        sum.update(bytes, 0, length);
+        return sum.getValue();
+    }
+
     /** Whether a name can be a member's. */
     static boolean isName(String name) {
         boolean right = !name.isEmpty() && name.length() <= LONGEST_NAME;
@@ -156,7 +172,7 @@
         private int count;
 
         Writer(int most) {
-            this.most = most;
+            this.most = most - CHECK;
         }
 
         void number(long value, int size) {
@@ -222,12 +238,16 @@
             bytes[FLAGS] |= END;
         }
 
+        /** Bytes of the whole datagram. */
         int size() {
-            return at;
+            return at + CHECK;
         }
 
         byte[] done() {
-            return java.util.Arrays.copyOf(bytes, at);
+            long check = check(bytes, at);
+            number(check, CHECK);
+            at -= CHECK;
+            return Arrays.copyOf(bytes, at + CHECK);
         }
     }
 
@@ -266,10 +286,10 @@
         private int at;
         private boolean bad;
 
-        Reader(byte[] bytes, int length) {
+        Reader(byte[] bytes, int from, int length) {
             this.bytes = bytes;
-            this.length = Math.min(length, bytes.length);
-            bad = length > LONGEST;
+            this.at = from;
+            this.length = from + length;
         }
 
         boolean good() {
@@ -301,7 +321,7 @@
                 return new byte[0];
             }
             at += size;
-            return java.util.Arrays.copyOfRange(bytes, at - size, at);
+            return Arrays.copyOfRange(bytes, at - size, at);
         }
 
         String text() {
--- a/src/main/java/cottonlock/membership/Exchange.java
+++ b/src/main/java/cottonlock/membership/Exchange.java
@@ -11,7 +11,7 @@
  * Mends views that differ: in short first, part by part of the names; then page by page, each way.
  */
 @Decides
-class Exchange {
+final class Exchange {
     /** Pages sent at one request, so that a large view takes several requests, and several givers. */
     private static final int PAGES = 4;
     /** Members of one part of the names, about: what a datagram holds. */
@@ -22,15 +22,17 @@
     private final Ring ring;
     private final Post post;
     private final long[] counts;
+    private final Habits habits;
     private long at = Known.NEVER;
     private long last = Known.NEVER;
 
-    Exchange(MembershipRules rules, Table table, Ring ring, Post post, long[] counts) {
+    Exchange(MembershipRules rules, Table table, Ring ring, Post post, long[] counts, Habits habits) {
         this.rules = rules;
         this.table = table;
         this.ring = ring;
         this.post = post;
         this.counts = counts;
+        this.habits = habits;
     }
 
     /** When it wants to be called. */
@@ -43,7 +45,7 @@
     }
 
     private long pause() {
-        return rules.period() / (joining() ? 4 : 2);
+        return joining() ? rules.period() / 4 : rules.period();
     }
 
     /** Changes that ride on probes are given so long before views are compared part by part. */
@@ -69,7 +71,7 @@
         at = now + pause();
         List<Known> differing = ring.some(1, k -> k.differs() && now - k.differsSince >= settle()
             && now - k.heardAt < 4 * rules.period());
-        if (differing.isEmpty() || !mends()) {
+        if (differing.isEmpty() || !habits.mends()) {
             boolean any = table.all().stream().anyMatch(Known::differs);
             at = now + (any ? pause() : 4 * rules.period());
             return;
@@ -79,6 +81,9 @@
         Known k = differing.get(0);
         int wanted = Math.max(1, (table.alive() + 1) / PART);
         int parts = Math.min(Codec.MOST_PARTS, Integer.highestOneBit(wanted));
+        while (4 * parts > post.room(Kind.MARKS)) {
+            parts /= 2;
+        }
         if (parts == 1) {
             page(now, k, 1, 0, PAGES);
         } else {
@@ -88,11 +93,6 @@
         }
     }
 
-    /** Whether differences are mended at all. */
-    boolean mends() {
-        return true;
-    }
-
     /** Another's view in short: sends pages of the parts that differ, from a random one on. */
     void marks(long now, Message m, Known k, int from) {
         int[] mine = table.marks(m.marks.length);
--- a/src/main/java/cottonlock/membership/Known.java
+++ b/src/main/java/cottonlock/membership/Known.java
@@ -10,6 +10,8 @@
     private static final int WINDOW = 64;
 
     Word word;
+    /** Of the word, kept: all are added up often. */
+    long mark;
     /** Since when it is what it is, and why. */
     long since;
     String reason = "";
@@ -29,6 +31,8 @@
     long toldAt = NEVER;
     /** While it is in doubt. */
     Suspicion suspicion;
+    /** Whether others hold it for failed, and it has not been probed from here since. */
+    boolean contested;
     /** Whether it has been dropped. */
     boolean gone;
     private long counter = -1;
@@ -36,6 +40,7 @@
 
     Known(Word word, long now) {
         this.word = word;
+        this.mark = word.mark();
         this.since = now;
         this.hash = Word.hash(word.name());
     }
--- a/src/main/java/cottonlock/membership/MembersActor.java
+++ b/src/main/java/cottonlock/membership/MembersActor.java
@@ -26,7 +26,7 @@
     private static final int LOOK = 100;
     /** Datagrams that are read before the machine is woken, though its time has come: after a standstill what
      * has queued up must be heard before anybody is judged, and a flood must not hold it up for good. */
-    private static final int BACKLOG = 512;
+    private static final int BACKLOG = 2_048;
 
     /** Who takes the datagrams of others on the same socket. */
     public interface Others {
--- a/src/main/java/cottonlock/membership/Membership.java
+++ b/src/main/java/cottonlock/membership/Membership.java
@@ -23,11 +23,13 @@
  * datagram tells whose view differs, and what differs is exchanged. docs/membership.md tells why.
  */
 @Decides
-public class Membership {
+public final class Membership {
     /** Tenths of a millisecond: called so much too late, it has stood still itself, as a busy core does. */
     private static final long STILL = 1_000;
     /** How often a starting process raises its life above others of its name before it gives way. */
     private static final int RAISES = 4;
+    /** Periods of silence after which another process of this name is gone. */
+    private static final int GONE = 20;
     /** How often a leaving process says so, a quarter of a period apart. */
     private static final int FAREWELLS = 3;
 
@@ -45,6 +47,7 @@
     }
 
     private final MembershipRules rules;
+    private final Habits habits;
     private final Outlet outlet;
     private final SplittableRandom random;
     private final Set<String> contacts;
@@ -58,6 +61,8 @@
     private final Set<Known> suspects = new LinkedHashSet<>();
     /** Whoever else goes by this name and is the later one; null: nobody. */
     private Word displacedBy;
+    /** When that one was last heard itself. */
+    private long displacedAt;
     /** A doubt of this process that it must not clear while its module stands still. */
     private Word accused;
     private int raises;
@@ -69,6 +74,8 @@
     private long stateSince;
     private long tidyAt;
     private long moduleAt = Long.MAX_VALUE;
+    /** Whether what comes is passed over, until it is woken: it has queued up for too long. */
+    private boolean deaf;
 
     /**
      * A process that has just started.
@@ -81,11 +88,17 @@
      */
     public Membership(MembershipRules rules, Outlet outlet, String name, String address,
                       List<String> contacts, boolean closed, long life, int tag, SplittableRandom random) {
+        this(rules, outlet, name, address, contacts, closed, life, tag, random, new Habits());
+    }
+
+    Membership(MembershipRules rules, Outlet outlet, String name, String address, List<String> contacts,
+               boolean closed, long life, int tag, SplittableRandom random, Habits habits) {
         if (!Codec.isName(name)) {
             throw new IllegalArgumentException("expected a name of 1 to " + Codec.LONGEST_NAME
                 + " letters, digits and marks, found \"" + name + "\"");
         }
         this.rules = rules;
+        this.habits = habits;
         this.outlet = outlet;
         this.contacts = new TreeSet<>(contacts);
         this.contacts.remove(address);
@@ -93,15 +106,10 @@
         this.random = random;
         long begun = Math.max(1, Math.min(life, Codec.LAST_LIFE / 2));
         this.table = new Table(new Word(name, address, begun, 0, State.JOINING, 0), rules.most());
-        this.post = new Post(rules, table, outlet, counts, tag);
+        this.post = new Post(rules, table, outlet, counts, tag, habits);
         this.ring = new Ring(random);
         this.prober = new Prober(rules, table, ring, post, this::doubt, random);
-        this.exchange = exchange(rules, table, ring, post, counts);
-    }
-
-    /** How views that differ are mended. */
-    Exchange exchange(MembershipRules how, Table of, Ring among, Post by, long[] counted) {
-        return new Exchange(how, of, among, by, counted);
+        this.exchange = new Exchange(rules, table, ring, post, counts, habits);
     }
 
     /** It begins, or begins anew after another spoke for it; to be called again at the time returned. */
@@ -155,15 +163,20 @@
     /** A datagram has come; returns when to be called again. */
     public long heard(long now, String from, byte[] bytes, int length) {
         begin(now);
-        Message m = Codec.read(bytes, length);
-        if (m == null) {
+        Message m = deaf ? null : Codec.read(bytes, length);
+        if (deaf) {
+            count(Count.OUTDATED);
+        } else if (m == null) {
             count(Count.MALFORMED);
         } else if (!m.sender.address().equals(from) || closed && !contacts.contains(from)) {
             count(Count.STRANGERS);
         } else if (m.sender.name().equals(table.me().name())) {
             // Another process of this name; from this very address it is an echo.
             aboutMe(now, m.sender, m.sender.name());
-            tellOutdated(now, from, table.me());
+            displacedAt = displacedBy != null && from.equals(displacedBy.address()) ? now : displacedAt;
+            if (m.kind != Kind.WORDS) {
+                tellOutdated(now, from, table.me());
+            }
         } else {
             heard(now, m, from);
         }
@@ -175,7 +188,15 @@
         if (k != null && k.word.compareLives(m.sender) > 0) {
             // Of a former life: it may be late, or the process does not know yet that it was there before.
             count(Count.OUTDATED);
-            tellOutdated(now, from, k.word);
+            for (Word w : m.words) {
+                // Two that take each other for outdated would never hear why from one another.
+                if (w.name().equals(table.me().name())) {
+                    aboutMe(now, w, m.sender.name());
+                }
+            }
+            if (m.kind != Kind.WORDS) {
+                tellOutdated(now, from, k.word);
+            }
             return;
         }
         boolean anew = k == null || k.word.compareLives(m.sender) < 0;
@@ -247,15 +268,11 @@
                 ring.add(k);
                 changed(now, k, w, true, by(w, teller));
             }
-        } else if (outweighs(w, k.word)) {
-            if (w.state() == State.FAILED && k.word.state().lives() && !heardOut(now, k, w)) {
+        } else if (habits.outweighs(w, k.word)) {
+            if (w.state() == State.FAILED && k.word.state().lives() && !habits.believes(k, w, now)) {
                 // Both sides of a cut have called each other failed: when it heals, that is no news of the
-                // dead. Whoever lives hears of it and contradicts in the time that it is in doubt here.
-                Word less = w.with(State.SUSPECT, w.by());
-                if (less.outweighs(k.word)) {
-                    changed(now, k, less, false, by(w, teller));
-                }
-                k.suspicion.certain();
+                // dead. It is looked at from here first; who lives hears of it meanwhile, and contradicts.
+                prober.contest(k);
             } else {
                 changed(now, k, w, false, by(w, teller));
             }
@@ -265,17 +282,6 @@
         }
     }
 
-    /** Whether a word holds in place of another. */
-    boolean outweighs(Word one, Word other) {
-        return one.outweighs(other);
-    }
-
-    /** Whether it has been in doubt here for long enough to be held for failed by another's word. */
-    boolean heardOut(long now, Known k, Word w) {
-        return k.suspicion != null && k.word.turn() == w.turn() && k.word.compareLives(w) == 0
-            && k.suspicion.heard(now);
-    }
-
     private String by(Word w, String teller) {
         if (w.name().equals(teller)) {
             return w.state() == State.LEFT ? "it says so itself" : "heard from it";
@@ -340,19 +346,29 @@
         } else if (k.word.state().lives()) {
             count(Count.SUSPICIONS);
             changed(now, k, k.word.with(State.SUSPECT, self), false, reason);
+            if (k.contested) {
+                k.suspicion.certain();
+            }
         }
     }
 
     private void judge(long now) {
         for (Known k : List.copyOf(suspects)) {
-            if (now < k.suspicion.end()) {
+            if (now < habits.end(k.suspicion)) {
                 continue;
             }
             // Own ears count for more than what others say they have not heard.
-            if (k.heardAt > k.suspicion.since() && prober.sound(k.lag) && k.suspicion.defer(now)) {
+            boolean heard = k.heardAt > k.suspicion.since() && prober.sound(k.lag);
+            if (heard && k.suspicion.defer(now, rules.period())) {
                 tell(now, k);
                 continue;
             }
+            // Nobody is called failed at others' word alone, who may have missed that it has cleared itself.
+            if (!k.suspicion.accusedBy(Word.hash(table.me().name())) && habits.looksItself()
+                && k.suspicion.defer(now, rules.period())) {
+                prober.contest(k);
+                continue;
+            }
             count(Count.FAILURES);
             String reason = "doubted for " + (now - k.suspicion.since()) / 10 + " ms by "
                 + k.suspicion.accusers() + ", not cleared";
@@ -365,35 +381,46 @@
     private void aboutMe(long now, Word w, String teller) {
         Word me = table.me();
         int lives = w.compareLives(me);
-        if (lives < 0 || me.state() == State.LEFT) {
+        boolean stranger = closed && !w.address().equals(me.address()) && !contacts.contains(w.address());
+        if (lives < 0 || me.state() == State.LEFT || stranger) {
             return;
         }
         if (lives > 0) {
-            if (!w.state().lives() || me.state() == State.JOINING && displacedBy == null && raises < RAISES) {
+            boolean starting = me.state() == State.JOINING && displacedBy == null && raises < RAISES;
+            if (!w.state().lives() || w.address().equals(me.address()) || starting) {
                 // It was this proxy in its former life, whatever the clocks say, or has given the name free.
-                raises += w.state().lives() ? 1 : 0;
-                be(now, new Word(me.name(), me.address(), w.life() + 1, 0, State.JOINING, 0));
-                joinUntil = now + rules.join();
-                if (displacedBy != null) {
-                    displacedBy = null;
-                    prober.start(now);
-                    outlet.changed(me.name(), State.JOINING, "the other process of this name is gone");
-                }
+                raises += starting ? 1 : 0;
+                comeBack(now, w);
             } else {
                 if (displacedBy == null) {
                     outlet.changed(me.name(), State.LEFT, "displaced: another process at " + w.address()
                         + " goes by this name and has started later, told by " + teller);
                 }
+                displacedAt = displacedBy == null ? now : displacedAt;
                 displacedBy = w;
             }
+        } else if (displacedBy != null) {
+            return;
         } else if (w.state() == State.LEFT) {
-            be(now, new Word(me.name(), me.address(), w.life() + 1, 0, me.state(), 0));
+            be(now, new Word(me.name(), me.address(), habits.begun(w.life()), 0, me.state(), 0));
         } else if (w.turn() > me.turn() || w.turn() == me.turn() && w.state().compareTo(State.ALIVE) > 0) {
             accused = accused == null || w.outweighs(accused) ? w : accused;
             refute(now, teller);
         }
     }
 
+    /** Begins a life after the one that is told of. */
+    private void comeBack(long now, Word before) {
+        Word me = table.me();
+        be(now, new Word(me.name(), me.address(), habits.begun(before.life()), 0, State.JOINING, 0));
+        joinUntil = now + rules.join();
+        if (displacedBy != null) {
+            displacedBy = null;
+            prober.start(now);
+            outlet.changed(me.name(), State.JOINING, "the other process of this name is gone");
+        }
+    }
+
     private void refute(long now, String teller) {
         if (accused != null && !hung(now)) {
             Word me = table.me();
@@ -401,18 +428,14 @@
             outlet.changed(me.name(), me.state(), "contradicts that it is "
                 + accused.state().name().toLowerCase(Locale.ROOT) + ", told by " + teller);
             if (accused.compareLives(me) == 0 && accused.turn() >= me.turn()) {
-                be(now, new Word(me.name(), me.address(), me.life(), raised(accused.turn()), me.state(), 0));
+                int turn = habits.raised(accused.turn());
+                be(now, new Word(me.name(), me.address(), me.life(), turn, me.state(), 0));
             }
             accused = null;
             prober.doubtMore(1);
         }
     }
 
-    /** The turn that contradicts a word of this turn. */
-    int raised(int turn) {
-        return turn + 1;
-    }
-
     /** This process says something else of itself. */
     private void be(long now, Word w) {
         if (w.compareLives(table.me()) != 0) {
@@ -430,6 +453,7 @@
     /** The time asked for has come, or is past; returns when to be called again. */
     public long wake(long now) {
         begin(now);
+        deaf = false;
         refute(now, "others");
         if (table.me().state() == State.LEFT) {
             farewell(now);
@@ -456,12 +480,17 @@
         return plan(now);
     }
 
+    /** Whether its time has come: it may have asked to be called earlier or later since. */
+    public boolean wakesBy(long now) {
+        return now >= wakeAt;
+    }
+
     private long plan(long now) {
         long at = Math.min(tidyAt, contactAt);
         if (table.me().state() != State.LEFT && displacedBy == null) {
             at = Math.min(at, Math.min(prober.at(), exchange.at()));
             for (Known k : suspects) {
-                at = Math.min(at, k.suspicion.end());
+                at = Math.min(at, habits.end(k.suspicion));
             }
             if (table.me().state() == State.JOINING) {
                 at = Math.min(at, joinUntil);
@@ -473,7 +502,7 @@
 
     /** This process has stood still: what it waited for meanwhile may have come and gone unheard. */
     private void stood(long now, long late) {
-        if (!doubtsItself()) {
+        if (rules.doubts() == 0 || !habits.doubtsItself()) {
             return;
         }
         count(Count.STANDSTILLS);
@@ -483,7 +512,9 @@
             k.suspicion.stood(now, late);
         }
         if (late > rules.forget() / 2 && table.me().state() != State.LEFT) {
-            // Others may have forgotten who has died meanwhile: nothing that it knows may pass for news.
+            // Others may have forgotten who has died meanwhile: nothing that it knows, or that has waited in
+            // its socket, may pass for news.
+            deaf = true;
             List.copyOf(table.all()).forEach(this::drop);
             Word me = table.me();
             be(now, new Word(me.name(), me.address(), me.life(), me.turn() + 1, State.JOINING, 0));
@@ -491,11 +522,6 @@
         }
     }
 
-    /** Whether its own standstills keep it from judging. */
-    boolean doubtsItself() {
-        return rules.doubts() > 0;
-    }
-
     /** Calls where nobody is known to live: who has failed may be back, or beyond a cut. */
     private void call(long now) {
         Set<String> calls = new TreeSet<>(contacts);
@@ -519,12 +545,15 @@
         contactAt = now + rules.period() * (alone ? 1 : rules.contact());
     }
 
-    /** Another process goes by this name: asks around whether it still does. */
+    /** Another process goes by this name: asks it whether it is still there, and one more whether it is. */
     private void askAfterMyself(long now) {
-        for (Known k : ring.some(2, k -> k.word.state().lives())) {
-            Message m = post.message(Kind.PING, post.next());
-            m.target = k.word.name();
-            post.send(now, k.word.address(), null, m, 0);
+        if (now - displacedAt > GONE * rules.period()) {
+            comeBack(now, displacedBy);
+            return;
+        }
+        post.send(now, displacedBy.address(), null, post.message(Kind.PING, post.next()), 0);
+        for (Known k : ring.some(1, k -> k.word.state().lives())) {
+            post.send(now, k.word.address(), null, post.message(Kind.PING, post.next()), 0);
         }
         contactAt = now + 4 * rules.period();
     }
@@ -610,6 +639,17 @@
         return post.send(now, k.word.address(), post.begin(m), Post.SPARE);
     }
 
+    /** How many others may be alive, as far as is known here. */
+    public int alive() {
+        return table.alive();
+    }
+
+    /** What another is held for; null: it is not known. */
+    public State stateOf(String name) {
+        Known k = table.get(name);
+        return k == null ? null : k.word.state();
+    }
+
     /** The view as it stands. */
     public View view(long now) {
         List<View.Line> lines = new ArrayList<>();
--- a/src/main/java/cottonlock/membership/Post.java
+++ b/src/main/java/cottonlock/membership/Post.java
@@ -14,6 +14,7 @@
     private final Table table;
     private final Membership.Outlet outlet;
     private final long[] counts;
+    private final Habits habits;
     private final int tag;
     private final Allowance allowance;
     private final Repeats repeats;
@@ -23,11 +24,13 @@
     private int lag;
 
     /** Tag: bytes of each datagram that stay free. */
-    Post(MembershipRules rules, Table table, Membership.Outlet outlet, long[] counts, int tag) {
+    Post(MembershipRules rules, Table table, Membership.Outlet outlet, long[] counts, int tag,
+         Habits habits) {
         this.rules = rules;
         this.table = table;
         this.outlet = outlet;
         this.counts = counts;
+        this.habits = habits;
         this.tag = tag;
         this.allowance = new Allowance(rules.bytes());
         this.repeats = new Repeats(rules.most());
@@ -45,7 +48,7 @@
 
     /** How often a change is told. */
     int times() {
-        return (int) Math.ceil(rules.repeats() * Math.log(table.alive() + 2) / Math.log(2));
+        return habits.times((int) Math.ceil(rules.repeats() * Math.log(table.alive() + 2) / Math.log(2)));
     }
 
     /** Another life of this process begins: its datagrams count anew. */
--- a/src/main/java/cottonlock/membership/Prober.java
+++ b/src/main/java/cottonlock/membership/Prober.java
@@ -102,16 +102,21 @@
         }
     }
 
+    /** Others hold one for failed, or are about to, whom this process has not found so: it looks soon. */
+    void contest(Known k) {
+        if (!k.contested && urgent.size() < rules.most()) {
+            k.contested = true;
+            urgent.addFirst(k);
+        }
+    }
+
     /** When it wants to be called. */
     long at() {
         long at = roundAt;
         if (probe != null && probe.isAsking()) {
             at = Math.min(at, probe.askAt);
         }
-        for (Favour f : favours) {
-            at = Math.min(at, f.until);
-        }
-        return at;
+        return favours.isEmpty() ? at : Math.min(at, favours.get(0).until);
     }
 
     void wake(long now) {
@@ -121,11 +126,9 @@
         if (now >= roundAt) {
             round(now);
         }
-        for (Favour f : List.copyOf(favours)) {
-            if (now >= f.until) {
-                favours.remove(f);
-                done(now, f, Kind.NACK, false);
-            }
+        // In the order of their beginning, and so of their ends.
+        while (!favours.isEmpty() && now >= favours.get(0).until) {
+            done(now, favours.remove(0), Kind.NACK, false);
         }
     }
 
@@ -139,6 +142,9 @@
             judge.doubt(now, probe.target, "no answer to " + table.me().name()
                 + (probe.asked > 0 ? " nor to " + probe.asked + " others" : ""));
         }
+        if (probe != null) {
+            probe.target.contested = false;
+        }
         roundAt = now + rules.period() * (1 + doubt);
         remind(now);
         Known target = next();
@@ -168,16 +174,23 @@
         int self = Word.hash(table.me().name());
         while (!urgent.isEmpty()) {
             Known k = urgent.poll();
-            if (!k.gone && k.suspicion != null && !k.suspicion.accusedBy(self)) {
+            if (!k.gone && k.word.state().lives()
+                && (k.contested || k.suspicion != null && !k.suspicion.accusedBy(self))) {
                 return k;
             }
+            k.contested = false;
         }
         return ring.next();
     }
 
     private void askOthers(long now) {
-        List<Known> helpers = ring.some(rules.helpers(),
-            k -> k != probe.target && k.word.state() == State.ALIVE);
+        // Of those that were heard of late: beyond a cut nobody helps, and that says nothing of this side.
+        List<Known> helpers = ring.some(rules.helpers(), k -> k != probe.target
+            && k.word.state() == State.ALIVE && now - k.heardAt < 4 * rules.period());
+        if (helpers.isEmpty()) {
+            helpers = ring.some(rules.helpers(),
+                k -> k != probe.target && k.word.state() == State.ALIVE);
+        }
         for (Known helper : helpers) {
             Message m = post.message(Kind.ASK, probe.seq);
             m.target = probe.target.word.name();
--- a/src/main/java/cottonlock/membership/Suspicion.java
+++ b/src/main/java/cottonlock/membership/Suspicion.java
@@ -64,9 +64,9 @@
         notBefore = now + least;
     }
 
-    /** A sign of life defers the judgement, not beyond twice the longest time: each doubt must end. */
-    boolean defer(long now) {
-        notBefore = Math.min(now + least / 2, since + 2 * most);
+    /** Defers the judgement, not beyond twice the longest time: each doubt must end. */
+    boolean defer(long now, long by) {
+        notBefore = Math.min(now + by, since + 2 * most);
         return notBefore > now;
     }
 
--- a/src/main/java/cottonlock/membership/Table.java
+++ b/src/main/java/cottonlock/membership/Table.java
@@ -71,9 +71,11 @@
     void replace(Known k, Word w, boolean counted) {
         boolean lived = counted && k.word.state().lives();
         boolean lives = w.state().lives();
-        digest += (lives ? w.mark() : 0) - (lived ? k.word.mark() : 0);
+        long mark = w.mark();
+        digest += (lives ? mark : 0) - (lived ? k.mark : 0);
         alive += (lives ? 1 : 0) - (lived ? 1 : 0);
         k.word = w;
+        k.mark = mark;
     }
 
     boolean full() {
@@ -93,7 +95,7 @@
 
     void drop(Known k) {
         if (k.word.state().lives()) {
-            digest -= k.word.mark();
+            digest -= k.mark;
             alive--;
         }
         others.remove(k.word.name());
@@ -105,7 +107,7 @@
         int[] marks = new int[parts];
         for (Known k : others.values()) {
             if (k.word.state().lives()) {
-                marks[k.part(parts)] += (int) (k.word.mark() >>> 32);
+                marks[k.part(parts)] += (int) (k.mark >>> 32);
             }
         }
         marks[myPart(parts)] += (int) (me.mark() >>> 32);
--- a/src/main/java/cottonlock/membership/Word.java
+++ b/src/main/java/cottonlock/membership/Word.java
@@ -41,7 +41,9 @@
      * what they lead to does.
      */
     long mark() {
-        return Hash.of((state == State.JOINING ? 1 : 0) + 2 * turn, name + ' ' + address + ' ' + life);
+        long who = Hash.of((state == State.JOINING ? 1 : 0) + 2 * turn, name);
+        // A product: of sums of parts, two members that exchange their addresses would go unnoticed.
+        return who * (Hash.of(Long.hashCode(life), address) | 1);
     }
 
     /** What stands for a name where there is no room for it; never 0. */
