Membership with losses: as many periods without an answer as are unusual; pages

Need: at 30% loss doubts filled the allowance: 200 members had 2,904 false failures an hour, and views took half a minute.

A probe goes on for as many periods as the losses of late make its silence unusual (chance below 0.02; one period where nothing is lost).

--- a/src/main/java/cottonlock/membership/Exchange.java
+++ b/src/main/java/cottonlock/membership/Exchange.java
@@ -14,6 +14,9 @@
 final class Exchange {
     /** Pages sent at one request, so that a large view takes several requests, and several givers. */
     private static final int PAGES = 4;
+    /** Words of news for which it is worth to go on without a longer rest; the longest one, in periods. */
+    private static final int WORTH = 2;
+    private static final int LONGEST_REST = 8;
     /** Members of one part of the names, about: what a datagram holds. */
     private static final int PART = 8;
 
@@ -25,6 +28,9 @@
     private final Habits habits;
     private long at = Known.NEVER;
     private long last = Known.NEVER;
+    /** Between two exchanges, in periods; and what the last one has brought. */
+    private int rest = 1;
+    private int brought;
 
     Exchange(MembershipRules rules, Table table, Ring ring, Post post, long[] counts, Habits habits) {
         this.rules = rules;
@@ -45,7 +51,12 @@
     }
 
     private long pause() {
-        return joining() ? rules.period() / 4 : rules.period();
+        return joining() ? rules.period() / 4 : rest * rules.period();
+    }
+
+    /** So many words that a page held were news here. */
+    void brought(int news) {
+        brought += news;
     }
 
     /** Changes that ride on probes are given so long before views are compared part by part. */
@@ -61,6 +72,7 @@
         }
         if (k.differsSince == Known.NEVER) {
             k.differsSince = now;
+            rest = table.all().stream().noneMatch(o -> o != k && o.differs()) ? 1 : rest;
             at = Math.min(at, Math.max(now, last + pause()) + settle());
         }
         return false;
@@ -76,6 +88,10 @@
             at = now + (any ? pause() : 4 * rules.period());
             return;
         }
+        // Where changes never end, views never are alike, and an exchange brings next to nothing.
+        rest = brought >= WORTH ? 1 : Math.min(LONGEST_REST, 2 * rest);
+        brought = 0;
+        at = now + pause();
         last = now;
         counts[Count.EXCHANGES.ordinal()]++;
         Known k = differing.get(0);
--- a/src/main/java/cottonlock/membership/Membership.java
+++ b/src/main/java/cottonlock/membership/Membership.java
@@ -219,8 +219,12 @@
         prober.heard(now);
         k.heardAt = now;
         k.lag = m.lag;
+        int news = 0;
         for (Word w : m.words) {
-            take(now, w, m.sender.name());
+            news += take(now, w, m.sender.name()) ? 1 : 0;
+        }
+        if (m.kind == Kind.PAGE || m.kind == Kind.WORDS) {
+            exchange.brought(news);
         }
         if (displacedBy == null) {
             act(now, m, k);
@@ -255,11 +259,11 @@
 
     // What is said of members
 
-    /** Takes a word into the view if it outweighs what is there. */
-    private void take(long now, Word w, String teller) {
+    /** Takes a word into the view if it outweighs what is there; returns whether it did. */
+    private boolean take(long now, Word w, String teller) {
         if (w.name().equals(table.me().name())) {
             aboutMe(now, w, teller);
-            return;
+            return false;
         }
         Known k = table.get(w.name());
         if (k == null) {
@@ -267,6 +271,7 @@
                 k = table.add(w, now);
                 ring.add(k);
                 changed(now, k, w, true, by(w, teller));
+                return true;
             }
         } else if (habits.outweighs(w, k.word)) {
             if (w.state() == State.FAILED && k.word.state().lives() && !habits.believes(k, w, now)) {
@@ -275,11 +280,13 @@
                 prober.contest(k);
             } else {
                 changed(now, k, w, false, by(w, teller));
+                return true;
             }
         } else if (w.state() == State.SUSPECT && k.suspicion != null && !k.word.outweighs(w)
             && k.suspicion.confirm(w.by())) {
             post.repeat(w);
         }
+        return false;
     }
 
     private String by(Word w, String teller) {
--- a/src/main/java/cottonlock/membership/Prober.java
+++ b/src/main/java/cottonlock/membership/Prober.java
@@ -16,6 +16,12 @@
 @Decides
 final class Prober {
 
+    /** Answers over which losses are remembered: ten seconds of probes. */
+    private static final double REMEMBERED = 20;
+    /** The chance of no answer from a living member at which it is doubted: at 0.1 doubts filled all. */
+    private static final double UNUSUAL = 0.02;
+    private static final int MOST_PERIODS = 4;
+
     /** Who is told what came of a probe. */
     interface Judge {
         /** A member has not answered, or badly, for a reason in words. */
@@ -27,15 +33,18 @@
         final Known target;
         final int seq;
         final long askAt;
+        /** Periods that it has gone on for without an answer, this one among them. */
+        final int periods;
         /** Others that were asked to help; -1: there was nobody to ask; 0: not yet. */
         int asked;
         int refused;
         boolean over;
 
-        Probe(Known target, int seq, long askAt) {
+        Probe(Known target, int seq, long askAt, int periods) {
             this.target = target;
             this.seq = seq;
             this.askAt = askAt;
+            this.periods = periods;
         }
 
         boolean isAsking() {
@@ -57,6 +66,8 @@
     private final List<Favour> favours = new ArrayList<>();
     private Probe probe;
     private int doubt;
+    /** The part of living members that did not answer at once, of late. */
+    private double unanswered;
     private long roundAt;
     /** When this process last heard anybody. */
     private long heardAt = Known.NEVER;
@@ -139,6 +150,11 @@
             if (probe.asked > 0 ? probe.refused == 0 : now - heardAt > 2 * rules.period()) {
                 doubtMore(1);
             }
+            if (probe.target.word.state() == State.ALIVE && probe.periods < periodsNeeded()) {
+                roundAt = now + rules.period() * (1 + doubt);
+                begin(now, probe.target, probe.periods + 1);
+                return;
+            }
             judge.doubt(now, probe.target, "no answer to " + table.me().name()
                 + (probe.asked > 0 ? " nor to " + probe.asked + " others" : ""));
         }
@@ -148,13 +164,36 @@
         roundAt = now + rules.period() * (1 + doubt);
         remind(now);
         Known target = next();
-        probe = target == null ? null
-            : new Probe(target, post.next(), now + rules.answer() * (1 + doubt));
-        if (probe != null) {
-            ping(now, probe.target, probe.seq);
+        if (target == null) {
+            probe = null;
+        } else {
+            begin(now, target, 1);
         }
     }
 
+    private void begin(long now, Known target, int periods) {
+        probe = new Probe(target, post.next(), now + rules.answer() * (1 + doubt), periods);
+        ping(now, target, probe.seq);
+    }
+
+    /** How many periods without an answer are unusual enough, by what is lost of late on living members. */
+    private int periodsNeeded() {
+        double through = Math.sqrt(1 - unanswered);
+        double helped = Math.pow(1 - Math.pow(through, 4), rules.helpers());
+        double none = unanswered * unanswered * helped;
+        int needed = 1;
+        for (double chance = none; chance > UNUSUAL && needed < MOST_PERIODS; chance *= none) {
+            needed++;
+        }
+        return needed;
+    }
+
+    /** A living member has answered: at once, or only when asked again or by others. */
+    private void answeredBy(boolean atOnce) {
+        unanswered += ((atOnce ? 0 : 1) - unanswered) / REMEMBERED;
+        doubtLess();
+    }
+
     private void ping(long now, Known target, int seq) {
         Message m = post.message(Kind.PING, seq);
         m.target = target.word.name();
@@ -211,7 +250,7 @@
             } else if (sound(m.lag)) {
                 k.answeredAt = now;
                 k.hearsMe = true;
-                doubtLess();
+                answeredBy(probe.asked == 0);
             } else {
                 judge.doubt(now, k, "its module stands still for " + m.lag / 100.0 + " s");
             }
@@ -240,7 +279,7 @@
             probe.target.relayedAt = now;
             probe.target.hearsMe = m.heard;
             probe.over = true;
-            doubtLess();
+            answeredBy(false);
         }
     }
 
@@ -270,6 +309,7 @@
         StringBuilder text = new StringBuilder().append(doubt).append(' ').append(roundAt - now);
         if (probe != null) {
             text.append(' ').append(probe.target.word.name()).append(probe.over).append(probe.asked)
+                .append(probe.periods)
                 .append(probe.refused).append(' ').append(probe.askAt - now);
         }
         favours.forEach(f -> text.append(' ').append(f.asker).append(f.target).append(f.until - now));
