The line has one bound for all categories and goes by waits against due times

Ruled out: quota (in it all), no usable backend (none), expiry (none).

Lines at fault: Line.take held the one line of all categories against a part of the own due time of each, and Line.advance let in by order of coming. Work of long due times filled the line to its bound, which is over that of short ones, so these found it full always and waited behind the others where they got in.

Now the bound is a part of the due times of what has finished, the same for all, and who has waited longest against its due time comes first.

--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -6,9 +6,9 @@
 
 import cottonlock.decision.Category.Repeat;
 import cottonlock.decision.WorkItem.HandOff;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -259,12 +259,14 @@
         private final SplittableRandom random;
         private final long span;
         private final Ring finished;
+        /** The due times of what has finished: all categories together may wait for a part of their sum. */
+        private final Ring dues;
         private final Ring latency;
         private final Ring latencyLog;
         /** The lowest typical latency over the span that has been seen of late. */
         private final Lowest calm;
-        /** What is within its quota and waits for room. */
-        private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
+        /** What is within its quota and waits for room, in order of coming. */
+        private final List<WorkItem> waiting = new ArrayList<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
         private final Averages hints = new Averages(300_000);
@@ -277,6 +279,7 @@
                     boolean bounded) {
             span = Math.round(SPAN * shape.due());
             finished = new Ring(span, 20);
+            dues = new Ring(span, 20);
             latency = new Ring(span, 20);
             latencyLog = new Ring(span, 20);
             calm = new Lowest(CALM * span, 6);
@@ -303,7 +306,7 @@
                 enter(wi, now);
             } else if (wi.overQuota || SPARSE * balancers > fleet.ready.size()
                 || now + 4 * TICK >= wi.expiry
-                || waiting.size() >= finished.sum(now) * WAIT * wi.category.dueTime() / span(now)) {
+                || waiting.size() >= dues.sum(now) * WAIT / span(now)) {
                 before.back(wi, now);
             } else {
                 wi.inLineSince = now;
@@ -429,15 +432,22 @@
                 latency.add(now, now - wi.enteredAt);
                 latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
                 finished.add(now, 1);
+                dues.add(now, wi.category.dueTime());
             }
             release(wi);
             before.back(wi, now);
             advance(now);
         }
 
+        /** In order of the waits against the due times: by coming, work of long ones starved the rest. */
         private void advance(long now) {
-            while (!waiting.isEmpty() && fits(waiting.peek(), now)) {
-                enter(waiting.poll(), now);
+            for (boolean fits = true; fits && !waiting.isEmpty();) {
+                WorkItem next = Collections.max(waiting, Comparator.comparingDouble(
+                    wi -> (double) (now - wi.inLineSince) / wi.category.dueTime()));
+                fits = fits(next, now) && waiting.remove(next);
+                if (fits) {
+                    enter(next, now);
+                }
             }
         }
 
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -349,6 +349,34 @@
             ledger.sends.get("b0").size() + " to the slow one");
     }
 
+    /** Found on a full fleet with a zone cut off: work of long due times filled the line and kept it full. */
+    @Example
+    void noCategoryStarvesInTheLineOfOthers() {
+        for (int[] shape : new int[][] {{1, 4}, {2, 8}, {16, 35}, {90, 150}}) {
+            List<Category> categories = List.of(new Category(0, 5_000, 1, 0, Repeat.RERUNNABLE, Scope.ALL, 0),
+                new Category(1, 50_000, 1, 0, Repeat.RERUNNABLE, Scope.ALL, 0));
+            Ledger ledger = new Ledger(categories, List.of(new Tenant(1, 100_000)), shape[0], true, true,
+                new Shape(shape[0], 0, true, 0, true, false, 100_000, true, 27_500));
+            ledger.list(Ledger.ready(0, shape[1]), true, true);
+            int[] finished = new int[2];
+            for (int i = 0; i < 6_000; i++) {
+                ledger.arrive(i % 2, 0, 200_000);
+                ledger.pass(50);
+                for (long out : List.copyOf(ledger.items.keySet())) {
+                    Ledger.Item item = ledger.items.get(out);
+                    if (!item.sent.isEmpty() && ledger.now - item.sent.get(0).at >= 1_500) {
+                        ledger.settle(out, 0, Outcome.FINISHED);
+                        finished[item.category.number()]++;
+                    }
+                }
+            }
+            assertTrue(finished[0] * 2 > finished[1], () -> finished[0] + " of short due times finished, of long ones "
+                + finished[1] + " at " + shape[0] + " balancers");
+            assertTrue(finished[1] * 2 > finished[0], () -> finished[1] + " of long due times finished, of short ones "
+                + finished[0] + " at " + shape[0] + " balancers");
+        }
+    }
+
     /** Found on a day without queues at the backends: turned-away work must lower what is let in. */
     @Example
     void turnedAwayWorkLowersTheRoom() {
