Figures tell why each work item was turned away or written off, by category and tenant

Each work item that ends unfinished now has one reason, the last thing that decided it, told through Outlet with the answer and counted where the answer is counted, so that they add up exactly to busy and failure, by category as by tenant; what has not happened stands as 0. Shown: OperatorDaysTest sums both against busy and failure of a real proxy.

--- a/src/main/java/cottonlock/admin/Figures.java
+++ b/src/main/java/cottonlock/admin/Figures.java
@@ -1,10 +1,14 @@
 package cottonlock.admin;
 
+import cottonlock.decision.Reason;
+import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /** What this process has counted since it started; each count is defined here, and kept where it happens. */
 public final class Figures {
@@ -13,6 +17,9 @@
 
     private final Map<End, Map<String, LongAdder>> ends = Map.of(End.SUCCESS, new ConcurrentSkipListMap<>(),
         End.BUSY, new ConcurrentSkipListMap<>(), End.FAILURE, new ConcurrentSkipListMap<>());
+    /** Why what was not a success ended so: by category and by tenant, which each add up to all of it. */
+    private final Map<String, Map<Reason, LongAdder>> byCategory = new ConcurrentSkipListMap<>();
+    private final Map<String, Map<Reason, LongAdder>> byTenant = new ConcurrentSkipListMap<>();
     private final LongAdder handOffs = new LongAdder();
     private final AtomicInteger inflight = new AtomicInteger();
     private final LongAdder filesTaken = new LongAdder();
@@ -25,6 +32,20 @@
     /** A category is in force: it stands among the figures from now on, with 0 at first. */
     public void category(String name) {
         ends.values().forEach(counts -> counts.computeIfAbsent(name, n -> new LongAdder()));
+        byCategory.computeIfAbsent(name, n -> zeros());
+    }
+
+    /** A tenant may bring work: it stands among the figures, with 0 at first. */
+    public void tenant(String name) {
+        byTenant.computeIfAbsent(name, n -> zeros());
+    }
+
+    private static Map<Reason, LongAdder> zeros() {
+        Map<Reason, LongAdder> zeros = new EnumMap<>(Reason.class);
+        for (Reason why : Reason.values()) {
+            zeros.put(why, new LongAdder());
+        }
+        return zeros;
     }
 
     /** A work item has been read whole. */
@@ -37,10 +58,16 @@
         inflight.decrementAndGet();
     }
 
-    /** A client has been answered, with this status. */
-    public void answered(String category, int status) {
+    /** A client has been answered, with this status; why it was no success, if it was none. */
+    public void answered(String category, String tenant, int status, Reason why) {
         End end = status == 200 ? End.SUCCESS : status == 503 || status == 429 ? End.BUSY : End.FAILURE;
         ends.get(end).computeIfAbsent(category, n -> new LongAdder()).increment();
+        if (end != End.SUCCESS) {
+            byCategory.computeIfAbsent(category, n -> zeros()).get(why).increment();
+            if (tenant != null && byTenant.containsKey(tenant)) {
+                byTenant.get(tenant).get(why).increment();
+            }
+        }
     }
 
     /** A hand-off has been written whole to a backend. */
@@ -75,9 +102,18 @@
             .append(",\"hosts_listed\":").append(listed).append(",\"hosts_down\":").append(avoided)
             .append(",\"reconfig_ok\":").append(filesTaken.sum())
             .append(",\"reconfig_failed\":").append(filesRefused.sum())
+            .append(reasons("why_by_category", byCategory)).append(reasons("why_by_tenant", byTenant))
             .append(more == null ? "" : more.get()).append('}').toString();
     }
 
+    private static String reasons(String field, Map<String, Map<Reason, LongAdder>> counts) {
+        return counts.entrySet().stream().map(named -> '"' + quoted(named.getKey()) + "\":{"
+            + named.getValue().entrySet().stream()
+                .map(e -> '"' + e.getKey().name().toLowerCase(Locale.ROOT) + "\":" + e.getValue().sum())
+                .collect(Collectors.joining(",")) + '}')
+            .collect(Collectors.joining(",", ",\"" + field + "\":{", "}"));
+    }
+
     private void counts(StringBuilder json, String name, End end) {
         json.append('"').append(name).append("\":{");
         String comma = "";
--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -2,6 +2,7 @@
 
 import cottonlock.decision.Balancer;
 import cottonlock.decision.Outlet;
+import cottonlock.decision.Reason;
 import cottonlock.setup.Assembly;
 import cottonlock.setup.Settings;
 import java.util.Base64;
@@ -34,12 +35,12 @@
     }
 
     @Override
-    public void defer(long wi, long comeBack) {
+    public void defer(long wi, long comeBack, Reason why) {
         reply.start("overload_reply", name).field(wi).field(comeBack * Settings.MICROS).end();
     }
 
     @Override
-    public void writeOff(long wi) {
+    public void writeOff(long wi, Reason why) {
         reply.start("give_up", name).field(wi).end();
     }
 
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -202,6 +202,7 @@
         @Override
         void take(WorkItem wi, long now) {
             if (wi.expiry <= now) {
+                wi.why = Reason.EXPIRY;
                 back(wi, now);
             } else {
                 after.take(wi, now);
@@ -215,9 +216,9 @@
             }
             wi.ended = true;
             if (mayDefer(wi)) {
-                outlet.defer(wi.id, Math.min(longestComeBack, wi.category.dueTime() / 2));
+                outlet.defer(wi.id, Math.min(longestComeBack, wi.category.dueTime() / 2), wi.why);
             } else {
-                outlet.writeOff(wi.id);
+                outlet.writeOff(wi.id, wi.why);
             }
         }
 
@@ -304,13 +305,15 @@
             }
             if (!bounded || fits(wi, now)) {
                 enter(wi, now);
-            } else if (wi.overQuota || SPARSE * balancers > fleet.ready.size()
-                || now + 4 * TICK >= wi.expiry
-                || waiting.size() >= dues.sum(now) * WAIT / span(now)) {
-                before.back(wi, now);
             } else {
-                wi.inLineSince = now;
-                waiting.add(wi);
+                wi.why = wi.overQuota ? Reason.OVER_QUOTA : now + 4 * TICK >= wi.expiry ? Reason.EXPIRY
+                    : waiting.size() >= dues.sum(now) * WAIT / span(now) ? Reason.LINE_FULL : Reason.NO_ROOM;
+                if (wi.why == Reason.NO_ROOM && SPARSE * balancers <= fleet.ready.size()) {
+                    wi.inLineSince = now;
+                    waiting.add(wi);
+                } else {
+                    before.back(wi, now);
+                }
             }
         }
 
@@ -498,6 +501,7 @@
                 wi.candidates = fleet.lastResort(wi, now);
             }
             if (wi.candidates.isEmpty()) {
+                wi.why = Reason.NO_BACKEND;
                 before.back(wi, now);
             } else {
                 after.take(wi, now);
@@ -572,6 +576,7 @@
             HandOff ho = wi.handOffs.get(number);
             ho.out = false;
             ho.neverRan = outcome.neverRan();
+            wi.why = Reason.of(outcome);
             fleet.settled(ho, wi, outcome, now);
             // In the batch after a standstill, times tell of the balancer and not of the backends.
             if (now != fleet.stoodAt && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
--- a/src/main/java/cottonlock/decision/Outlet.java
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -10,10 +10,10 @@
     void recall(long wi, int handOff);
 
     /** Ends a work item: turned away unharmed, with the time after which to come back (0: no advice). */
-    void defer(long wi, long comeBack);
+    void defer(long wi, long comeBack, Reason why);
 
     /** Ends a work item without promising anything about its effect. */
-    void writeOff(long wi);
+    void writeOff(long wi, Reason why);
 
     /** Calls {@link Balancer#wake} back at the given time or soon after. */
     void wakeMe(long at);
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -17,6 +17,8 @@
     final long due;
     final List<HandOff> handOffs = new ArrayList<>(1);
     boolean overQuota;
+    /** What it would end by if it ended now. */
+    Reason why = Reason.NO_ROOM;
     /** Whether it takes up room in its lane. */
     boolean inLane;
     /** When it was let in. */
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -229,7 +229,7 @@
         try {
             answer(status, name, value, body, close);
             whole = true;
-            figures.answered(done.categoryName, status);
+            figures.answered(done.categoryName, done.tenantName, status, done.why);
         } catch (IOException e) {
             log.info("client gone", "an answer could not be written whole");
         }
@@ -274,10 +274,10 @@
                 writer.end(out, chunked);
             });
             whole = true;
-            figures.answered(done.categoryName, 200);
+            figures.answered(done.categoryName, done.tenantName, 200, done.why);
         } catch (IOException e) {
             log.info("broken relay", "a long answer was not passed on whole: " + e.getMessage());
-            figures.answered(done.categoryName, 502);
+            figures.answered(done.categoryName, done.tenantName, 502, done.why);
             reset();
         }
         over(close || !whole);
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -1,6 +1,7 @@
 package cottonlock.net;
 
 import cottonlock.decision.Outcome;
+import cottonlock.decision.Reason;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -31,6 +32,8 @@
     /** One for the answer that is owed, and one for each write of the body that is under way. */
     private final AtomicInteger holds = new AtomicInteger(1);
 
+    /** What it ended by, where no backend's answer ended it; told before its client is answered. */
+    volatile Reason why = Reason.ANSWER_LOST;
     /** The module's number for it, its hand-offs, and how many are out: the module's thread alone. */
     long number;
     final List<HandOff> handOffs = new ArrayList<>(1);
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -6,6 +6,7 @@
 import cottonlock.decision.Member;
 import cottonlock.decision.Outcome;
 import cottonlock.decision.Outlet;
+import cottonlock.decision.Reason;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -119,7 +120,7 @@
             }
             // The module has given each its answer by now; this is for one that it lost in a fault.
             if (items.containsKey(wi.number) && wi.out == 0) {
-                writeOff(wi.number);
+                writeOff(wi.number, Reason.ANSWER_LOST);
             }
         }
         if (now >= wakeAt) {
@@ -344,19 +345,20 @@
     }
 
     @Override
-    public void defer(long number, long comeBack) {
-        answer(number, 503, comeBack > 0 ? "Retry-After" : null,
+    public void defer(long number, long comeBack, Reason why) {
+        answer(number, why, 503, comeBack > 0 ? "Retry-After" : null,
             comeBack / 10_000 + "." + Long.toString(10_000 + comeBack % 10_000).substring(1));
     }
 
     @Override
-    public void writeOff(long number) {
-        answer(number, 502, null, null);
+    public void writeOff(long number, Reason why) {
+        answer(number, why, 502, null, null);
     }
 
-    private void answer(long number, int status, String name, String value) {
+    private void answer(long number, Reason why, int status, String name, String value) {
         Item wi = items.get(number);
         if (wi != null && wi.claim()) {
+            wi.why = why;
             if (!clerk.offer(() -> wi.client.finish(wi, status, name, value, null))) {
                 // So far behind that nobody would still wait: it ends without an answer.
                 figures.over();
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -131,6 +131,7 @@
         inForce = config;
         rules = new Rules(null, assembly, settings);
         rules.names().forEach(figures::category);
+        rules.tenantNames.forEach(figures::tenant);
         admission = new Admission(clock, rules);
         InetSocketAddress listen = config.address("listen");
         listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from,
--- a/src/main/java/cottonlock/net/Shadow.java
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -5,6 +5,7 @@
 import cottonlock.decision.Member;
 import cottonlock.decision.Outcome;
 import cottonlock.decision.Outlet;
+import cottonlock.decision.Reason;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -156,12 +157,12 @@
     }
 
     @Override
-    public void defer(long number, long comeBack) {
+    public void defer(long number, long comeBack, Reason why) {
         // Seen from there being no hand-off.
     }
 
     @Override
-    public void writeOff(long number) {
+    public void writeOff(long number, Reason why) {
         // As for a deferral.
     }
 
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -370,10 +370,10 @@
                     }
                 }
             }
-            assertTrue(finished[0] * 2 > finished[1], () -> finished[0] + " of short due times finished, of long ones "
-                + finished[1] + " at " + shape[0] + " balancers");
-            assertTrue(finished[1] * 2 > finished[0], () -> finished[1] + " of long due times finished, of short ones "
-                + finished[0] + " at " + shape[0] + " balancers");
+            for (int c = 0; c < 2; c++) {
+                assertTrue(finished[c] * 2 > finished[1 - c], finished[0] + " of short due times finished, "
+                    + finished[1] + " of long ones, at " + shape[0] + " balancers");
+            }
         }
     }
 
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -246,7 +246,7 @@
     }
 
     @Override
-    public void defer(long wi, long comeBack) {
+    public void defer(long wi, long comeBack, Reason why) {
         Item item = open(wi, "deferral");
         boolean harmless = item.sent.stream().noneMatch(s -> s.mayHaveRun)
             || item.category.repeat() == Repeat.RERUNNABLE
@@ -257,7 +257,7 @@
     }
 
     @Override
-    public void writeOff(long wi) {
+    public void writeOff(long wi, Reason why) {
         open(wi, "write-off").answered = true;
     }
 
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -88,6 +88,23 @@
         assertEquals("1", ((Map<?, ?>) figure("failure")).get("once"));
         assertEquals("7", figure("backend_calls"));
         assertEquals("1", figure("hosts_listed"));
+        for (int i = 0; i < 20; i++) {
+            call(request("once", "more" + i, "", "body"));
+        }
+        // Why each ended unfinished: it adds up to what was deferred and written off, either way.
+        long ended = sum(figure("busy")) + sum(figure("failure"));
+        assertTrue(ended > 1, "a doubted sole backend gets little of what may run once");
+        assertEquals(ended, sum(figure("why_by_category")));
+        assertEquals(ended, sum(figure("why_by_tenant")));
+        Map<?, ?> once = (Map<?, ?>) ((Map<?, ?>) figure("why_by_category")).get("once");
+        assertEquals("1", once.get("answer_lost"));
+        assertEquals(String.valueOf(ended - 1), once.get("no_backend"));
+        assertEquals(0, sum(((Map<?, ?>) figure("why_by_category")).get("read")), "none, but there");
+    }
+
+    private static long sum(Object counts) {
+        return counts instanceof Map<?, ?> map ? map.values().stream().mapToLong(OperatorDaysTest::sum).sum()
+            : Long.parseLong((String) counts);
     }
 
     @Example
