What is within quotas may hold four for each backend, excess two as before

Ruled out: pressure (no calm was known, nothing counted as pressed), quotas, usable backends (all 35 ready, none avoided).

Line at fault: the floor in Line.fits, two for each backend for all, while the lanes of many balancers may hold five. Now what is within its quota has four and excess two as before, at any number of balancers.

The test fails at each size with two.

--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -245,6 +245,10 @@
         private static final int CALM = 15;
         /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
         private static final double SPARSE = 0.5;
+        /** Held for each backend whatever else is seen; 2 left promised work out for most of a day of long due
+         * times, for the room grows by a few spreads of chance in each of them; 5 choked the simulator. */
+        private static final double FLOOR = 4;
+        private static final double EXCESS_FLOOR = 2;
         /** How many times the calm latency is no sign yet of a queue that costs more than it brings. */
         private static final double WITHIN_CALM = 1.3;
         private static final double OVER_CALM = 0.9;
@@ -334,11 +338,11 @@
         }
 
         private boolean fits(WorkItem wi, long now) {
-            // Two for each backend are never too many; a part below one is let in by chance.
             if (SPARSE * balancers > fleet.ready.size()) {
                 return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
             }
-            double floor = 2.0 * fleet.ready.size() / balancers;
+            // So many for each backend are never too many; a part below one is let in by chance.
+            double floor = (wi.overQuota ? EXCESS_FLOOR : FLOOR) * fleet.ready.size() / balancers;
             if (wi.overQuota && shape.many()) {
                 // Let in beyond that, excess made its own room until the whole fleet choked on it.
                 return !pressed(now) && inside + random.nextDouble() < floor;
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -349,6 +349,28 @@
             ledger.sends.get("b0").size() + " to the slow one");
     }
 
+    /** Found on a full fleet: what was promised found two places a backend, and so few answers made no more. */
+    @Example
+    void whatIsWithinQuotasHasFourPlacesABackendFromTheStart() {
+        for (int[] shape : new int[][] {{1, 4}, {3, 12}, {16, 35}, {90, 150}, {120, 300}}) {
+            for (double quota : new double[] {100_000, 0.1}) {
+                Ledger ledger = new Ledger(PLAIN, List.of(new Tenant(1, quota)), shape[0], true, true,
+                    new Shape(shape[0], 0, true, 0, true, false, 100_000, true, 60_000));
+                ledger.list(Ledger.ready(0, shape[1]), true, true);
+                for (int i = 0; i < 10 * shape[1]; i++) {
+                    ledger.arrive(0, 0, 200_000);
+                }
+                long sent = ledger.items.values().stream().filter(item -> !item.sent.isEmpty()).count();
+                double each = (double) sent * shape[0] / shape[1];
+                // The part below one is drawn; a quota's bucket lets four in that are not excess.
+                double chance = (quota < 1 ? 5.0 : 1.0) * shape[0] / shape[1];
+                double places = quota < 1 ? 2 : 4;
+                assertTrue(each >= places - chance && each <= places + chance, each + " for each backend, quota "
+                    + quota + " at " + shape[0] + " balancers");
+            }
+        }
+    }
+
     /** Found on a full fleet with a zone cut off: work of long due times filled the line and kept it full. */
     @Example
     void noCategoryStarvesInTheLineOfOthers() {
