An attempt that waited is written only if it still may be, and repeats know their window

Read: the module checks the window for repeats and the list when it decides, but the first byte is written after a mailbox and a dial (Link.write), up to the connect limit later; nothing looked at either there. A keyed request refused where all backends know its key said that trying again is harmless even if they forget it before its client comes back. Change: Outlet.handOff carries by when the last byte may be written (first attempt + nine tenths of the window, never past the deadline); Link stops before its last byte. BackendActor knows what the list and the operators said last. Intake.mayDefer looks at the window too.

--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -25,8 +25,9 @@
     }
 
     @Override
-    public void handOff(long wi, String backend, long timeOut) {
-        reply.start("dispatch", name).field(wi).field(backend).field(timeOut * Settings.MICROS).end();
+    public void handOff(long wi, String backend, long sendBy) {
+        // Sent in the moment of the call, it needs no bound; it ends with the request.
+        reply.start("dispatch", name).field(wi).field(backend).field(0).end();
     }
 
     @Override
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -215,17 +215,20 @@
                 return;
             }
             wi.ended = true;
-            if (mayDefer(wi)) {
-                outlet.defer(wi.id, Math.min(longestComeBack, wi.category.dueTime() / 2), wi.why);
+            long comeBack = Math.min(longestComeBack, wi.category.dueTime() / 2);
+            if (mayDefer(wi, now + comeBack)) {
+                outlet.defer(wi.id, comeBack, wi.why);
             } else {
                 outlet.writeOff(wi.id, wi.why);
             }
         }
 
-        /** A deferral says that trying again does no harm: of a work item that may have run, only if so. */
-        private static boolean mayDefer(WorkItem wi) {
+        /** A deferral says that trying again does no harm: of a work item that may have run, only if so, and
+         * if backends still know it when its client comes back. */
+        private static boolean mayDefer(WorkItem wi, long back) {
             return wi.category.repeat() == Repeat.RERUNNABLE || wi.mayHaveRun() == null
-                || wi.category.repeat() == Repeat.TICKETED && wi.category.scope() == Category.Scope.ALL;
+                || wi.category.repeat() == Repeat.TICKETED && wi.category.scope() == Category.Scope.ALL
+                && back < wi.mayHaveRun().sentAt + wi.category.repeatWindow();
         }
 
         private boolean withinQuota(int tenant, boolean repeated, long now) {
@@ -570,9 +573,10 @@
             Backend b = wi.candidates.get(0);
             repeats = Math.min(5, repeats + REPEATS);
             open.put(wi.id, wi);
+            long sendBy = wi.sendBy();
             wi.handOffs.add(new HandOff(b, now));
             fleet.sent(b, wi, now);
-            outlet.handOff(wi.id, b.id, 0);
+            outlet.handOff(wi.id, b.id, sendBy);
         }
 
         void settled(long now, long id, int number, Outcome outcome, boolean over) {
@@ -916,7 +920,7 @@
 
         private static boolean sameGroup(Backend b, WorkItem wi, HandOff ran, long now) {
             return ran == null || wi.category.repeat() == Repeat.RERUNNABLE
-                || wi.category.repeat() == Repeat.TICKETED && now - ran.sentAt < wi.category.repeatWindow()
+                || wi.category.repeat() == Repeat.TICKETED && now < wi.sendBy()
                 && wi.category.scope().joins(ran.backend.member, b.member);
         }
 
--- a/src/main/java/cottonlock/decision/Outlet.java
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -3,8 +3,11 @@
 /** What the balancer answers through; each call is carried out at the time of the call that led to it. */
 public interface Outlet {
 
-    /** Hands a work item to a backend; with no time-out (0) the hand-off ends with the work item's expiry. */
-    void handOff(long wi, String backend, long timeOut);
+    /**
+     * Hands a work item to a backend; it ends with the work item's expiry at the latest. Its last byte may only
+     * be written before {@code sendBy}: later, what may have run already would run again.
+     */
+    void handOff(long wi, String backend, long sendBy);
 
     /** Stops waiting for one hand-off; what came of it is still reported. */
     void recall(long wi, int handOff);
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -58,6 +58,16 @@
         }
     }
 
+    /**
+     * By when its next hand-off must be written. A repeat of what may have run comes within the window in which
+     * backends know it, with a tenth of that left for its way: they count from when they got the first.
+     */
+    long sendBy() {
+        HandOff ran = mayHaveRun();
+        return ran == null || category.repeat() == Category.Repeat.RERUNNABLE ? expiry
+            : Math.min(expiry, ran.sentAt + category.repeatWindow() * 9 / 10);
+    }
+
     /** The hand-off made last; there is one at least. */
     HandOff last() {
         return handOffs.get(handOffs.size() - 1);
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -33,6 +33,8 @@
     private final Deque<Link> resting = new ArrayDeque<>();
     private final Set<Link> links = new HashSet<>();
     private boolean leaving;
+    /** What the list and the operators said last; told by the module's thread, looked at where bytes go out. */
+    private volatile boolean ready = true;
 
     /** Times in milliseconds. */
     BackendActor(InetSocketAddress address, Places places, Keeping keeping, Workers workers,
@@ -68,6 +70,16 @@
         }
     }
 
+    /** From the module's thread: whether what is still on its way to a connection may go out. */
+    void ready(boolean now) {
+        ready = now;
+    }
+
+    /** Whether anything new may be written to it; from any thread. */
+    boolean ready() {
+        return ready;
+    }
+
     /** From the module's thread, which never waits here: false when the mailbox is full. */
     boolean handOff(Item.HandOff ho) {
         return mailbox.offer(() -> send(ho));
@@ -86,6 +98,7 @@
 
     /** From the module's thread: it has gone from the list; what is out may still end. */
     void leave() {
+        ready = false;
         mailbox.offer(() -> {
             leaving = true;
             resting.forEach(Link::kill);
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -89,13 +89,16 @@
     static final class HandOff {
         final Item wi;
         final int number;
+        /** By the module's clock: its last byte may be written until then. */
+        final long sendBy;
         private final ModuleActor module;
         private Link link;
         private boolean settled;
 
-        HandOff(Item wi, int number, ModuleActor module) {
+        HandOff(Item wi, int number, long sendBy, ModuleActor module) {
             this.wi = wi;
             this.number = number;
+            this.sendBy = sendBy;
             this.module = module;
         }
 
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -2,7 +2,9 @@
 
 import cottonlock.admin.Figures;
 import cottonlock.decision.Outcome;
+import java.io.FilterOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 
@@ -157,18 +159,40 @@
             return Outcome.NOT_SENT;
         }
         try {
+            if (!backend.ready()) {
+                // It waited in a mailbox or for a connection: meanwhile a drain may have been told.
+                return Outcome.NOT_SENT;
+            }
             long wait = Math.max(1, (ho.wi.expiry - clock.now()) / 10);
             String host = address.getHostString() + ":" + address.getPort();
-            watchdog.write(socket, out -> writer.request(out, ho.wi, host, wait));
+            watchdog.write(socket, out -> writer.request(new Until(out, ho.sendBy), ho.wi, host, wait));
             figures.handedOff();
             return null;
         } catch (IOException e) {
-            return Outcome.NO_CONNECTION;
+            return clock.now() >= ho.sendBy ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
         } finally {
             ho.wi.release();
         }
     }
 
+    /** Fails before it writes anything too late: short of its last byte, a request never runs. */
+    private final class Until extends FilterOutputStream {
+        private final long sendBy;
+
+        Until(OutputStream out, long sendBy) {
+            super(out);
+            this.sendBy = sendBy;
+        }
+
+        @Override
+        public void write(byte[] bytes, int from, int count) throws IOException {
+            if (clock.now() >= sendBy) {
+                throw new IOException("too late to be sent");
+            }
+            out.write(bytes, from, count);
+        }
+    }
+
     /** Reads one answer; false when the connection is to end. */
     private boolean exchange(HttpReader reader) throws IOException, BadMessage {
         Head head = reader.answer(0, GAP);
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -212,6 +212,7 @@
                 } else if (entry.dial() != null) {
                     actor.listensAt(entry.dial());
                 }
+                ready(m);
             }
             if (shadow != null) {
                 shadow.list(clock.now(), members, news.whole(), cached);
@@ -225,6 +226,14 @@
         });
     }
 
+    /** What is on its way to a connection must not go out after a drain or a ban was told. */
+    private void ready(Member m) {
+        BackendActor actor = backends.get(m.id());
+        if (actor != null) {
+            actor.ready(bans.told(m).state() == Member.State.READY);
+        }
+    }
+
     /** Where removal from the list binds nobody, the module may use one for some time after it. */
     private void retireUnlisted() {
         unlisted.removeIf(id -> {
@@ -274,6 +283,7 @@
             List<Member> members = new ArrayList<>();
             for (Member m : listed.values()) {
                 members.add(bans.told(m));
+                ready(m);
                 if (bans.out(m.id()) && backends.containsKey(m.id())) {
                     // It will be restarted: what rests there would break as soon as it is used again.
                     backends.get(m.id()).release();
@@ -319,9 +329,9 @@
     }
 
     @Override
-    public void handOff(long number, String backend, long timeOut) {
+    public void handOff(long number, String backend, long sendBy) {
         Item wi = items.get(number);
-        Item.HandOff ho = new Item.HandOff(wi, wi.handOffs.size(), this);
+        Item.HandOff ho = new Item.HandOff(wi, wi.handOffs.size(), sendBy, this);
         wi.handOffs.add(ho);
         wi.out++;
         if (shadow != null) {
--- a/src/main/java/cottonlock/net/Shadow.java
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -142,7 +142,7 @@
     }
 
     @Override
-    public void handOff(long number, String backend, long timeOut) {
+    public void handOff(long number, String backend, long sendBy) {
         Deed deed = deeds.get(number);
         if (deed != null) {
             deed.first = deed.first == null ? backend : deed.first;
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -212,8 +212,9 @@
     }
 
     @Override
-    public void handOff(long wi, String backend, long timeOut) {
+    public void handOff(long wi, String backend, long sendBy) {
         Item item = open(wi, "hand-off");
+        assertTrue(now < sendBy && sendBy <= item.expiry, "may be written until " + sendBy + " at " + now);
         Member to = listed.get(backend);
         assertNotNull(to, "hand-off to a backend that no list has named");
         assertEquals(Member.State.READY, to.state(), "hand-off to a backend that leaves");
@@ -222,7 +223,7 @@
         item.sent.stream().filter(s -> s.mayHaveRun).findFirst().ifPresent(ran -> {
             assertTrue(item.category.repeat() != Repeat.EXCLUSIVE, "an exclusive work item sent twice");
             if (item.category.repeat() == Repeat.TICKETED) {
-                assertTrue(now - ran.at < item.category.repeatWindow(), "a ticket too old to be known");
+                assertTrue(sendBy < ran.at + item.category.repeatWindow(), "a ticket too old to be known");
                 assertTrue(switch (item.category.scope()) {
                     case ALL -> true;
                     case ZONE -> to.zone() == ran.to.zone();
@@ -271,7 +272,9 @@
         Item item = open(wi, "deferral");
         boolean harmless = item.sent.stream().noneMatch(s -> s.mayHaveRun)
             || item.category.repeat() == Repeat.RERUNNABLE
-            || item.category.repeat() == Repeat.TICKETED && item.category.scope() == Scope.ALL;
+            || item.category.repeat() == Repeat.TICKETED && item.category.scope() == Scope.ALL
+                && item.sent.stream().allMatch(s -> !s.mayHaveRun
+                    || now + comeBack < s.at + item.category.repeatWindow());
         assertTrue(harmless, "deferral of what may have run");
         item.answered = true;
         item.deferred = true;
