A moved watch asks for the whole list, a silent one is found after 4 s

Need: what a silent watch misses counts as told 6 s after it fell silent; lists may come indented. Cause, by reading and then forced: ListWatch.run set the version to 0 only where it saw the new address right after a watch; moved during the pause, the new place was asked for changes after the old one's version. Silence was looked for 5 s after the last line, and with a pause of up to 1 s, a dial and the answer came past 6 s; a head that trickled at over 16 bytes a second held the watch for good (HttpReader.answer renews its limit by bytes). A list over several lines ended the watch at its first.

--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -137,14 +137,15 @@
         return head;
     }
 
-    /** The head of the final answer: milliseconds until one begins, and from then on for any pause. */
-    Head answer(long begun, long gap) throws IOException, BadMessage {
+    /** The head of the final answer: milliseconds for any pause once one has begun; 0: the limit that is set. */
+    Head answer(long gap) throws IOException, BadMessage {
         while (true) {
-            within(begun);
             if (!await()) {
                 throw new IOException("the answer ends early");
             }
-            paced(gap, ANY_RATE);
+            if (gap > 0) {
+                paced(gap, ANY_RATE);
+            }
             Head head = head();
             String[] s = head.start;
             boolean version = s[0].equals("HTTP/1.1") || s[0].equals("HTTP/1.0");
@@ -156,10 +157,13 @@
             if (none) {
                 bodyOver = true;
             }
-            // Interim ones are passed over; the final one may take as long as the work does.
             if (!s[1].startsWith("1")) {
                 return head;
             }
+            // Interim ones are passed over; the final one may take as long as the work does.
+            if (gap > 0) {
+                within(0);
+            }
         }
     }
 
--- a/src/main/java/cottonlock/net/Json.java
+++ b/src/main/java/cottonlock/net/Json.java
@@ -27,6 +27,30 @@
         return value;
     }
 
+    /** Tells, of a text that comes in lines, whether an object or array goes on behind what has come. */
+    static final class Nesting {
+        private int depth;
+        private boolean quoted;
+
+        void add(CharSequence line) {
+            for (int i = 0; i < line.length(); i++) {
+                char c = line.charAt(i);
+                if (quoted) {
+                    // What stands behind a backslash ends no string.
+                    i += c == '\\' ? 1 : 0;
+                    quoted = c != '"';
+                } else {
+                    quoted = c == '"';
+                    depth += c == '{' || c == '[' ? 1 : c == '}' || c == ']' ? -1 : 0;
+                }
+            }
+        }
+
+        boolean goesOn() {
+            return depth > 0 || quoted;
+        }
+    }
+
     private IllegalArgumentException bad(String fault) {
         return new IllegalArgumentException(fault + " at character " + at);
     }
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -195,7 +195,8 @@
 
     /** Reads one answer; false when the connection is to end. */
     private boolean exchange(HttpReader reader) throws IOException, BadMessage {
-        Head head = reader.answer(0, GAP);
+        reader.within(0);
+        Head head = reader.answer(GAP);
         Body body = reader.first(buffers);
         try {
             Item.HandOff ho;
--- a/src/main/java/cottonlock/net/ListWatch.java
+++ b/src/main/java/cottonlock/net/ListWatch.java
@@ -12,31 +12,38 @@
 final class ListWatch implements Runnable {
     /** Milliseconds: discovery answers from within the network or not at all. */
     private static final int CONNECT = 1_000;
-    /** Milliseconds without a byte: two and a half of the empty lines that come every two seconds. */
-    private static final long SILENCE = 5_000;
+    /** Milliseconds without a line: two of the empty ones that come every two seconds. What was missed has to be
+     * known six seconds after the last byte: two are left for the pause, a dial and the answer. */
+    static final long SILENCE = 4_000;
     /** Milliseconds at least between watches where nobody decides when to ask again. */
     private static final long AGAIN = 500;
-    /** A line with some thousand backends. */
+    /** Characters of a list of some thousand backends. */
     private static final int LONGEST_LINE = 1 << 20;
 
     /** Where discovery is: it moves with the configuration. */
     private volatile InetSocketAddress address;
     private final Directory directory;
     private final boolean onlyWhenAsked;
+    /** Milliseconds without a line after which a watch is broken. */
+    private final long silence;
     private final ModuleActor module;
     private final Buffers buffers;
     private final Log log;
     private final SplittableRandom random;
     private final Semaphore asks = new Semaphore(0);
+    /** What it holds was told by this place: another's versions mean nothing there. */
+    private InetSocketAddress toldBy;
     private long version;
     private volatile Socket socket;
 
     ListWatch(InetSocketAddress address, Directory directory, long version, boolean onlyWhenAsked,
-              ModuleActor module, Buffers buffers, Log log, SplittableRandom random) {
+              long silence, ModuleActor module, Buffers buffers, Log log, SplittableRandom random) {
         this.address = address;
         this.directory = directory;
         this.version = version;
+        this.toldBy = address;
         this.onlyWhenAsked = onlyWhenAsked;
+        this.silence = silence;
         this.module = module;
         this.buffers = buffers;
         this.log = log;
@@ -48,6 +55,11 @@
         asks.release();
     }
 
+    /** For tests alone: whether it waits to be asked. */
+    boolean waits() {
+        return asks.hasQueuedThreads();
+    }
+
     @Override
     public void run() {
         try {
@@ -67,8 +79,6 @@
                 asks.drainPermits();
                 if (at != address) {
                     // The old place is left on purpose: waiting as after a failure would only age the list.
-                    // Its versions need not be the new one's: with them, changes could be missed for good.
-                    version = 0;
                     asks.release();
                     continue;
                 }
@@ -92,22 +102,40 @@
                 return;
             }
             socket.connect(at, CONNECT);
+            // A move may also have come between two watches: with the old place's version, the new one would
+            // leave out what it takes for known, for good.
+            long known = at.equals(toldBy) ? version : 0;
             OutputStream out = socket.getOutputStream();
-            out.write(("GET /catalog/members?stream=1&index=" + version + " HTTP/1.1\r\nHost: "
+            out.write(("GET /catalog/members?stream=1&index=" + known + " HTTP/1.1\r\nHost: "
                 + at.getHostString() + ":" + at.getPort() + "\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
             HttpReader reader = new HttpReader(socket, buffer);
-            Head head = reader.answer(SILENCE, SILENCE);
+            // A head or a line that trickles renews nothing: only a whole one does.
+            reader.within(silence);
+            Head head = reader.answer(0);
             if (!head.start[1].equals("200")) {
                 throw new IOException("status " + head.start[1]);
             }
+            StringBuilder text = new StringBuilder();
+            Json.Nesting nesting = new Json.Nesting();
             for (String line = reader.line(LONGEST_LINE); line != null; line = reader.line(LONGEST_LINE)) {
+                text.append(line).append('\n');
+                nesting.add(line);
+                if (text.length() > LONGEST_LINE) {
+                    throw new IOException("a list is too long");
+                }
+                if (nesting.goesOn()) {
+                    // Some lists come indented, over many lines.
+                    continue;
+                }
                 if (!line.isBlank()) {
-                    Directory.News news = directory.read(Json.read(line));
+                    Directory.News news = directory.read(Json.read(text.toString()));
                     version = news.version();
+                    toldBy = at;
                     module.list(news, false);
                 }
-                reader.within(SILENCE);
+                text.setLength(0);
+                reader.within(silence);
             }
             throw new IOException("discovery ended it");
         } finally {
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -113,7 +113,7 @@
         Directory directory = new Directory(log, settings.words("Zones"), settings.words("Flavors"));
         Directory.News known = config.known(directory);
         watch = new ListWatch(config.address("discovery"), directory, known.version(),
-            assembly.mustAsk(), module, buffers, log, random.split());
+            assembly.mustAsk(), ListWatch.SILENCE, module, buffers, log, random.split());
         InetSocketAddress all = config.addressIfAny("peers_all");
         InetSocketAddress peerListen = config.addressIfAny("peer_listen");
         boolean talks = peerListen != null && all != null;
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -392,7 +392,8 @@
     /** Reads an answer, with a pause each so many bytes; the bytes of its body, or -1 if it broke off. */
     private static int readBulk(Socket socket, int pauseEach) throws Exception {
         HttpReader reader = new HttpReader(socket, new byte[Buffers.SIZE]);
-        Head head = reader.answer(0, 8_000);
+        reader.within(0);
+        Head head = reader.answer(8_000);
         assertEquals("200", head.start[1]);
         int[] read = {0};
         try {
