Shutdown serves all that was read, and a client that leaves is noticed

Need: the stricter acceptance: from SIGTERM to exit each request that was read has its answer, and a request whose client left while it waited is not sent on. Causes, each by reading and then forced by a lock that the test holds: - Client.awaitRequest dropped a request that had been read when close() came before its thread said so. - Proxy.drain left when nobody seemed busy; between the read and that word nobody does. - Listener.close reset what the kernel had queued, and take() added a client after all others had been told to end. - What was taken with six seconds left was out when the program is killed after 3.7 s: only new work was bounded. - Hook and handler came after the start: SIGHUP before it ended the process, SIGTERM what it had just taken. - Behind a second request nobody read on, so a client that left was not noticed until its answer. Change: what was read is served, unless an answer said that it was the last; the listener accepts until nothing is queued, connections at rest are ended again and again until none is left; the module is told by when all is over; Main.Signals; the client's thread reads on while an answer is owed, and drops a flood of up to 256 KiB.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -7,6 +7,8 @@
 import cottonlock.setup.Operator;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
 
 /** Starts cottonlock; see README.md. */
@@ -34,6 +36,46 @@
         }
     }
 
+    /**
+     * What signals lead to, from before the proxy serves: left to Java, SIGHUP would end the program and SIGTERM
+     * all that has just been taken. What comes before it serves is carried out as soon as it does.
+     */
+    private static final class Signals {
+        /** Seconds: whoever ends the program kills it after little more, and it has taken nothing yet. */
+        private static final long LONGEST_START = 3;
+
+        private final CountDownLatch started = new CountDownLatch(1);
+        private Proxy proxy;
+
+        Signals() {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                long toldAt = System.nanoTime();
+                with(p -> p.drain(toldAt));
+            }));
+            Signal.handle(new Signal("HUP"), signal -> with(Proxy::reload));
+        }
+
+        /** The proxy serves, or could not be started: null. */
+        void started(Proxy served) {
+            proxy = served;
+            started.countDown();
+        }
+
+        private void with(Act act) {
+            try {
+                if (started.await(LONGEST_START, TimeUnit.SECONDS) && proxy != null) {
+                    act.on(proxy);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private interface Act {
+        void on(Proxy proxy) throws InterruptedException;
+    }
+
     private static int serve(Operator operator) {
         try {
             String configuration = System.getenv("EDGE_CONFIG");
@@ -42,17 +84,14 @@
             }
             System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
             String folder = System.getenv("TMPDIR");
-            Proxy proxy = new Proxy(Path.of(configuration), operator, System.getenv("EDGE_MGMT"),
-                folder == null || folder.isEmpty() ? null : Path.of(folder));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    proxy.drain();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }));
-            // Left to Java, this signal would end the program.
-            Signal.handle(new Signal("HUP"), signal -> proxy.reload());
+            Signals signals = new Signals();
+            Proxy proxy = null;
+            try {
+                proxy = new Proxy(Path.of(configuration), operator, System.getenv("EDGE_MGMT"),
+                    folder == null || folder.isEmpty() ? null : Path.of(folder));
+            } finally {
+                signals.started(proxy);
+            }
             proxy.join();
             return 0;
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -97,6 +97,12 @@
         handOffs.left(now, id);
     }
 
+    /** The balancer leaves: what it holds now is over by then, with its final answer. */
+    public void endBy(long latest) {
+        line.waiting.forEach(wi -> wi.endBy(latest));
+        handOffs.open.values().forEach(wi -> wi.endBy(latest));
+    }
+
     /** News of the list of backends, whole or only what changed; cached: as this balancer last held it. */
     public void list(long now, List<Member> members, boolean whole, boolean cached) {
         fleet.list(now, members, whole, cached);
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -10,11 +10,11 @@
     final int tenant;
     final boolean repeated;
     final long arrived;
-    final long expiry;
+    long expiry;
     /** The work that it is thought to be, the same for each try of a client; 0 where that is not told. */
     final long hint;
     /** An answer after this earns the late credit at most. */
-    final long due;
+    long due;
     final List<HandOff> handOffs = new ArrayList<>(1);
     boolean overQuota;
     /** What it would end by if it ended now. */
@@ -42,6 +42,12 @@
         this.due = Math.min(expiry, arrived + category.dueTime());
     }
 
+    /** It has to be over by then. */
+    void endBy(long latest) {
+        expiry = Math.min(expiry, latest);
+        due = Math.min(due, latest);
+    }
+
     /** One hand-off of the work item. */
     static final class HandOff {
         final Backend backend;
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -11,7 +11,7 @@
 
     private final Clock clock;
     private volatile Rules rules;
-    /** By the module's clock: all must be answered by then, as the program leaves. */
+    /** By the module's clock: all work items are over by then, as the program leaves. */
     private volatile long leaving = Long.MAX_VALUE;
     private final Set<String> openIds = ConcurrentHashMap.newKeySet();
 
@@ -25,9 +25,11 @@
         rules = other;
     }
 
-    /** The proxy leaves in so many milliseconds: what comes from now on is answered before that. */
-    void endWithin(long millis) {
-        leaving = clock.now() + millis * 10;
+    /** The proxy leaves in so many milliseconds: what comes from now on is answered before that. Returns by
+     * when, by the module's clock. */
+    long endWithin(long millis) {
+        leaving = clock.now() + millis * 10 - RESERVE;
+        return leaving;
     }
 
     /** The longest that any work item is waited for, in milliseconds. */
@@ -88,7 +90,7 @@
     /** The work item, now that all of it has come: from here on its time counts. */
     Item item(Client client, Asked asked, Body body) throws BadMessage {
         // Taken but unanswered when the program is killed, it would be lost.
-        long expiry = Math.min(clock.now() + asked.patience, leaving - RESERVE);
+        long expiry = Math.min(clock.now() + asked.patience, leaving);
         Item item = new Item(client, asked, body, expiry, openIds);
         if (!openIds.add(asked.id)) {
             // Backends know a work item by its id: the other one would get this one's answer, or none.
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -22,9 +22,14 @@
     private static final long HALF = 250_000_000L;
     /** Milliseconds for what a refused client still sends, so that it sees the answer before the end. */
     private static final long LINGER = 300;
+    /** Nanoseconds after connecting within which the first request begins: a far network's round trip. */
+    private static final long NEW = 300_000_000L;
+    /** Milliseconds after which a request that came before the last answer is looked at again. */
+    private static final long LOOK = 20;
     /** Milliseconds that a backend may pause within a long answer: some take seconds to write on. */
     private static final long STALL = 5_000;
-    /** Bytes of it: what lies in the buffers of one connection; reading on through 60 MB costs the others. */
+    /** Bytes that are read and dropped at most: what lies in the buffers of one connection. Reading on through
+     * 60 MB costs the others. */
     private static final int DROP = 256 << 10;
 
     private final Socket socket;
@@ -42,10 +47,11 @@
     private boolean reading;
     private boolean closing;
     private boolean inputEnded;
-    private boolean asked;
+    private volatile boolean asked;
     private boolean worked;
-    /** Whether the connection ends after the next answer. */
+    /** Whether the connection ends after the next answer; whether an answer has said that it was the last. */
     private boolean last;
+    private boolean told;
     private long since = System.nanoTime();
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
@@ -106,36 +112,46 @@
 
     /** Waits for the next request to begin; false when the connection is to end. */
     private boolean awaitRequest(HttpReader reader) throws IOException {
-        while (true) {
+        for (boolean owed = owed(); owed || !reader.ahead(); owed = owed()) {
             try {
-                reader.within(asked ? REST : READ);
-                if (!reader.await()) {
+                // A request that comes before the last answer waits its turn. Its client may leave all the same:
+                // not read on, it was not noticed, and what it had asked for was sent on after it had gone.
+                reader.within(owed && reader.ahead() ? LOOK : asked ? REST : READ);
+                if (!reader.more()) {
                     return false;
                 }
-                break;
             } catch (SocketTimeoutException e) {
-                synchronized (this) {
-                    if (wi == null) {
-                        return false;
-                    }
+                if (!owed && !owed() && !reader.ahead()) {
+                    return false;
                 }
             }
+            if (reader.dropped() > 0) {
+                lastOne();
+            }
+            if (reader.dropped() > DROP) {
+                awaitAnswer();
+            }
         }
         synchronized (this) {
-            // A request that comes before the last answer waits its turn.
-            while (wi != null) {
-                try {
-                    wait();
-                } catch (InterruptedException e) {
-                    return false;
-                }
-            }
-            reading = !closing;
+            // What has been read is served, also where the connection was ended from here meanwhile: its client
+            // sends again only what was left unread. After an answer that said so nothing more is due.
+            reading = !told && reader.dropped() == 0;
             since = System.nanoTime();
             return reading;
         }
     }
 
+    /** Waits for the answer under way: whoever sends without end is read no further meanwhile. */
+    private synchronized void awaitAnswer() throws IOException {
+        while (wi != null) {
+            try {
+                wait();
+            } catch (InterruptedException e) {
+                throw new IOException("interrupted while an answer was waited for", e);
+            }
+        }
+    }
+
     /** Reads one request and brings it on its way; false when the connection is to end. */
     private boolean serve(HttpReader reader) throws IOException {
         Body body = null;
@@ -200,10 +216,6 @@
         log.warn("bad request", e.getMessage() + ", from " + socket.getInetAddress().getHostAddress());
         // What it says names the fault of this request alone, never what others have sent or may send.
         watchdog.write(socket, out -> writer.refusal(out, e.status, e.getMessage()));
-        synchronized (this) {
-            reading = false;
-            since = System.nanoTime();
-        }
         socket.shutdownOutput();
         // Closed with bytes unread, the connection would take the answer with it.
         reader.within(LINGER);
@@ -212,6 +224,9 @@
 
     private void answer(int status, String name, String value, Body body, boolean close)
         throws IOException {
+        synchronized (this) {
+            told |= close;
+        }
         watchdog.write(socket, out -> writer.answer(out, status, name, value, body, close));
         synchronized (this) {
             reading = false;
@@ -262,6 +277,7 @@
         boolean close;
         synchronized (this) {
             close = closing || last || length < 0 && !chunked;
+            told |= close;
         }
         boolean whole = false;
         try {
@@ -299,15 +315,16 @@
         last = true;
     }
 
-    private synchronized boolean last() {
+    synchronized boolean last() {
         return last;
     }
 
-    /** Ends the connection now if it rests, else after the answer that is under way. */
+    /** Ends the connection now if it rests, else after the answer that is under way or just about to be asked
+     * for: closed before its first request, a new one would find that nobody serves. */
     void close() {
         synchronized (this) {
             closing = true;
-            if (reading || wi != null) {
+            if (reading || wi != null || inputEnded || !asked && System.nanoTime() - since < NEW) {
                 return;
             }
         }
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -29,6 +29,7 @@
     /** What is left of the body, or of its present chunk. */
     private long left;
     private boolean bodyOver = true;
+    private long dropped;
 
     /** Reads through the given buffer, which stays the caller's. */
     HttpReader(Socket socket, byte[] buffer) throws IOException {
@@ -53,7 +54,32 @@
 
     /** Waits for the first byte of a message; false when the other side has ended its sending. */
     boolean await() throws IOException {
-        return at < filled || fill();
+        return ahead() || fill();
+    }
+
+    /** The same, but reads that one byte alone: what comes with it can still be seen in the socket. */
+    boolean awaitOne() throws IOException {
+        return ahead() || fill(1);
+    }
+
+    /** Whether bytes lie here that nobody has looked at yet. */
+    boolean ahead() {
+        return at < filled;
+    }
+
+    /** Reads on behind what lies here; false when the other side has ended its sending. What does not fit any
+     * more is dropped with what lies here, and counted. */
+    boolean more() throws IOException {
+        if (filled - at == buffer.length) {
+            dropped += buffer.length;
+            at = filled;
+        }
+        return fill();
+    }
+
+    /** How many bytes have been dropped; with any, where the next message begins is not known any more. */
+    long dropped() {
+        return dropped;
     }
 
     /** Whether the next message, as far as it has come, can't be one: the length of the last was wrong. */
@@ -72,6 +98,10 @@
     }
 
     private boolean fill() throws IOException {
+        return fill(buffer.length);
+    }
+
+    private boolean fill(int most) throws IOException {
         if (at == filled) {
             at = 0;
             filled = 0;
@@ -90,7 +120,7 @@
             wait = (int) Math.min(Integer.MAX_VALUE, ms);
         }
         socket.setSoTimeout(wait);
-        int n = in.read(buffer, filled, buffer.length - filled);
+        int n = in.read(buffer, filled, Math.min(most, buffer.length - filled));
         filled += Math.max(0, n);
         readAt = System.nanoTime();
         if (pause > 0 && n > 0) {
@@ -101,10 +131,10 @@
 
     /** Reads and drops what still comes, so many bytes at most, until the other side ends or time is up. */
     void drop(int most) throws IOException {
-        int dropped = filled - at;
+        int count = filled - at;
         at = filled;
-        while (dropped < most && fill()) {
-            dropped += filled - at;
+        while (count < most && fill()) {
+            count += filled - at;
             at = filled;
         }
     }
@@ -298,12 +328,12 @@
     private Body read(Body body, long most, boolean whole) throws IOException, BadMessage {
         boolean done = false;
         try {
-            while (length() <= most && more() && body.length() < most) {
+            while (length() <= most && goesOn() && body.length() < most) {
                 int n = (int) Math.min(Math.min(left, filled - at), most - body.length());
                 body.add(buffer, at, n);
                 took(n);
             }
-            if (whole && (length() > most || more())) {
+            if (whole && (length() > most || goesOn())) {
                 throw new BadMessage(413, "the body is too large");
             }
             done = true;
@@ -323,7 +353,7 @@
     /** Passes on what is left of the body, piece by piece as it comes. */
     void pass(Taker taker) throws IOException {
         try {
-            while (more()) {
+            while (goesOn()) {
                 int n = (int) Math.min(left, filled - at);
                 taker.piece(buffer, at, n);
                 took(n);
@@ -336,7 +366,7 @@
     /** The next line of a body of lines, without its end; null at the end of the body. */
     String line(int longest) throws IOException, BadMessage {
         StringBuilder line = new StringBuilder();
-        while (more()) {
+        while (goesOn()) {
             byte b = buffer[at];
             took(1);
             if (b == '\n') {
@@ -351,7 +381,7 @@
     }
 
     /** Whether the body goes on; there is a byte of it in the buffer then. */
-    private boolean more() throws IOException, BadMessage {
+    private boolean goesOn() throws IOException, BadMessage {
         if (!bodyOver && chunked && left == 0) {
             left = chunkSize();
             if (left == 0) {
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -24,8 +24,8 @@
     final boolean repeated;
     /** Whether its client reads chunked answers. */
     final boolean knowsChunks;
-    /** By the module's clock: its client waits no longer. */
-    final long expiry;
+    /** By the module's clock: its client waits no longer. Shorter where the proxy leaves before. */
+    volatile long expiry;
     /** The ids of all work items that wait for their answer, its own among them. */
     private final Set<String> openIds;
     private final AtomicBoolean claimed = new AtomicBoolean();
--- a/src/main/java/cottonlock/net/Listener.java
+++ b/src/main/java/cottonlock/net/Listener.java
@@ -25,7 +25,7 @@
     /** Milliseconds between looks for one that can be closed. */
     private static final long LOOK = 5;
 
-    /** Milliseconds between looks at whether another takes over; and at a queue that may be empty. */
+    /** Milliseconds between looks at whether to leave; and at a queue that may be empty. */
     private static final int TURN = 100;
     private static final int EMPTY = 1;
 
@@ -47,8 +47,8 @@
         server.setReuseAddress(true);
         if (shares) {
             server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
-            server.setSoTimeout(TURN);
         }
+        server.setSoTimeout(TURN);
         try {
             server.bind(address, BACKLOG);
         } catch (IOException e) {
@@ -135,21 +135,26 @@
         places.release();
     }
 
-    /** Leaves what comes to another process, and each connection after the next answer on it. */
-    void handOver() {
+    /** Takes in what has been queued and nothing more, and leaves each connection after the next answer. */
+    void leave() {
         leaving = true;
         List.copyOf(clients).forEach(Client::lastOne);
     }
 
-    /** Whether no connection is left. */
+    /** Ends each connection that rests; again and again while it leaves, as some have just been taken in. */
+    void endResting() {
+        clients.forEach(Client::close);
+    }
+
+    /** Whether no connection is left, and none can come. */
     boolean empty() {
         return server.isClosed() && clients.isEmpty();
     }
 
-    /** Takes in no more, and ends each connection after the answer that it waits for. */
+    /** Takes in no more, at once, and ends each connection after the answer that it waits for. */
     void close() {
         Sockets.close(server);
-        List.copyOf(clients).forEach(Client::close);
+        endResting();
     }
 
     /** Ends all connections at once. */
@@ -157,9 +162,9 @@
         List.copyOf(clients).forEach(Client::abort);
     }
 
-    /** Whether any request is being read or any work item is under way. */
-    boolean busy() {
-        return clients.stream().anyMatch(Client::busy);
+    /** For tests alone: who is connected now. */
+    Set<Client> clients() {
+        return clients;
     }
 
     int port() {
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -57,6 +57,8 @@
     /** When its thread last came round, for whoever watches over it. */
     private volatile long progressAt;
     private long lastNumber;
+    /** By when all is over, once the proxy leaves. */
+    private long latestEnd = Long.MAX_VALUE;
     private long wakeAt;
 
     ModuleActor(Clock clock, Function<Directory.Entry, BackendActor> actorOf, Figures figures, Log log) {
@@ -135,10 +137,24 @@
         }
     }
 
+    /** The proxy leaves: all that it holds is answered by then, before it is killed. */
+    void endBy(long latest) {
+        mailbox.put(() -> {
+            latestEnd = latest;
+            balancer.endBy(latest);
+            List<Item> held = new ArrayList<>(expiries);
+            expiries.clear();
+            held.forEach(wi -> wi.expiry = Math.min(wi.expiry, latest));
+            expiries.addAll(held);
+        });
+    }
+
     /** A client's request has been read whole. */
     void arrive(Item wi) {
         mailbox.put(() -> {
             wi.number = ++lastNumber;
+            // It may have been admitted just before the end was told, and come here just behind it.
+            wi.expiry = Math.min(wi.expiry, latestEnd);
             items.put(wi.number, wi);
             expiries.add(wi);
             long now = clock.now();
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -59,7 +59,6 @@
     private final ListWatch watch;
     private final Workers workers = new Workers();
     private final Buffers buffers;
-    private final long longestExpiry;
     /** The module that is only watched, or null. */
     private Shadow shadow;
 
@@ -136,7 +135,6 @@
         InetSocketAddress listen = config.address("listen");
         listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from,
             module, admission, buffers, spools, writer, watchdog, figures, log), workers, log);
-        longestExpiry = admission.longest();
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
         threads.add(Sockets.start("list", watch));
@@ -236,34 +234,35 @@
      * all is answered. Clients whose front has nobody else for them would find nobody until the restart.
      */
     public void drain() throws InterruptedException {
-        long left = Math.min(WAITED_FOR, longestExpiry) + MORE - MARGIN;
+        drain(System.nanoTime());
+    }
+
+    /** The same, for a proxy that was told to at that moment, by the monotonic clock: before it served. */
+    public void drain(long toldAt) throws InterruptedException {
+        long left = Math.min(WAITED_FOR, admission.longest()) + MORE - MARGIN;
+        left -= (System.nanoTime() - toldAt) / 1_000_000;
+        long end = System.nanoTime() + left * 1_000_000;
+        // Taken before, some work items might wait for longer than the program is let live.
+        module.endBy(admission.endWithin(left));
         if (succession.replaced()) {
-            handOver(left);
-            return;
-        }
-        long taking = Math.max(left / 2, left - LAST);
-        admission.endWithin(left);
-        Thread.sleep(taking);
-        if (members != null) {
-            members.actor().leave();
-        }
-        listener.close();
-        long until = System.nanoTime() + longestExpiry * 1_000_000;
-        while (listener.busy() && System.nanoTime() < until) {
-            Thread.sleep(LOOK);
+            // Another process takes what comes from now on: this one answers what it has, and one more each.
+            listener.leave();
+            emptied(end, () -> { });
+        } else {
+            Thread.sleep(Math.max(0, Math.max(left / 2, left - LAST)));
+            if (members != null) {
+                members.actor().leave();
+            }
+            listener.leave();
         }
+        // A look at who is busy would not do: a request may have been read and not yet be known to be.
+        emptied(end + MARGIN / 2 * 1_000_000, listener::endResting);
     }
 
-    /** Another process takes what comes from now on: this one answers what it has, and one more each. */
-    private void handOver(long left) throws InterruptedException {
-        admission.endWithin(left);
-        listener.handOver();
-        long until = System.nanoTime() + left * 1_000_000;
+    /** Waits until no connection is left, or the time has come. */
+    private void emptied(long until, Runnable each) throws InterruptedException {
         while (!listener.empty() && System.nanoTime() < until) {
-            Thread.sleep(LOOK);
-        }
-        listener.close();
-        while (listener.busy() && System.nanoTime() < until + MARGIN * 1_000_000) {
+            each.run();
             Thread.sleep(LOOK);
         }
     }
@@ -300,6 +299,11 @@
         return shadow == null ? null : shadow.counts();
     }
 
+    /** For tests alone. */
+    Listener listener() {
+        return listener;
+    }
+
     /** How many buffers of the pool are free. */
     int freeBuffers() {
         return buffers.left();
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -132,6 +132,32 @@
         }
     }
 
+    /** A client that comes back after its backends have forgotten it would have its effect twice. */
+    @Example
+    void whatMayHaveRunIsDeferredOnlyWhileItIsStillKnownWhenItsClientComesBack() {
+        for (long window : new long[] {2_000, 100_000}) {
+            Category ticketed = new Category(0, 10_000, 1, 0, Repeat.TICKETED, Scope.ALL, window);
+            Ledger ledger = new Ledger(List.of(ticketed), TWO, 7, true, false);
+            ledger.list(Ledger.ready(0, 1), true, true);
+            long id = ledger.arrive(0, 0, 20_000);
+            ledger.pass(100);
+            ledger.settle(id, 0, Outcome.BROKEN_OFF);
+            assertEquals(window > 10_000 ? 1 : 0, ledger.ends.values().stream().mapToInt(n -> n).sum());
+        }
+    }
+
+    @Example
+    void whenItLeavesAllIsOverByThen() {
+        Ledger ledger = ledger(true, TWO, 1);
+        long id = ledger.arrive(0, 0, 100_000);
+        assertEquals(1, ledger.items.get(id).sent.size());
+        ledger.balancer.endBy(ledger.now + 500);
+        ledger.pass(500);
+        // Rerunnable, well before its due time, but there is no time left for another try.
+        ledger.settle(id, 0, Outcome.TIMED_OUT);
+        assertTrue(!ledger.items.containsKey(id) || ledger.items.get(id).answered);
+    }
+
     /** Where each client has a balancer of its own, and where keeping connections costs something. */
     private static Ledger apart(int me, double rest, int backends) {
         Ledger ledger = new Ledger(PLAIN, List.of(new Tenant(1, 100)), 7 + me, true, true,
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -1,13 +1,19 @@
 package cottonlock.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cottonlock.admin.Figures;
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -36,6 +42,193 @@
         return new InetSocketAddress("127.0.0.1", at.server.getLocalPort());
     }
 
+    private static boolean anyBlocked() {
+        return Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().equals("connection")
+            && t.getState() == Thread.State.BLOCKED);
+    }
+
+    private static boolean blocked(Thread thread) {
+        return thread.getState() == Thread.State.BLOCKED;
+    }
+
+    private Thread drain(long toldAt) {
+        return Sockets.start("drain", () -> {
+            try {
+                proxy.drain(toldAt);
+            } catch (InterruptedException e) {
+                // The test fails by what has not happened.
+            }
+        });
+    }
+
+    /** A long wait without a second answer, and nothing left in the way of a longer one. */
+    private void startPatient(StandIn... backends) throws IOException {
+        String[] hosts = new String[backends.length];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = backends[i].host("b" + i);
+        }
+        proxy = new Proxy(config(settings(256, 1, "", hosts).replace("1500000", "20000000")));
+        buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
+    }
+
+    private Client onlyClient() throws Exception {
+        eventually(() -> proxy.listener().clients().size() == 1, "the client is taken in");
+        return proxy.listener().clients().iterator().next();
+    }
+
+    /** Its last answer is done with, and its thread waits for the next byte. */
+    private static Client resting(Client client) throws Exception {
+        eventually(() -> !client.owed() && Thread.getAllStackTraces().values().stream().anyMatch(trace ->
+            List.of(trace).toString().matches("(?s).*NioSocketImpl.*Client.awaitRequest.*")), "it rests");
+        return client;
+    }
+
+    // Shutdown
+
+    @Example
+    void aRequestReadJustBeforeItsConnectionIsEndedIsServed() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(backend);
+        Socket socket = connect();
+        send(socket, request("once", "first", "", "body"));
+        assertEquals(200, status(receive(socket)));
+        Client client = resting(onlyClient());
+        synchronized (client) {
+            send(socket, request("once", "read", "", "body"));
+            eventually(RacesTest::anyBlocked, "read, and not yet told of");
+            client.close();
+        }
+        String answer = receive(socket);
+        assertEquals(200, status(answer));
+        assertTrue(answer.contains("Connection: close"), answer);
+        assertEquals("", receive(socket));
+        assertEquals(2, backend.requests.size());
+    }
+
+    @Example
+    void theProgramDoesNotLeaveWhileARequestHasBeenReadAndNobodyKnows() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(backend);
+        Socket socket = connect();
+        send(socket, request("once", "first", "", "body"));
+        assertEquals(200, status(receive(socket)));
+        Client client = resting(onlyClient());
+        Thread draining;
+        synchronized (client) {
+            send(socket, request("once", "read", "", "body"));
+            eventually(RacesTest::anyBlocked, "read, and not yet told of");
+            // Told a second ago: what it still takes, it has taken by now.
+            draining = drain(System.nanoTime() - 1_000_000_000L);
+            eventually(() -> blocked(draining) || !draining.isAlive(), "it goes through its clients");
+            assertTrue(draining.isAlive());
+        }
+        assertEquals(200, status(receive(socket)));
+        draining.join(4_000);
+        assertFalse(draining.isAlive(), "it leaves once all is answered");
+        assertTrue(proxy.listener().clients().isEmpty(), "and no sooner");
+    }
+
+    @Example
+    void whatTheKernelHasQueuedAsTheListenerLeavesIsServed() throws Exception {
+        CountDownLatch accepted = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        Listener listener = new Listener(new InetSocketAddress("127.0.0.1", 0), false, 50, (socket, from) -> {
+            accepted.countDown();
+            try {
+                goOn.await(8, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return new Client(socket, from, module, null, buffers, null, new HttpWriter(buffers), watchdog,
+                figures, log);
+        }, workers, log);
+        Thread thread = Sockets.start("listener", listener);
+        Socket[] sockets = new Socket[6];
+        for (int i = 0; i < sockets.length; i++) {
+            sockets[i] = new Socket("127.0.0.1", listener.port());
+            sockets[i].setSoTimeout(8_000);
+            open.add(sockets[i]);
+            send(sockets[i], "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        // One is held between accept and the set of clients, five rest in the kernel's queue.
+        assertTrue(accepted.await(8, TimeUnit.SECONDS));
+        listener.leave();
+        listener.endResting();
+        assertFalse(listener.empty());
+        goOn.countDown();
+        for (Socket socket : sockets) {
+            String answer = receive(socket);
+            assertEquals(200, status(answer));
+            assertTrue(answer.contains("Connection: close"), answer);
+        }
+        eventually(() -> {
+            listener.endResting();
+            return listener.empty();
+        }, "nobody is left");
+        thread.join(4_000);
+        assertFalse(thread.isAlive());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
+    @Example
+    void whatWasTakenBeforeTheEndIsAnsweredBeforeTheProgramIsKilled() throws Exception {
+        StandIn backend = new StandIn(request -> SILENT);
+        startPatient(backend);
+        Socket socket = connect();
+        send(socket, request("once", "stuck", "X-Timeout-Ms: 20000\r\n", "body"));
+        eventually(() -> backend.requests.size() == 1, "handed off");
+        // Told 2.4 s ago, it has one second more, and the request has eighteen.
+        Thread draining = drain(System.nanoTime() - 2_400_000_000L);
+        assertEquals(502, status(receive(socket)));
+        draining.join(4_000);
+        assertFalse(draining.isAlive());
+    }
+
+    @Example
+    void signalsBeforeItServesAreCarriedOutOnceItDoes() throws Exception {
+        StandIn discovery = new StandIn(request -> SILENT);
+        StandIn backend = new StandIn(request -> OK);
+        Path fifo = Files.createTempDirectory("races").resolve("config");
+        assertEquals(0, new ProcessBuilder("mkfifo", fifo.toString()).start().waitFor());
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+            .toString(), "-cp", "target/classes", "cottonlock.Main", "serve");
+        builder.environment().put("EDGE_CONFIG", fifo.toString());
+        builder.environment().remove("COTTONLOCK_OPERATOR");
+        Process process = builder.redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        open.add(process::destroyForcibly);
+        String text = settings(256, discovery.server.getLocalPort(), "", backend.host("b0"));
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        text = text.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"");
+        // Opened for writing once the program reads it: it is in the middle of its start.
+        try (var out = Files.newOutputStream(fifo)) {
+            assertEquals(0, signal("HUP", process));
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+        eventually(() -> discovery.requests.size() > 0, "it serves");
+        // Carried out only now: it reads its configuration again, or nobody would open this other end.
+        Files.writeString(fifo, text);
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(8_000);
+            send(socket, request("once", "served", "", "body"));
+            assertEquals(200, status(receive(socket)));
+            assertEquals(0, signal("TERM", process));
+            assertEquals(0, signal("TERM", process));
+            assertEquals(0, signal("HUP", process));
+            send(socket, request("once", "late", "", "body"));
+            assertEquals(200, status(receive(socket)));
+        }
+        assertTrue(process.waitFor(8, TimeUnit.SECONDS));
+        assertEquals(143, process.exitValue());
+    }
+
+    private static int signal(String name, Process process) throws Exception {
+        return new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    }
+
     // Lists
 
     private ListWatch watch(StandIn at, long silence) throws IOException {
@@ -147,4 +340,75 @@
         }
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
+
+    // Clients that leave
+
+    @Example
+    void aClientThatLeavesIsNoticedAlsoBehindMoreThanItsRequest() throws Exception {
+        StandIn backend = new StandIn(request -> SILENT);
+        startPatient(backend);
+        String more = request("once", "second", "", "body");
+        for (String behind : List.of("", more, more.repeat(100), "x")) {
+            for (boolean reset : new boolean[] {false, true}) {
+                int before = backend.requests.size();
+                Socket socket = connect();
+                send(socket, request("once", "first" + before, "X-Timeout-Ms: 20000\r\n", "body"));
+                eventually(() -> backend.requests.size() == before + 1, "out at a backend that never answers");
+                send(socket, behind);
+                socket.setSoLinger(reset, 0);
+                socket.close();
+                eventually(() -> proxy.listener().clients().isEmpty(), "noticed behind " + behind.length());
+            }
+        }
+        assertEquals(8, backend.requests.size());
+    }
+
+    @Example
+    void aRequestBehindTheFirstWaitsForItsAnswer() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> {
+            goOn.await(8, TimeUnit.SECONDS);
+            return OK;
+        });
+        start(backend);
+        Socket socket = connect();
+        send(socket, request("once", "first", "", "body") + request("once", "second", "", "body"));
+        eventually(() -> backend.requests.size() == 1, "the first is out");
+        goOn.countDown();
+        assertEquals(200, status(receive(socket)));
+        assertEquals(200, status(receive(socket)));
+        assertEquals(2, backend.requests.size());
+    }
+
+    @Example
+    void whatAFloodDroppedIsTakenForNoRequest() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> {
+            goOn.await(8, TimeUnit.SECONDS);
+            return OK;
+        });
+        start(backend);
+        Socket socket = connect();
+        send(socket, request("once", "first", "", "body"));
+        eventually(() -> backend.requests.size() == 1, "the first is out");
+        send(socket, request("once", "flood", "", "body").repeat(200));
+        Client client = onlyClient();
+        eventually(client::last, "more has come than is kept");
+        goOn.countDown();
+        String answer = receive(socket);
+        assertEquals(200, status(answer));
+        assertTrue(answer.contains("Connection: close"), answer);
+        assertEquals(-1, afterwards(socket));
+        assertEquals(1, backend.requests.size());
+    }
+
+    /** What comes next; -1 also for a reset, which bytes left unread lead to. */
+    private static int afterwards(Socket socket) {
+        try {
+            InputStream in = socket.getInputStream();
+            return in.read();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
 }
