Tests of races are forced by seams; the listener stays for 0.45 s at any deadline

Seen: theProgramDoesNotLeaveWhileARequestHasBeenReadAndNobodyKnows passed with its defence off, as the look at who is busy took the lock that the test held; aSecondAnswerThatComesLateIsNotTheNextOnes failed once of five runs on a busy machine, as its stand-in was later than 5 ms. Each was a fault of the test. Change: Client.afterRead, null in service, holds the thread between its two lines; how long a connection settles is an argument, eight seconds in the test. The signal test hung with the handler off; it fails now.

--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -17,7 +17,7 @@
     private static final double RETIRE = 0.8;
     /** Nanoseconds after an answer within which a second one may come, some milliseconds late: used again at
      * once, the connection would give it to the next hand-off. Seen: 0.1 to 4 ms. */
-    private static final long SETTLE = 5_000_000;
+    static final long SETTLE = 5_000_000;
     /** How often the resting connections are looked through at least, in microseconds. */
     private static final long LOOK = 500_000;
 
@@ -27,6 +27,7 @@
     private final Workers workers;
     private final int connectLimit;
     private final long retireAfter;
+    private final long settle;
     private final Buffers buffers;
     private final HttpWriter writer;
     private final Watchdog watchdog;
@@ -42,9 +43,9 @@
     /** What the list and the operators said last; told by the module's thread, looked at where bytes go out. */
     private volatile boolean ready = true;
 
-    /** Times in milliseconds. */
+    /** Times in milliseconds; how long a connection settles, in nanoseconds. */
     BackendActor(InetSocketAddress address, Places places, Keeping keeping, Workers workers,
-                 long connectLimit, long idle, Buffers buffers, HttpWriter writer, Watchdog watchdog,
+                 long connectLimit, long idle, long settle, Buffers buffers, HttpWriter writer, Watchdog watchdog,
                  Clock clock, Figures figures, Log log) {
         this.address = address;
         this.places = places;
@@ -52,6 +53,7 @@
         this.workers = workers;
         this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
         this.retireAfter = (long) (idle * RETIRE * 1_000_000);
+        this.settle = settle;
         this.buffers = buffers;
         this.writer = writer;
         this.watchdog = watchdog;
@@ -169,7 +171,7 @@
 
     /** Nanoseconds until the connection that has rested longest has settled; 0 where none rests. */
     private long unsettled() {
-        return resting.isEmpty() ? 0 : SETTLE - (System.nanoTime() - resting.peekFirst().restingSince);
+        return resting.isEmpty() ? 0 : settle - (System.nanoTime() - resting.peekFirst().restingSince);
     }
 
     /** Takes the connection that was used last, of those that have settled; null if none has. */
@@ -177,7 +179,7 @@
         long now = System.nanoTime();
         for (Iterator<Link> links = resting.descendingIterator(); links.hasNext();) {
             Link link = links.next();
-            if (now - link.restingSince >= SETTLE) {
+            if (now - link.restingSince >= settle) {
                 links.remove();
                 return link;
             }
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -53,6 +53,8 @@
     private boolean last;
     private boolean told;
     private long since = System.nanoTime();
+    /** For tests alone: what its thread does when it has read, and before it says so. Null in service. */
+    volatile Runnable afterRead;
 
     Client(Socket socket, Listener listener, ModuleActor module, Admission admission, Buffers buffers,
            Spools spools, HttpWriter writer, Watchdog watchdog, Figures figures, Log log) {
@@ -132,6 +134,10 @@
                 awaitAnswer();
             }
         }
+        Runnable held = afterRead;
+        if (held != null) {
+            held.run();
+        }
         synchronized (this) {
             // What has been read is served, also where the connection was ended from here meanwhile: its client
             // sends again only what was left unread. After an answer that said so nothing more is due.
@@ -358,6 +364,11 @@
         return worked;
     }
 
+    /** Whether it has been told to end while it rested. */
+    synchronized boolean ends() {
+        return inputEnded;
+    }
+
     /** Whether a work item of its is under way. */
     synchronized boolean owed() {
         return wi != null;
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -28,6 +28,8 @@
     private static final long MORE = 700;
     /** Milliseconds before that by which all is answered: time to leave in, also with little of a core. */
     private static final long MARGIN = 300;
+    /** Milliseconds for which new connections go on coming after the program was told to stop: 0.4 s at most. */
+    private static final long COME = 450;
     /** Milliseconds that the last work items taken have at least: twice what most of them need. */
     private static final long LAST = 900;
     /** Where the settings give none, in their microseconds: a far network's connect, a common idle time. */
@@ -104,7 +106,7 @@
         succession = new Succession(new Shared(kept, name, "serving", log));
         module = new ModuleActor(clock, entry -> {
             BackendActor actor = new BackendActor(entry.dial(), places, keeping, workers, connect, idle,
-                buffers, writer, watchdog, clock, figures, log);
+                BackendActor.SETTLE, buffers, writer, watchdog, clock, figures, log);
             Sockets.start("backend", actor);
             return actor;
         }, figures, log);
@@ -249,7 +251,7 @@
             listener.leave();
             emptied(end, () -> { });
         } else {
-            Thread.sleep(Math.max(0, Math.max(left / 2, left - LAST)));
+            Thread.sleep(Math.max(0, Math.min(left, Math.max(COME, Math.max(left / 2, left - LAST)))));
             if (members != null) {
                 members.actor().leave();
             }
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import net.jqwik.api.Example;
 
 /**
@@ -113,19 +114,40 @@
         send(socket, request("once", "first", "", "body"));
         assertEquals(200, status(receive(socket)));
         Client client = resting(onlyClient());
-        Thread draining;
-        synchronized (client) {
-            send(socket, request("once", "read", "", "body"));
-            eventually(RacesTest::anyBlocked, "read, and not yet told of");
-            // Told a second ago: what it still takes, it has taken by now.
-            draining = drain(System.nanoTime() - 1_000_000_000L);
-            eventually(() -> blocked(draining) || !draining.isAlive(), "it goes through its clients");
-            assertTrue(draining.isAlive());
-        }
+        CountDownLatch read = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        client.afterRead = () -> {
+            read.countDown();
+            awaits(goOn);
+        };
+        send(socket, request("once", "read", "", "body"));
+        assertTrue(awaits(read), "read, and not yet told of");
+        AtomicBoolean empty = new AtomicBoolean();
+        Thread draining = Sockets.start("drain", () -> {
+            try {
+                // Told a second ago: what it still takes, it has taken by now.
+                proxy.drain(System.nanoTime() - 1_000_000_000L);
+                empty.set(proxy.listener().clients().isEmpty());
+            } catch (InterruptedException e) {
+                // The test fails by what has not happened.
+            }
+        });
+        eventually(client::ends, "it is told to end");
+        // Time to leave too early, for one that does.
+        draining.join(200);
+        goOn.countDown();
         assertEquals(200, status(receive(socket)));
         draining.join(4_000);
         assertFalse(draining.isAlive(), "it leaves once all is answered");
-        assertTrue(proxy.listener().clients().isEmpty(), "and no sooner");
+        assertTrue(empty.get(), "and no sooner");
+    }
+
+    private static boolean awaits(CountDownLatch latch) {
+        try {
+            return latch.await(8, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            return false;
+        }
     }
 
     @Example
@@ -134,11 +156,7 @@
         CountDownLatch goOn = new CountDownLatch(1);
         Listener listener = new Listener(new InetSocketAddress("127.0.0.1", 0), false, 50, (socket, from) -> {
             accepted.countDown();
-            try {
-                goOn.await(8, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            awaits(goOn);
             return new Client(socket, from, module, null, buffers, null, new HttpWriter(buffers), watchdog,
                 figures, log);
         }, workers, log);
@@ -210,7 +228,17 @@
         }
         eventually(() -> discovery.requests.size() > 0, "it serves");
         // Carried out only now: it reads its configuration again, or nobody would open this other end.
-        Files.writeString(fifo, text);
+        String again = text;
+        CountDownLatch read = new CountDownLatch(1);
+        Sockets.start("configuration", () -> {
+            try {
+                Files.writeString(fifo, again);
+                read.countDown();
+            } catch (IOException e) {
+                // The test fails below.
+            }
+        });
+        assertTrue(read.await(8, TimeUnit.SECONDS), "SIGHUP is carried out");
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(8_000);
             send(socket, request("once", "served", "", "body"));
@@ -309,9 +337,9 @@
     private record Request(Item item, Item.HandOff attempt) {
     }
 
-    private BackendActor actor(StandIn backend) {
-        return new BackendActor(address(backend), new Places(4), new Keeping(), workers, 1_000, 60_000, buffers,
-            new HttpWriter(buffers), watchdog, clock, figures, log);
+    private BackendActor actor(StandIn backend, long settle) {
+        return new BackendActor(address(backend), new Places(4), new Keeping(), workers, 1_000, 60_000, settle,
+            buffers, new HttpWriter(buffers), watchdog, clock, figures, log);
     }
 
     /** Held in the mailbox, as long as the actor's thread has not been started. */
@@ -320,7 +348,7 @@
         StandIn backend = new StandIn(request -> FAILED);
         long later = clock.now() + 100_000;
         for (int kind = 0; kind < 4; kind++) {
-            BackendActor actor = actor(backend);
+            BackendActor actor = actor(backend, BackendActor.SETTLE);
             Request request = attempt(actor, kind == 1 ? clock.now() : later);
             if (kind == 2) {
                 actor.ready(false);
@@ -346,7 +374,7 @@
     @Example
     void aStrayAnswerReadJustBeforeTheNextAttemptIsNotItsAnswer() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend);
+        BackendActor actor = actor(backend, BackendActor.SETTLE);
         Request first = attempt(null, Long.MAX_VALUE);
         Link link = new Link(actor, address(backend), 1_000, buffers, new HttpWriter(buffers), watchdog, clock,
             figures, log, first.attempt);
@@ -368,25 +396,24 @@
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
+    /** It comes while the connection settles: for eight seconds here, that no machine is late. */
     @Example
     void aSecondAnswerThatComesLateIsNotTheNextOnes() throws Exception {
-        StandIn backend = new StandIn(request -> SILENT);
-        backend.play = request -> {
-            String id = field(request, "X-Request-ID", "");
-            Socket socket = backend.sockets.get(backend.sockets.size() - 1);
-            String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
-            send(socket, answer);
-            Thread.sleep(3);
-            return answer;
-        };
-        start(backend);
-        try (Socket socket = connect()) {
-            for (int i = 0; i < 40; i++) {
-                // The next follows at once: most would meet the second answer to the one before.
-                send(socket, request("read", "late" + i, "", ""));
-                assertTrue(receive(socket).endsWith("\r\n\r\nlate" + i));
-            }
-        }
+        StandIn backend = new StandIn(request -> FAILED);
+        BackendActor actor = actor(backend, 8_000_000_000L);
+        Thread thread = Sockets.start("backend", actor);
+        Request first = attempt(actor, Long.MAX_VALUE);
+        eventually(() -> first.attempt.settled() && Thread.getAllStackTraces().values().stream().anyMatch(trace ->
+            List.of(trace).toString().matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*")), "it rests");
+        Request next = attempt(actor, Long.MAX_VALUE);
+        send(backend.sockets.get(0), STRAY);
+        eventually(next.attempt::settled, "sent, as nothing settles any more");
+        assertEquals(2, backend.requests.size());
+        assertEquals(2, backend.sockets.size(), "each on a connection of its own");
+        actor.end();
+        thread.join(4_000);
+        assertTrue(first.item.claim() && next.item.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
     // Clients that leave
