--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -143,6 +143,11 @@
         });
     }
 
+    /** For tests alone: carried out on its thread, after all that it has been told. */
+    void then(Runnable next) {
+        mailbox.put(next);
+    }
+
     /** From a link: its hand-off is over and it may carry the next. */
     void rests(Link link) {
         mailbox.put(() -> {
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -188,6 +188,28 @@
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
+    @Example
+    void aConnectionThatIsJustUpHasTimeForItsFirstRequest() throws Exception {
+        start();
+        for (int tries = 0; tries < 20; tries++) {
+            long before = System.nanoTime();
+            Socket socket = connect();
+            Client client = onlyClient();
+            client.close();
+            boolean ends = client.ends();
+            if (System.nanoTime() - before < 250_000_000L) {
+                assertFalse(ends, "told to end before it could ask");
+                send(socket, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+                assertEquals(200, status(receive(socket)));
+                return;
+            }
+            // The machine was late: nothing is shown.
+            socket.close();
+            eventually(() -> proxy.listener().clients().isEmpty(), "gone");
+        }
+        throw new AssertionError("a machine so late shows nothing");
+    }
+
     @Example
     void whatWasTakenBeforeTheEndIsAnsweredBeforeTheProgramIsKilled() throws Exception {
         StandIn backend = new StandIn(request -> SILENT);
@@ -406,6 +428,9 @@
         eventually(() -> first.attempt.settled() && Thread.getAllStackTraces().values().stream().anyMatch(trace ->
             List.of(trace).toString().matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*")), "it rests");
         Request next = attempt(actor, Long.MAX_VALUE);
+        CountDownLatch looked = new CountDownLatch(1);
+        actor.then(looked::countDown);
+        assertTrue(awaits(looked), "the attempt has been looked at");
         send(backend.sockets.get(0), STRAY);
         eventually(next.attempt::settled, "sent, as nothing settles any more");
         assertEquals(2, backend.requests.size());
