--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -37,8 +37,8 @@
     }
 
     /**
-     * What signals lead to, from before the proxy serves: left to Java, SIGHUP would end the program and SIGTERM
-     * all that has just been taken. What comes before it serves is carried out as soon as it does.
+     * What signals lead to, from before the proxy serves: left to Java, SIGHUP would end the program and
+     * SIGTERM all that has just been taken. What comes before it serves is carried out as soon as it does.
      */
     private static final class Signals {
         /** Seconds: whoever ends the program kills it after little more, and it has taken nothing yet. */
--- a/src/main/java/cottonlock/decision/Outlet.java
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -4,8 +4,8 @@
 public interface Outlet {
 
     /**
-     * Hands a work item to a backend; it ends with the work item's expiry at the latest. Its last byte may only
-     * be written before {@code sendBy}: later, what may have run already would run again.
+     * Hands a work item to a backend; it ends with the work item's expiry at the latest. Its last byte may
+     * only be written before {@code sendBy}: later, what may have run already would run again.
      */
     void handOff(long wi, String backend, long sendBy);
 
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * By when its next hand-off must be written. A repeat of what may have run comes within the window in which
-     * backends know it, with a tenth of that left for its way: they count from when they got the first.
+     * By when its next hand-off must be written. A repeat of what may have run comes within the window in
+     * which backends know it, with a tenth of that left for its way: they count from when they got the first.
      */
     long sendBy() {
         HandOff ran = mayHaveRun();
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -40,13 +40,14 @@
     /** Hand-offs that wait for connections to settle: sooner than a new one is up, which also costs more. */
     private final Deque<Item.HandOff> held = new ArrayDeque<>();
     private boolean leaving;
-    /** What the list and the operators said last; told by the module's thread, looked at where bytes go out. */
+    /** What the list and the operators said last; told by the module's thread, looked at where bytes go
+     * out. */
     private volatile boolean ready = true;
 
     /** Times in milliseconds; how long a connection settles, in nanoseconds. */
     BackendActor(InetSocketAddress address, Places places, Keeping keeping, Workers workers,
-                 long connectLimit, long idle, long settle, Buffers buffers, HttpWriter writer, Watchdog watchdog,
-                 Clock clock, Figures figures, Log log) {
+                 long connectLimit, long idle, long settle, Buffers buffers, HttpWriter writer,
+                 Watchdog watchdog, Clock clock, Figures figures, Log log) {
         this.address = address;
         this.places = places;
         this.keeping = keeping;
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -28,8 +28,8 @@
     private static final long LOOK = 20;
     /** Milliseconds that a backend may pause within a long answer: some take seconds to write on. */
     private static final long STALL = 5_000;
-    /** Bytes that are read and dropped at most: what lies in the buffers of one connection. Reading on through
-     * 60 MB costs the others. */
+    /** Bytes that are read and dropped at most: what lies in the buffers of one connection. Reading on
+     * through 60 MB costs the others. */
     private static final int DROP = 256 << 10;
 
     private final Socket socket;
@@ -116,8 +116,9 @@
     private boolean awaitRequest(HttpReader reader) throws IOException {
         for (boolean owed = owed(); owed || !reader.ahead(); owed = owed()) {
             try {
-                // A request that comes before the last answer waits its turn. Its client may leave all the same:
-                // not read on, it was not noticed, and what it had asked for was sent on after it had gone.
+                // A request that comes before the last answer waits its turn. Its client may leave all the
+                // same: not read on, it was not noticed, and what it had asked for was sent on after it had
+                // gone.
                 reader.within(owed && reader.ahead() ? LOOK : asked ? REST : READ);
                 if (!reader.more()) {
                     return false;
@@ -139,8 +140,8 @@
             held.run();
         }
         synchronized (this) {
-            // What has been read is served, also where the connection was ended from here meanwhile: its client
-            // sends again only what was left unread. After an answer that said so nothing more is due.
+            // What has been read is served, also where the connection was ended from here meanwhile: its
+            // client sends again only what was left unread. After an answer that said so nothing more is due.
             reading = !told && reader.dropped() == 0;
             since = System.nanoTime();
             return reading;
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -167,7 +167,8 @@
         return head;
     }
 
-    /** The head of the final answer: milliseconds for any pause once one has begun; 0: the limit that is set. */
+    /** The head of the final answer: milliseconds for any pause once one has begun; 0: the limit that is
+     * set. */
     Head answer(long gap) throws IOException, BadMessage {
         while (true) {
             if (!await()) {
--- a/src/main/java/cottonlock/net/ListWatch.java
+++ b/src/main/java/cottonlock/net/ListWatch.java
@@ -12,8 +12,8 @@
 final class ListWatch implements Runnable {
     /** Milliseconds: discovery answers from within the network or not at all. */
     private static final int CONNECT = 1_000;
-    /** Milliseconds without a line: two of the empty ones that come every two seconds. What was missed has to be
-     * known six seconds after the last byte: two are left for the pause, a dial and the answer. */
+    /** Milliseconds without a line: two of the empty ones that come every two seconds. What was missed has to
+     * be known six seconds after the last byte: two are left for the pause, a dial and the answer. */
     static final long SILENCE = 4_000;
     /** Milliseconds at least between watches where nobody decides when to ask again. */
     private static final long AGAIN = 500;
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -28,7 +28,8 @@
     private static final long MORE = 700;
     /** Milliseconds before that by which all is answered: time to leave in, also with little of a core. */
     private static final long MARGIN = 300;
-    /** Milliseconds for which new connections go on coming after the program was told to stop: 0.4 s at most. */
+    /** Milliseconds for which new connections go on coming after the program was told to stop: 0.4 s at
+     * most. */
     private static final long COME = 450;
     /** Milliseconds that the last work items taken have at least: twice what most of them need. */
     private static final long LAST = 900;
