--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -427,7 +427,7 @@
         Thread thread = Sockets.start("backend", actor);
         Request first = attempt(actor, Long.MAX_VALUE);
         eventually(() -> first.attempt.settled() && Thread.getAllStackTraces().values().stream()
-            .anyMatch(trace -> List.of(trace).toString().matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*")),
+            .anyMatch(t -> List.of(t).toString().matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*")),
             "it rests");
         Request next = attempt(actor, Long.MAX_VALUE);
         CountDownLatch looked = new CountDownLatch(1);
