Safe, keyed and unsafe in place of rerunnable, ticketed and exclusive

Need: one vocabulary, the field's. The lab's scenarios are read with the old words too, with one warning that names the new one (ScenarioTest).

--- a/src/main/java/cottonlock/config/Fields.java
+++ b/src/main/java/cottonlock/config/Fields.java
@@ -144,6 +144,19 @@
         return otherwise == null ? words[0] : otherwise;
     }
 
+    /** The same, where words have been renamed: an old one is read as its new one, with one warning. */
+    public String word(String key, String otherwise, Map<String, String> renamed, String... words) {
+        Doc at = doc.map().get(key);
+        String now = at == null ? null : renamed.get(String.valueOf(at.plain()));
+        if (now == null) {
+            return word(key, otherwise, words);
+        }
+        asked.add(key);
+        System.getLogger("cottonlock").log(System.Logger.Level.WARNING, BadFile.line(at.file, at.line,
+            path + key, "\"" + at.plain() + "\" is called \"" + now + "\" now"));
+        return now;
+    }
+
     /** A text of the given form, which the words describe. */
     public String formed(String key, String otherwise, String form, String words) {
         String text = text(key, otherwise);
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -232,8 +232,8 @@
         /** A deferral says that trying again does no harm: of a work item that may have run, only if so, and
          * if backends still know it when its client comes back. */
         private static boolean mayDefer(WorkItem wi, long back) {
-            return wi.category.repeat() == Repeat.RERUNNABLE || wi.mayHaveRun() == null
-                || wi.category.repeat() == Repeat.TICKETED && wi.category.scope() == Category.Scope.ALL
+            return wi.category.repeat() == Repeat.SAFE || wi.mayHaveRun() == null
+                || wi.category.repeat() == Repeat.KEYED && wi.category.scope() == Category.Scope.ALL
                 && back < wi.mayHaveRun().sentAt + wi.category.repeatWindow();
         }
 
@@ -619,7 +619,7 @@
             if (!ran && !(last == Outcome.TURNED_AWAY && fleet.shape.balancers() > 2 * fleet.ready.size())) {
                 return true;
             }
-            boolean may = (!ran || wi.category.repeat() != Repeat.EXCLUSIVE) && repeats >= 1;
+            boolean may = (!ran || wi.category.repeat() != Repeat.UNSAFE) && repeats >= 1;
             repeats -= may ? 1 : 0;
             return may;
         }
@@ -655,7 +655,7 @@
                     if (isSilent && !ho.missed) {
                         fleet.missed(ho, now);
                         if (mayRecall && !wi.ended && !ho.recalled && now < wi.due && (few || repeats >= 1)
-                            && wi.category.repeat() == Repeat.RERUNNABLE && wi.handOffs.size() < most) {
+                            && wi.category.repeat() == Repeat.SAFE && wi.handOffs.size() < most) {
                             ho.recalled = true;
                             repeats += few ? 1 : 0;
                             outlet.recall(wi.id, wi.handOffs.size() - 1);
@@ -925,8 +925,8 @@
         }
 
         private static boolean sameGroup(Backend b, WorkItem wi, HandOff ran, long now) {
-            return ran == null || wi.category.repeat() == Repeat.RERUNNABLE
-                || wi.category.repeat() == Repeat.TICKETED && now < wi.sendBy()
+            return ran == null || wi.category.repeat() == Repeat.SAFE
+                || wi.category.repeat() == Repeat.KEYED && now < wi.sendBy()
                 && wi.category.scope().joins(ran.backend.member, b.member);
         }
 
@@ -953,9 +953,9 @@
         }
 
         /** Where each is in doubt, those that hold nothing: a sole sound one that had failed once was passed
-         * over. Only rerunnable work, of which a failure costs least. */
+         * over. Only safe work, of which a failure costs least. */
         List<Backend> lastResort(WorkItem wi, long now) {
-            boolean none = wi.category.repeat() != Repeat.RERUNNABLE
+            boolean none = wi.category.repeat() != Repeat.SAFE
                 || ready.stream().anyMatch(b -> doubts(b, now) < 1);
             return none ? List.of() : ready.stream()
                 .filter(b -> b.out == 0 && !wi.tried(b) && warmEnough(b, now)).toList();
--- a/src/main/java/cottonlock/decision/Category.java
+++ b/src/main/java/cottonlock/decision/Category.java
@@ -7,8 +7,8 @@
  * @param dueTime      an answer within this time earns the full credit
  * @param lateCredit   the part of the credit that an answer after the due time earns
  * @param repeat       whether a work item may run again
- * @param scope        for ticketed ones: the backends that drop each other's repeats
- * @param repeatWindow for ticketed ones: how long they do
+ * @param scope        for keyed ones: the backends that drop each other's repeats
+ * @param repeatWindow for keyed ones: how long they do
  */
 public record Category(int number, long dueTime, double credit, double lateCredit,
                        Repeat repeat, Scope scope, long repeatWindow) {
@@ -19,9 +19,9 @@
     }
 
     /** Whether a work item may run again. */
-    public enum Repeat { RERUNNABLE, TICKETED, EXCLUSIVE }
+    public enum Repeat { SAFE, KEYED, UNSAFE }
 
-    /** The backends that know each other's tickets. */
+    /** The backends that know each other's keys. */
     public enum Scope {
         ALL, ZONE, CELL;
 
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -70,7 +70,7 @@
      */
     long sendBy() {
         HandOff ran = mayHaveRun();
-        return ran == null || category.repeat() == Category.Repeat.RERUNNABLE ? expiry
+        return ran == null || category.repeat() == Category.Repeat.SAFE ? expiry
             : Math.min(expiry, ran.sentAt + category.repeatWindow() * 9 / 10);
     }
 
--- a/src/main/java/cottonlock/lab/Backend.java
+++ b/src/main/java/cottonlock/lab/Backend.java
@@ -275,7 +275,7 @@
             });
             return;
         }
-        boolean fresh = !job.category.repeat().equals("ticketed")
+        boolean fresh = !job.category.repeat().equals("keyed")
             || marks.computeIfAbsent(job.category.scope().equals("room") ? room : "", r -> new Marks())
                 .isNew(tier + " " + job.key, now, job.category.window());
         if (fresh) {
--- a/src/main/java/cottonlock/lab/Caller.java
+++ b/src/main/java/cottonlock/lab/Caller.java
@@ -35,12 +35,12 @@
         long patience,
                    boolean retried, double work) {
         byte[] bytes(long left) {
-            boolean get = category.repeat().equals("rerunnable");
+            boolean get = category.repeat().equals("safe");
             String text = (get ? "GET /" : "POST /") + category.name() + "?w=" + (long) (work / 1_000)
                 + " HTTP/1.1\r\nHost: lab\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + category.name()
                 + "\r\nX-Tenant-Id: " + tenant + "\r\nX-Timeout-Ms: " + Math.max(1, left / 1_000_000)
                 + (retried ? "\r\nX-Retried: 1" : "")
-                + (category.repeat().equals("ticketed") ? "\r\nIdempotency-Key: " + key : "")
+                + (category.repeat().equals("keyed") ? "\r\nIdempotency-Key: " + key : "")
                 + (get ? "\r\n\r\n" : "\r\nContent-Length: 4\r\n\r\nbody");
             return text.getBytes(StandardCharsets.ISO_8859_1);
         }
--- a/src/main/java/cottonlock/lab/Ledger.java
+++ b/src/main/java/cottonlock/lab/Ledger.java
@@ -144,7 +144,7 @@
     /** A backend begins to carry it out, not having known it for a repeat. */
     void effect(long now, String id, String repeat, String room) {
         Entry e = items.get(id);
-        if (e == null || repeat.equals("rerunnable")) {
+        if (e == null || repeat.equals("safe")) {
             return;
         }
         Effect first = effects.putIfAbsent(e.chain, new Effect(room, now));
--- a/src/main/java/cottonlock/lab/PlainProxy.java
+++ b/src/main/java/cottonlock/lab/PlainProxy.java
@@ -109,7 +109,7 @@
                 out.merge(to, -1, Integer::sum);
                 if (!broken.over) {
                     if (written) {
-                        give(broken, rerunnable(broken) ? 503 : 502);
+                        give(broken, safe(broken) ? 503 : 502);
                     } else {
                         handOff(broken);
                     }
@@ -179,7 +179,7 @@
         }
     }
 
-    private static boolean rerunnable(Item item) {
+    private static boolean safe(Item item) {
         return item.message.start()[0].equals("GET");
     }
 
@@ -238,10 +238,10 @@
                 if (answer.field("x-not-processed") != null) {
                     handOff(item);
                 } else {
-                    give(item, rerunnable(item) ? 503 : 502);
+                    give(item, safe(item) ? 503 : 502);
                 }
             }
-            default -> give(item, rerunnable(item) ? 503 : 502);
+            default -> give(item, safe(item) ? 503 : 502);
         }
     }
 
--- a/src/main/java/cottonlock/lab/ProxyConfig.java
+++ b/src/main/java/cottonlock/lab/ProxyConfig.java
@@ -65,8 +65,8 @@
                 json.writeNumberField("Expiry", c.expiry() / 1_000);
                 json.writeNumberField("Credit", c.credit());
                 json.writeNumberField("LateCredit", c.lateCredit());
-                json.writeStringField("Repeat", c.repeat().equals("rerunnable") ? "safe"
-                    : c.repeat().equals("ticketed") ? "keyed" : "unsafe");
+                json.writeStringField("Repeat", c.repeat().equals("safe") ? "safe"
+                    : c.repeat().equals("keyed") ? "keyed" : "unsafe");
                 json.writeStringField("KeyScope", c.scope().equals("room") ? "zone" : "all");
                 json.writeNumberField("RepeatWindow", c.window() / 1_000);
                 json.writeEndObject();
--- a/src/main/java/cottonlock/lab/Scenario.java
+++ b/src/main/java/cottonlock/lab/Scenario.java
@@ -18,6 +18,9 @@
  * key with unit, range and default. Times are nanoseconds here, whatever the file's unit is.
  */
 final class Scenario {
+    /** What scenarios said for a category's repeat before. */
+    private static final Map<String, String> OLD_WORDS =
+        Map.of("rerunnable", "safe", "ticketed", "keyed", "exclusive", "unsafe");
     private static final double ANY = Double.MAX_VALUE;
     private static final double SECOND = 1e9;
     private static final double MILLI = 1e6;
@@ -269,7 +272,7 @@
         for (Fields f : top.tables("category")) {
             CategoryPlan c = new CategoryPlan(f.formed("name", null, NAME, "a short name"),
                 millis(f, "due_ms", Double.NaN, 1), millis(f, "expiry_ms", Double.NaN, 1),
-                f.word("repeat", "rerunnable", "rerunnable", "ticketed", "exclusive"),
+                f.word("repeat", "safe", OLD_WORDS, "safe", "keyed", "unsafe"),
                 f.word("scope", "all", "all", "room"), seconds(f, "window_s", 10, 0),
                 f.number("credit", 1, 0, 1e6), f.number("late_credit", 0, 0, 1),
                 f.number("weight", 1, 0, 1e6), MILLI * f.number("work_ms", Double.NaN, 0, 60_000),
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -38,7 +38,7 @@
     }
 
     /** A request that may become a work item as soon as its body is there. */
-    record Asked(Head head, String id, String ticket, int category, String name, int tenant,
+    record Asked(Head head, String id, String idempotencyKey, int category, String name, int tenant,
                  String tenantName, long patience) {
     }
 
@@ -73,8 +73,8 @@
             throw new BadMessage(400, tenantName == null ? "no X-Tenant-Id"
                 : "unknown tenant in X-Tenant-Id");
         }
-        String ticket = head.only("Idempotency-Key");
-        if (ticket == null && in.categories.get(category).repeat() == Category.Repeat.TICKETED) {
+        String idempotencyKey = head.only("Idempotency-Key");
+        if (idempotencyKey == null && in.categories.get(category).repeat() == Category.Repeat.KEYED) {
             // Sent on without it, a repeat could not be known, and would have its effect twice.
             throw new BadMessage(400, "no Idempotency-Key, which this category needs");
         }
@@ -84,7 +84,7 @@
                 : "X-Timeout-Ms is not a number of whole milliseconds");
         }
         long wait = Math.min(in.longest(category) / 10, Long.parseLong(patience)) * 10 - RESERVE;
-        return new Asked(head, requestId, ticket, category, first, tenant, tenantName, wait);
+        return new Asked(head, requestId, idempotencyKey, category, first, tenant, tenantName, wait);
     }
 
     /** The work item, now that all of it has come: from here on its time counts. */
--- a/src/main/java/cottonlock/net/HttpWriter.java
+++ b/src/main/java/cottonlock/net/HttpWriter.java
@@ -25,7 +25,7 @@
         field(head, "X-Timeout-Ms", Long.toString(wait));
         field(head, "X-Priority-Class", wi.categoryName);
         field(head, "X-Tenant-Id", wi.tenantName);
-        field(head, "Idempotency-Key", wi.ticket);
+        field(head, "Idempotency-Key", wi.idempotencyKey);
         field(head, "Content-Type", wi.contentType);
         if (wi.body.length() > 0 || !wi.method.equals("GET")) {
             field(head, "Content-Length", Long.toString(wi.body.length()));
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -16,7 +16,7 @@
     final String requestId;
     final String categoryName;
     final String tenantName;
-    final String ticket;
+    final String idempotencyKey;
     final String contentType;
     final Body body;
     final int category;
@@ -48,7 +48,7 @@
         this.target = head.start[1];
         this.contentType = head.only("Content-Type");
         this.requestId = asked.id();
-        this.ticket = asked.ticket();
+        this.idempotencyKey = asked.idempotencyKey();
         this.body = body;
         this.category = asked.category();
         this.categoryName = asked.name();
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -20,7 +20,7 @@
 /** Plain cases, and one small case for each failure found. */
 class BalancerTest {
     private static final List<Category> PLAIN = List.of(
-        Ledger.category(0, Repeat.RERUNNABLE, Scope.ALL), Ledger.category(1, Repeat.EXCLUSIVE, Scope.ALL));
+        Ledger.category(0, Repeat.SAFE, Scope.ALL), Ledger.category(1, Repeat.UNSAFE, Scope.ALL));
     private static final List<Tenant> TWO = List.of(new Tenant(0.75, 100), new Tenant(0.25, 100));
 
     private static Ledger ledger(boolean first, List<Tenant> tenants, int backends) {
@@ -121,7 +121,7 @@
      * it.
      */
     @Example
-    void aSoleBackendThatFailedOnceGetsRerunnableWorkAtOnce() {
+    void aSoleBackendThatFailedOnceGetsSafeWorkAtOnce() {
         for (int n = 0; n < 20; n++) {
             Ledger ledger = ledger(true, TWO, 1);
             ledger.settle(ledger.arrive(0, 0, 20_000), 0, Outcome.BROKEN_OFF);
@@ -136,8 +136,8 @@
     @Example
     void whatMayHaveRunIsDeferredOnlyWhileItIsStillKnownWhenItsClientComesBack() {
         for (long window : new long[] {2_000, 100_000}) {
-            Category ticketed = new Category(0, 10_000, 1, 0, Repeat.TICKETED, Scope.ALL, window);
-            Ledger ledger = new Ledger(List.of(ticketed), TWO, 7, true, false);
+            Category keyed = new Category(0, 10_000, 1, 0, Repeat.KEYED, Scope.ALL, window);
+            Ledger ledger = new Ledger(List.of(keyed), TWO, 7, true, false);
             ledger.list(Ledger.ready(0, 1), true, true);
             long id = ledger.arrive(0, 0, 20_000);
             ledger.pass(100);
@@ -153,7 +153,7 @@
         assertEquals(1, ledger.items.get(id).sent.size());
         ledger.balancer.endBy(ledger.now + 500);
         ledger.pass(500);
-        // Rerunnable, well before its due time, but there is no time left for another try.
+        // Safe, well before its due time, but there is no time left for another try.
         ledger.settle(id, 0, Outcome.TIMED_OUT);
         assertTrue(!ledger.items.containsKey(id) || ledger.items.get(id).answered);
     }
@@ -423,8 +423,8 @@
     @Example
     void noCategoryStarvesInTheLineOfOthers() {
         for (int[] shape : new int[][] {{1, 4}, {2, 8}, {16, 35}, {90, 150}}) {
-            List<Category> categories = List.of(new Category(0, 5_000, 1, 0, Repeat.RERUNNABLE, Scope.ALL, 0),
-                new Category(1, 50_000, 1, 0, Repeat.RERUNNABLE, Scope.ALL, 0));
+            List<Category> categories = List.of(new Category(0, 5_000, 1, 0, Repeat.SAFE, Scope.ALL, 0),
+                new Category(1, 50_000, 1, 0, Repeat.SAFE, Scope.ALL, 0));
             Ledger ledger = new Ledger(categories, List.of(new Tenant(1, 100_000)), shape[0], true, true,
                 new Shape(shape[0], 0, true, 0, true, false, 100_000, true, 27_500));
             ledger.list(Ledger.ready(0, shape[1]), true, true);
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -221,14 +221,14 @@
         assertTrue(item.sent.size() < MOST, "too many hand-offs");
         assertTrue(item.sent.stream().noneMatch(s -> s.out), "two hand-offs out at once");
         item.sent.stream().filter(s -> s.mayHaveRun).findFirst().ifPresent(ran -> {
-            assertTrue(item.category.repeat() != Repeat.EXCLUSIVE, "an exclusive work item sent twice");
-            if (item.category.repeat() == Repeat.TICKETED) {
-                assertTrue(sendBy < ran.at + item.category.repeatWindow(), "a ticket too old to be known");
+            assertTrue(item.category.repeat() != Repeat.UNSAFE, "an unsafe work item sent twice");
+            if (item.category.repeat() == Repeat.KEYED) {
+                assertTrue(sendBy < ran.at + item.category.repeatWindow(), "a key too old to be known");
                 assertTrue(switch (item.category.scope()) {
                     case ALL -> true;
                     case ZONE -> to.zone() == ran.to.zone();
                     case CELL -> to.cell() == ran.to.cell();
-                }, "a ticket not known there");
+                }, "a key not known there");
             }
         });
         item.sent.add(new Sent(to, now));
@@ -271,8 +271,8 @@
     public void defer(long wi, long comeBack, Reason why) {
         Item item = open(wi, "deferral");
         boolean harmless = item.sent.stream().noneMatch(s -> s.mayHaveRun)
-            || item.category.repeat() == Repeat.RERUNNABLE
-            || item.category.repeat() == Repeat.TICKETED && item.category.scope() == Scope.ALL
+            || item.category.repeat() == Repeat.SAFE
+            || item.category.repeat() == Repeat.KEYED && item.category.scope() == Scope.ALL
                 && item.sent.stream().allMatch(s -> !s.mayHaveRun
                     || now + comeBack < s.at + item.category.repeatWindow());
         assertTrue(harmless, "deferral of what may have run");
--- a/src/test/java/cottonlock/lab/LabTest.java
+++ b/src/test/java/cottonlock/lab/LabTest.java
@@ -20,7 +20,7 @@
         name = "order"
         due_ms = 500
         expiry_ms = 1500
-        repeat = "exclusive"
+        repeat = "unsafe"
         work_ms = 2
         """;
     private static final String DRAIN = """
--- a/src/test/java/cottonlock/lab/LedgerTest.java
+++ b/src/test/java/cottonlock/lab/LedgerTest.java
@@ -34,7 +34,7 @@
     void aCleanLifeBreaksNothing() {
         take("a", 1_000 * MS);
         ledger.received(MS, 2 * MS, "a", "b0", 0);
-        ledger.effect(2 * MS, "a", "exclusive", "x");
+        ledger.effect(2 * MS, "a", "unsafe", "x");
         ledger.made("a", 7);
         ledger.answered(1_040 * MS, "a", true, 7);
         take("gone", 10 * MS);
@@ -66,17 +66,17 @@
     @Example
     void aSecondEffectIsSeenWhereverItHappens() {
         take("safe", 1_000 * MS);
-        ledger.effect(1, "safe", "rerunnable", "x");
-        ledger.effect(2, "safe", "rerunnable", "y");
+        ledger.effect(1, "safe", "safe", "x");
+        ledger.effect(2, "safe", "safe", "y");
         counts(0, 0, 0, 0);
         take("once", 1_000 * MS);
-        ledger.effect(1, "once", "exclusive", "x");
-        ledger.effect(2, "once", "exclusive", "x");
+        ledger.effect(1, "once", "unsafe", "x");
+        ledger.effect(2, "once", "unsafe", "x");
         // A client's retry after a deferral, under a new id: the deferral said that it does no harm.
         ledger.sent("first", "order", "order", 0, 1_000 * MS);
-        ledger.effect(3, "first", "ticketed", "x");
+        ledger.effect(3, "first", "keyed", "x");
         ledger.sent("retry", "order", "order", 1, 1_000 * MS);
-        ledger.effect(4, "retry", "ticketed", "y");
+        ledger.effect(4, "retry", "keyed", "y");
         counts(0, 2, 0, 0);
         assertEquals(Map.of("quote in x", 1, "order in y", 1), ledger.twiceBy());
     }
--- a/src/test/java/cottonlock/lab/ScenarioTest.java
+++ b/src/test/java/cottonlock/lab/ScenarioTest.java
@@ -53,6 +53,18 @@
         return faults;
     }
 
+    @Example
+    void wordsOfBeforeAreReadAsThoseOfNow() throws Exception {
+        String[][] pairs = {{"rerunnable", "safe"}, {"ticketed", "keyed"}, {"exclusive", "unsafe"}};
+        for (String[] pair : pairs) {
+            for (String word : pair) {
+                String text = PLAIN + "repeat = \"" + word + "\"\n";
+                assertEquals(pair[1], Scenario.read(file(text), List.of(), null).categories.get(0).repeat());
+            }
+        }
+        assertEquals(1, faults(PLAIN + "repeat = \"once\"\n").size());
+    }
+
     @Example
     void allFaultsAreToldAtOnceWithLineKeyAndWhatWasExpected() throws Exception {
         List<String> faults = faults(PLAIN.replace("backends = 3", "backend = 3").replace("rate = 100",
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -303,7 +303,7 @@
         Socket[] open = new Socket[6];
         for (int i = 0; i < open.length; i++) {
             open[i] = new Socket("127.0.0.1", ports[0]);
-            // A ticketed one is repeated to whichever process it reaches; backends know it by its ticket.
+            // A keyed one is repeated to whichever process it reaches; backends know it by its key.
             send(open[i], request("book", "same" + i, "Idempotency-Key: k\r\n", "body")
                 .replaceFirst("Idempotency-Key: ksame.\r\n", ""));
         }
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -343,7 +343,7 @@
             List<String> ids = new ArrayList<>();
             backend.requests.stream().filter(lines -> lines.get(0).startsWith("POST /once"))
                 .forEach(lines -> ids.add(field(lines, "X-Request-ID", "")));
-            assertEquals(Set.copyOf(ids).size(), ids.size(), "what is exclusive has been sent once");
+            assertEquals(Set.copyOf(ids).size(), ids.size(), "what is unsafe has been sent once");
         }
     }
 
