The test of signals tells a program that leaves at once from one that drains

With the drain taken out of the hook it passed, as the answer was quicker than the exit. Now the request is held until the signals have been sent and 0.3 s more; it fails without the drain, and without the handler.

--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -227,7 +227,11 @@
     @Example
     void signalsBeforeItServesAreCarriedOutOnceItDoes() throws Exception {
         StandIn discovery = new StandIn(request -> SILENT);
-        StandIn backend = new StandIn(request -> OK);
+        CountDownLatch goOn = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> {
+            awaits(goOn);
+            return OK;
+        });
         Path fifo = Files.createTempDirectory("races").resolve("config");
         assertEquals(0, new ProcessBuilder("mkfifo", fifo.toString()).start().waitFor());
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
@@ -237,7 +241,8 @@
         Process process = builder.redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         open.add(process::destroyForcibly);
-        String text = settings(256, discovery.server.getLocalPort(), "", backend.host("b0"));
+        String text = settings(256, discovery.server.getLocalPort(), "", backend.host("b0"))
+            .replace("1500000", "20000000");
         int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = free.getLocalPort();
@@ -263,12 +268,14 @@
         assertTrue(read.await(8, TimeUnit.SECONDS), "SIGHUP is carried out");
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(8_000);
-            send(socket, request("once", "served", "", "body"));
-            assertEquals(200, status(receive(socket)));
-            assertEquals(0, signal("TERM", process));
-            assertEquals(0, signal("TERM", process));
-            assertEquals(0, signal("HUP", process));
-            send(socket, request("once", "late", "", "body"));
+            send(socket, request("once", "held", "X-Timeout-Ms: 20000\r\n", "body"));
+            eventually(() -> backend.requests.size() == 1, "it is out");
+            for (String name : List.of("TERM", "TERM", "HUP")) {
+                assertEquals(0, signal(name, process));
+            }
+            // Time to leave too early, for one that does.
+            assertFalse(process.waitFor(300, TimeUnit.MILLISECONDS));
+            goOn.countDown();
             assertEquals(200, status(receive(socket)));
         }
         assertTrue(process.waitFor(8, TimeUnit.SECONDS));
