Attempt in place of hand-off, over the whole program and its pages

Need: one vocabulary, the field's. Classes, methods, variables, comments, log lines and pages; what operators see by key keeps its name (`MaxHandOffs` on the wire, the lab's `max_hand_offs`, the watch's `WOULD_HAND_OFF`).

--- a/src/main/java/cottonlock/admin/Figures.java
+++ b/src/main/java/cottonlock/admin/Figures.java
@@ -20,7 +20,7 @@
     /** Why what was not a success ended so: by category and by tenant, which each add up to all of it. */
     private final Map<String, Map<Reason, LongAdder>> byCategory = new ConcurrentSkipListMap<>();
     private final Map<String, Map<Reason, LongAdder>> byTenant = new ConcurrentSkipListMap<>();
-    private final LongAdder handOffs = new LongAdder();
+    private final LongAdder attempts = new LongAdder();
     private final AtomicInteger inflight = new AtomicInteger();
     private final LongAdder filesTaken = new LongAdder();
     private final LongAdder filesRefused = new LongAdder();
@@ -70,9 +70,9 @@
         }
     }
 
-    /** A hand-off has been written whole to a backend. */
-    public void handedOff() {
-        handOffs.increment();
+    /** An attempt has been written whole to a backend. */
+    public void attempted() {
+        attempts.increment();
     }
 
     /** How many backends the list holds, and how many of these get nothing now, by hand or by choice. */
@@ -97,7 +97,7 @@
         counts(json, "success", End.SUCCESS);
         counts(json, "busy", End.BUSY);
         counts(json, "failure", End.FAILURE);
-        return json.append("\"backend_calls\":").append(handOffs.sum())
+        return json.append("\"backend_calls\":").append(attempts.sum())
             .append(",\"inflight\":").append(Math.max(0, inflight.get()))
             .append(",\"hosts_listed\":").append(listed).append(",\"hosts_down\":").append(avoided)
             .append(",\"reconfig_ok\":").append(filesTaken.sum())
--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -25,14 +25,14 @@
     }
 
     @Override
-    public void handOff(long wi, String backend, long sendBy) {
+    public void attempt(long wi, String backend, long sendBy) {
         // Sent in the moment of the call, it needs no bound; it ends with the request.
         reply.start("dispatch", name).field(wi).field(backend).field(0).end();
     }
 
     @Override
-    public void recall(long wi, int handOff) {
-        reply.start("retract", name).field(wi).field(handOff).end();
+    public void recall(long wi, int attempt) {
+        reply.start("retract", name).field(wi).field(attempt).end();
     }
 
     @Override
--- a/src/main/java/cottonlock/bench/WireHost.java
+++ b/src/main/java/cottonlock/bench/WireHost.java
@@ -18,7 +18,7 @@
 public final class WireHost {
     private static final long MICROS = Settings.MICROS;
     private static final int BUFFERS = 16;
-    /** Work item and hand-off numbers stay below this on the wire. */
+    /** Work item and attempt numbers stay below this on the wire. */
     private static final int ANY = Integer.MAX_VALUE;
 
     private final LineReader in;
@@ -111,8 +111,8 @@
             case "under_way" -> {
                 Instance i = instance();
                 long id = in.whole("Rid");
-                int handOff = in.index("SendNo", ANY);
-                i.balancer.underWay(now, id, handOff);
+                int attempt = in.index("SendNo", ANY);
+                i.balancer.underWay(now, id, attempt);
             }
             default -> throw new Malformed("unknown message: " + message);
         }
@@ -214,12 +214,12 @@
     private void settled(Instance i) {
         long id = in.whole("Rid");
         Outcome outcome = outcome(in.word("Outcome"));
-        int handOff = in.index("SendNo", ANY);
+        int attempt = in.index("SendNo", ANY);
         in.whole("Latency");
         boolean over = in.whole("NoMore") != 0;
         in.skip("Backend");
         feedback();
-        i.balancer.settled(now, id, handOff, outcome, over);
+        i.balancer.settled(now, id, attempt, outcome, over);
     }
 
     private static Outcome outcome(String word) {
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** A backend as this balancer knows it: its line of the list and what hand-offs to it have shown. */
+/** A backend as this balancer knows it: its line of the list and what attempts to it have shown. */
 final class Backend {
     final String id;
     Member member;
@@ -55,7 +55,7 @@
         this.sent = new Ring(sentSpan, 10);
     }
 
-    /** The hand-offs out that an answer is still waited for. */
+    /** The attempts out that an answer is still waited for. */
     int awaited() {
         return out - missed;
     }
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -5,7 +5,7 @@
 import static java.util.stream.Collectors.toSet;
 
 import cottonlock.decision.Category.Repeat;
-import cottonlock.decision.WorkItem.HandOff;
+import cottonlock.decision.WorkItem.Attempt;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -21,7 +21,7 @@
  *
  * <p>One thread tells it what happened through the public methods, each with the time in whole tenths of a
  * millisecond, never going back. It answers during the call through {@link Outlet}; it does no input or
- * output and reads no clock. A work item passes the stages Intake, Line, Lane, Pick and HandOffs. Each passes
+ * output and reads no clock. A work item passes the stages Intake, Line, Lane, Pick and Attempts. Each passes
  * it on or sends it back; what comes back passes them the other way. Fleet stands beside them and knows the
  * backends. docs/design.md tells which decision comes from where.
  */
@@ -34,22 +34,22 @@
     private final Outlet outlet;
     private final Intake intake;
     private final Line line;
-    private final HandOffs handOffs;
+    private final Attempts attempts;
     private final Fleet fleet;
 
     /** Joins the stages to a chain; each has been given its own settings. */
-    public Balancer(Outlet outlet, Intake intake, Line line, Lane lane, Pick pick, HandOffs handOffs,
+    public Balancer(Outlet outlet, Intake intake, Line line, Lane lane, Pick pick, Attempts attempts,
                     Fleet fleet) {
         this.outlet = outlet;
         this.intake = intake;
         this.line = line;
-        this.handOffs = handOffs;
+        this.attempts = attempts;
         this.fleet = fleet;
         intake.join(null, line);
         line.join(intake, lane);
         lane.join(line, pick);
-        pick.join(lane, handOffs);
-        handOffs.join(pick, null);
+        pick.join(lane, attempts);
+        attempts.join(pick, null);
     }
 
     /** The balancer starts; the list that it last held follows through {@link #list}. */
@@ -66,10 +66,10 @@
         }
     }
 
-    /** Other categories, by number, and most hand-offs hold for what comes from now on. */
+    /** Other categories, by number, and most attempts hold for what comes from now on. */
     public void retune(List<Category> categories, int most) {
         intake.retune(categories);
-        handOffs.most = most;
+        attempts.most = most;
     }
 
     /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where not told. */
@@ -80,27 +80,27 @@
         intake.arrive(now, id, category, tenant, patience, repeated, hint, stood);
     }
 
-    /** A hand-off has ended; {@code over} tells that the work item has had its final answer. */
-    public void settled(long now, long id, int handOff, Outcome outcome, boolean over) {
+    /** An attempt has ended; {@code over} tells that the work item has had its final answer. */
+    public void settled(long now, long id, int attempt, Outcome outcome, boolean over) {
         doubtClock(now);
-        handOffs.settled(now, id, handOff, outcome, over);
+        attempts.settled(now, id, attempt, outcome, over);
     }
 
     /** The answer to a streamed work item has begun: it belongs to the client from now on. */
-    public void underWay(long now, long id, int handOff) {
-        handOffs.underWay(now, id, handOff);
+    public void underWay(long now, long id, int attempt) {
+        attempts.underWay(now, id, attempt);
     }
 
     /** The client of a work item has left, so nothing more is owed. */
     public void left(long now, long id) {
         line.waiting.removeIf(wi -> wi.id == id);
-        handOffs.left(now, id);
+        attempts.left(now, id);
     }
 
     /** The balancer leaves: what it holds now is over by then, with its final answer. */
     public void endBy(long latest) {
         line.waiting.forEach(wi -> wi.endBy(latest));
-        handOffs.open.values().forEach(wi -> wi.endBy(latest));
+        attempts.open.values().forEach(wi -> wi.endBy(latest));
     }
 
     /** News of the list of backends, whole or only what changed; cached: as this balancer last held it. */
@@ -132,7 +132,7 @@
     public void wake(long now) {
         doubtClock(now);
         fleet.keepList(now);
-        handOffs.rescue(now);
+        attempts.rescue(now);
         fleet.tell();
         line.tidy(now);
         wakeAt = now + TICK;
@@ -370,7 +370,7 @@
             return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
         }
 
-        /** What each hand-off that ends tells of its tenant's lane, and of the room. */
+        /** What each attempt that ends tells of its tenant's lane, and of the room. */
         void learn(WorkItem wi, Outcome outcome, long time, long now) {
             lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
         }
@@ -552,8 +552,8 @@
     }
 
     /** Sends, and decides whether what failed may and should be sent again. */
-    public static final class HandOffs extends Stage {
-        /** Repeats of work that may have run, per hand-off: more would feed an overload. */
+    public static final class Attempts extends Stage {
+        /** Repeats of work that may have run, per attempt: more would feed an overload. */
         private static final double REPEATS = 0.1;
         /** A backend is silent when its silence has a chance of e^-8 given the gaps before. */
         private static final double SILENT = 8;
@@ -566,7 +566,7 @@
         private final Map<Long, WorkItem> open = new HashMap<>();
         private double repeats;
 
-        public HandOffs(Outlet outlet, Line line, Fleet fleet, int most, boolean mayRecall) {
+        public Attempts(Outlet outlet, Line line, Fleet fleet, int most, boolean mayRecall) {
             this.outlet = outlet;
             this.line = line;
             this.fleet = fleet;
@@ -580,24 +580,24 @@
             repeats = Math.min(5, repeats + REPEATS);
             open.put(wi.id, wi);
             long sendBy = wi.sendBy();
-            wi.handOffs.add(new HandOff(b, now));
+            wi.attempts.add(new Attempt(b, now));
             fleet.sent(b, wi, now);
-            outlet.handOff(wi.id, b.id, sendBy);
+            outlet.attempt(wi.id, b.id, sendBy);
         }
 
         void settled(long now, long id, int number, Outcome outcome, boolean over) {
             WorkItem wi = open.get(id);
-            if (wi == null || number >= wi.handOffs.size() || !wi.handOffs.get(number).out) {
+            if (wi == null || number >= wi.attempts.size() || !wi.attempts.get(number).out) {
                 return;
             }
-            HandOff ho = wi.handOffs.get(number);
-            ho.out = false;
-            ho.neverRan = outcome.neverRan();
+            Attempt attempt = wi.attempts.get(number);
+            attempt.out = false;
+            attempt.neverRan = outcome.neverRan();
             wi.why = Reason.of(outcome);
-            fleet.settled(ho, wi, outcome, now);
+            fleet.settled(attempt, wi, outcome, now);
             // In the batch after a standstill, times tell of the balancer and not of the backends.
             if (now != fleet.stoodAt && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
-                line.learn(wi, outcome, now - ho.sentAt, now);
+                line.learn(wi, outcome, now - attempt.sentAt, now);
             }
             boolean wasEnded = wi.ended;
             wi.ended |= over;
@@ -612,7 +612,7 @@
         }
 
         private boolean mayRepeat(WorkItem wi, Outcome last, long now) {
-            if (wi.handOffs.size() >= most || now >= wi.due) {
+            if (wi.attempts.size() >= most || now >= wi.due) {
                 return false;
             }
             boolean ran = wi.mayHaveRun() != null;
@@ -626,8 +626,8 @@
 
         void underWay(long now, long id, int number) {
             WorkItem wi = open.get(id);
-            if (wi != null && number < wi.handOffs.size()) {
-                wi.handOffs.get(number).recalled = true;
+            if (wi != null && number < wi.attempts.size()) {
+                wi.attempts.get(number).recalled = true;
             }
         }
 
@@ -647,18 +647,19 @@
             for (Backend b : fleet.known.values()) {
                 boolean isSilent = fleet.silence(b, now) >= SILENT;
                 for (WorkItem wi : List.copyOf(b.held.values())) {
-                    HandOff ho = wi.last();
+                    Attempt attempt = wi.last();
                     // Work stuck at backends that are lost filled the room, and all else was turned away.
-                    if (isSilent || fleet.overdue(wi, now - ho.sentAt, now)) {
+                    if (isSilent || fleet.overdue(wi, now - attempt.sentAt, now)) {
                         line.release(wi);
                     }
-                    if (isSilent && !ho.missed) {
-                        fleet.missed(ho, now);
-                        if (mayRecall && !wi.ended && !ho.recalled && now < wi.due && (few || repeats >= 1)
-                            && wi.category.repeat() == Repeat.SAFE && wi.handOffs.size() < most) {
-                            ho.recalled = true;
+                    if (isSilent && !attempt.missed) {
+                        fleet.missed(attempt, now);
+                        if (mayRecall && !wi.ended && !attempt.recalled && now < wi.due
+                            && (few || repeats >= 1) && wi.category.repeat() == Repeat.SAFE
+                            && wi.attempts.size() < most) {
+                            attempt.recalled = true;
                             repeats += few ? 1 : 0;
-                            outlet.recall(wi.id, wi.handOffs.size() - 1);
+                            outlet.recall(wi.id, wi.attempts.size() - 1);
                         }
                     }
                 }
@@ -684,7 +685,7 @@
         private static final double LEND = 0.75;
         /** Usual stays imagined for each kind of backend, so that a few do not tell how quick it is. */
         private static final int IMAGINED_STAYS = 10;
-        /** Part of the due time up to which a hand-off that is out counts as held. */
+        /** Part of the due time up to which an attempt that is out counts as held. */
         private static final double LONG = 0.6;
         /** Gaps imagined for each backend, so that one or two quick ones do not make the next look late. */
         private static final int IMAGINED = 3;
@@ -701,7 +702,7 @@
         private double sentPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
-        /** How long hand-offs have been out in the last seconds, added up at looks; how many were sent. */
+        /** How long attempts have been out in the last seconds, added up at looks; how many were sent. */
         private final long staySpan;
         private final Ring heldTime;
         private final Ring sends;
@@ -709,11 +710,11 @@
         private long stoodAt = -1;
         private long stoodFor;
         private final Averages times;
-        /** How long hand-offs stay: at 0 anywhere, at odd numbers by lane, at even ones by kind. */
+        /** How long attempts stay: at 0 anywhere, at odd numbers by lane, at even ones by kind. */
         private final Averages stays;
         /** The order in which this balancer takes backends where it uses only some of a lane. */
         private final Comparator<Backend> own;
-        /** Hand-offs that are out, by tenant. */
+        /** Attempts that are out, by tenant. */
         private final Map<Integer, Integer> out = new HashMap<>();
         /** How long answers took of late; half the due time of what was sent first stands in for a few. */
         private final Averages answered;
@@ -913,7 +914,7 @@
         List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
             // Where connections are dear, one of a lane and one for each work item of the tenant that is out.
             int width = shape.rest() <= 0 ? part.size() : 1 + out.getOrDefault(wi.tenant, 0);
-            HandOff ran = wi.mayHaveRun();
+            Attempt ran = wi.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
                 if (usable.size() < width && b.out <= spare + far * size(b, now) && !wi.tried(b)
@@ -924,7 +925,7 @@
             return usable;
         }
 
-        private static boolean sameGroup(Backend b, WorkItem wi, HandOff ran, long now) {
+        private static boolean sameGroup(Backend b, WorkItem wi, Attempt ran, long now) {
             return ran == null || wi.category.repeat() == Repeat.SAFE
                 || wi.category.repeat() == Repeat.KEYED && now < wi.sendBy()
                 && wi.category.scope().joins(ran.backend.member, b.member);
@@ -961,7 +962,7 @@
                 .filter(b -> b.out == 0 && !wi.tried(b) && warmEnough(b, now)).toList();
         }
 
-        /** How long hand-offs stay, what is still out counted in, by Little's law; some imagined. */
+        /** How long attempts stay, what is still out counted in, by Little's law; some imagined. */
         double stayNow(int imagined, double time, long now) {
             return (heldTime.sum(now) + imagined * time) / (sends.sum(now) + imagined);
         }
@@ -1042,42 +1043,42 @@
 
         /** Its backend has been silent for too long: found then, and not again when it ends. It is waited for
          * no more: what was stuck since a cut kept a backend silent until it expired, long after the heal. */
-        void missed(HandOff ho, long now) {
+        void missed(Attempt attempt, long now) {
             // No single chance failure, so it counts for several.
-            ho.missed = true;
-            ho.backend.missed++;
-            ho.backend.failures.add(now, 1);
-            ho.backend.streak += 3;
-            ho.backend.lost = true;
+            attempt.missed = true;
+            attempt.backend.missed++;
+            attempt.backend.failures.add(now, 1);
+            attempt.backend.streak += 3;
+            attempt.backend.lost = true;
         }
 
-        void settled(HandOff ho, WorkItem wi, Outcome outcome, long now) {
-            Backend b = ho.backend;
+        void settled(Attempt attempt, WorkItem wi, Outcome outcome, long now) {
+            Backend b = attempt.backend;
             if (outcome == Outcome.FINISHED || outcome == Outcome.ERROR || outcome == Outcome.TURNED_AWAY) {
                 b.gapCount.add(now, 1);
                 b.gapSum.add(now, (now - b.quietSince) * b.awaited());
                 b.quietSince = now;
             }
-            b.missed -= ho.missed ? 1 : 0;
+            b.missed -= attempt.missed ? 1 : 0;
             if (outcome == Outcome.FINISHED) {
                 // One that has slowed down still answers, and would draw work for as long as it does.
                 boolean slow = now != stoodAt && times.count(now, 1 + wi.category.number()) >= IMAGINED_TIMES
-                    && overdue(wi, now - ho.sentAt, now);
-                times.add(now, 0, log(1 + now - ho.sentAt) - log(1 + wi.category.dueTime()));
-                times.add(now, 1 + wi.category.number(), log(1 + now - ho.sentAt));
+                    && overdue(wi, now - attempt.sentAt, now);
+                times.add(now, 0, log(1 + now - attempt.sentAt) - log(1 + wi.category.dueTime()));
+                times.add(now, 1 + wi.category.number(), log(1 + now - attempt.sentAt));
                 (slow ? b.failures : b.answers).add(now, 1);
                 b.streak = 0;
-                answered.add(now, 0, now - ho.sentAt);
-            } else if (!ho.missed && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
+                answered.add(now, 0, now - attempt.sentAt);
+            } else if (!attempt.missed && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
                 b.failures.add(now, 1);
                 b.streak++;
                 // Where each must find out alone, a lost zone costs every balancer work at each backend.
                 b.lost |= outcome == Outcome.NO_CONNECTION && b.streak >= 2;
             }
             if (now != stoodAt && (outcome == Outcome.FINISHED || outcome == Outcome.TIMED_OUT)) {
-                stays.add(now, 0, now - ho.sentAt);
-                stays.add(now, 1 + 2 * b.lane, now - ho.sentAt);
-                stays.add(now, 2 + 2 * b.member.kind(), now - ho.sentAt);
+                stays.add(now, 0, now - attempt.sentAt);
+                stays.add(now, 1 + 2 * b.lane, now - attempt.sentAt);
+                stays.add(now, 2 + 2 * b.member.kind(), now - attempt.sentAt);
             }
             out.merge(wi.tenant, -1, Integer::sum);
             b.out--;
--- a/src/main/java/cottonlock/decision/Outcome.java
+++ b/src/main/java/cottonlock/decision/Outcome.java
@@ -1,6 +1,6 @@
 package cottonlock.decision;
 
-/** How a hand-off or a probe ended. */
+/** How an attempt or a probe ended. */
 public enum Outcome {
     FINISHED, ERROR, TURNED_AWAY, TIMED_OUT, NO_CONNECTION, BROKEN_OFF, RECALLED, NOT_SENT;
 
--- a/src/main/java/cottonlock/decision/Outlet.java
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -7,10 +7,10 @@
      * Hands a work item to a backend; it ends with the work item's expiry at the latest. Its last byte may
      * only be written before {@code sendBy}: later, what may have run already would run again.
      */
-    void handOff(long wi, String backend, long sendBy);
+    void attempt(long wi, String backend, long sendBy);
 
-    /** Stops waiting for one hand-off; what came of it is still reported. */
-    void recall(long wi, int handOff);
+    /** Stops waiting for one attempt; what came of it is still reported. */
+    void recall(long wi, int attempt);
 
     /** Ends a work item: turned away unharmed, with the time after which to come back (0: no advice). */
     void defer(long wi, long comeBack, Reason why);
--- a/src/main/java/cottonlock/decision/Reason.java
+++ b/src/main/java/cottonlock/decision/Reason.java
@@ -19,7 +19,7 @@
     /** The last answer was lost, failed or did not come; it may have run and is not sent again. */
     ANSWER_LOST;
 
-    /** What a hand-off that ended so, and is the last, ends its work item by. */
+    /** What an attempt that ended so, and is the last, ends its work item by. */
     static Reason of(Outcome outcome) {
         return switch (outcome) {
             case TURNED_AWAY -> TURNED_AWAY;
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/WorkItem.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A work item while the balancer holds it, and the hand-offs made for it. */
+/** A work item while the balancer holds it, and the attempts made for it. */
 final class WorkItem {
     final long id;
     final Category category;
@@ -15,7 +15,7 @@
     final long hint;
     /** An answer after this earns the late credit at most. */
     long due;
-    final List<HandOff> handOffs = new ArrayList<>(1);
+    final List<Attempt> attempts = new ArrayList<>(1);
     boolean overQuota;
     /** What it would end by if it ended now. */
     Reason why = Reason.NO_ROOM;
@@ -48,8 +48,8 @@
         due = Math.min(due, latest);
     }
 
-    /** One hand-off of the work item. */
-    static final class HandOff {
+    /** One attempt of the work item. */
+    static final class Attempt {
         final Backend backend;
         final long sentAt;
         boolean out = true;
@@ -58,45 +58,45 @@
         boolean missed;
         boolean neverRan;
 
-        HandOff(Backend backend, long sentAt) {
+        Attempt(Backend backend, long sentAt) {
             this.backend = backend;
             this.sentAt = sentAt;
         }
     }
 
     /**
-     * By when its next hand-off must be written. A repeat of what may have run comes within the window in
+     * By when its next attempt must be written. A repeat of what may have run comes within the window in
      * which backends know it, with a tenth of that left for its way: they count from when they got the first.
      */
     long sendBy() {
-        HandOff ran = mayHaveRun();
+        Attempt ran = mayHaveRun();
         return ran == null || category.repeat() == Category.Repeat.SAFE ? expiry
             : Math.min(expiry, ran.sentAt + category.repeatWindow() * 9 / 10);
     }
 
-    /** The hand-off made last; there is one at least. */
-    HandOff last() {
-        return handOffs.get(handOffs.size() - 1);
+    /** The attempt made last; there is one at least. */
+    Attempt last() {
+        return attempts.get(attempts.size() - 1);
     }
 
     boolean tried(Backend backend) {
-        return handOffs.stream().anyMatch(ho -> ho.backend == backend);
+        return attempts.stream().anyMatch(attempt -> attempt.backend == backend);
     }
 
     boolean anyOut() {
-        for (HandOff ho : handOffs) {
-            if (ho.out) {
+        for (Attempt attempt : attempts) {
+            if (attempt.out) {
                 return true;
             }
         }
         return false;
     }
 
-    /** The first hand-off that may have run, or null; one that is still out counts. */
-    HandOff mayHaveRun() {
-        for (HandOff ho : handOffs) {
-            if (!ho.neverRan) {
-                return ho;
+    /** The first attempt that may have run, or null; one that is still out counts. */
+    Attempt mayHaveRun() {
+        for (Attempt attempt : attempts) {
+            if (!attempt.neverRan) {
+                return attempt;
             }
         }
         return null;
--- a/src/main/java/cottonlock/lab/Ledger.java
+++ b/src/main/java/cottonlock/lab/Ledger.java
@@ -117,7 +117,7 @@
         }
     }
 
-    /** The first byte of a hand-off came at a backend at one time, its last one at another. */
+    /** The first byte of an attempt came at a backend at one time, its last one at another. */
     void received(long firstByte, long now, String id, String backend, int proxy) {
         sends++;
         Long since = told.get(proxy + " " + backend);
@@ -128,7 +128,7 @@
         }
         Entry e = items.get(id);
         if (e == null) {
-            breach(Rule.LOST, now, "a hand-off of " + id + ", which no client sent, came to " + backend);
+            breach(Rule.LOST, now, "an attempt of " + id + ", which no client sent, came to " + backend);
             return;
         }
         e.sends++;
@@ -156,7 +156,7 @@
         }
     }
 
-    /** A backend has made this answer for a work item; a further hand-off of it is answered alike. */
+    /** A backend has made this answer for a work item; a further attempt of it is answered alike. */
     void made(String id, int body) {
         made.put(id, body);
     }
@@ -195,7 +195,7 @@
         return unanswered;
     }
 
-    /** Hand-offs that have reached a backend. */
+    /** Attempts that have reached a backend. */
     long sends() {
         return sends;
     }
--- a/src/main/java/cottonlock/lab/Page.java
+++ b/src/main/java/cottonlock/lab/Page.java
@@ -125,7 +125,7 @@
                 .thenComparing(Map.Entry::getKey));
             int shown = Math.min(MOST_LINES, works.size());
             String which = works.size() > shown ? ", the " + shown + " busiest of " + works.size() : "";
-            Chart received = chart("Hand-offs that reached backends of tier " + tier, "a second" + which,
+            Chart received = chart("Attempts that reached backends of tier " + tier, "a second" + which,
                 seconds,
                 faults);
             works.stream().limit(shown).sorted(Map.Entry.comparingByKey())
--- a/src/main/java/cottonlock/lab/PlainProxy.java
+++ b/src/main/java/cottonlock/lab/PlainProxy.java
@@ -111,7 +111,7 @@
                     if (written) {
                         give(broken, safe(broken) ? 503 : 502);
                     } else {
-                        handOff(broken);
+                        attempt(broken);
                     }
                 }
             }
@@ -173,7 +173,7 @@
             Item item = new Item(conn, m, until);
             items.put(conn, item);
             item.timer = loop.at(until, () -> give(item, 502));
-            handOff(item);
+            attempt(item);
         } catch (HttpIn.Unreadable e) {
             conn.reset();
         }
@@ -183,7 +183,7 @@
         return item.message.start()[0].equals("GET");
     }
 
-    private void handOff(Item item) {
+    private void attempt(Item item) {
         List<Backend> left = new ArrayList<>(active);
         left.removeAll(item.tried);
         if (left.isEmpty() || item.tried.size() >= most) {
@@ -236,7 +236,7 @@
             }
             case "503", "504" -> {
                 if (answer.field("x-not-processed") != null) {
-                    handOff(item);
+                    attempt(item);
                 } else {
                     give(item, safe(item) ? 503 : 502);
                 }
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -16,7 +16,7 @@
     /** Parts of the idle time after which a connection is retired, before the backend does it. */
     private static final double RETIRE = 0.8;
     /** Nanoseconds after an answer within which a second one may come, some milliseconds late: used again at
-     * once, the connection would give it to the next hand-off. Seen: 0.1 to 4 ms. */
+     * once, the connection would give it to the next attempt. Seen: 0.1 to 4 ms. */
     static final long SETTLE = 5_000_000;
     /** How often the resting connections are looked through at least, in microseconds. */
     private static final long LOOK = 500_000;
@@ -37,8 +37,8 @@
     private InetSocketAddress address;
     private final Deque<Link> resting = new ArrayDeque<>();
     private final Set<Link> links = new HashSet<>();
-    /** Hand-offs that wait for connections to settle: sooner than a new one is up, which also costs more. */
-    private final Deque<Item.HandOff> held = new ArrayDeque<>();
+    /** Attempts that wait for connections to settle: sooner than a new one is up, which also costs more. */
+    private final Deque<Item.Attempt> held = new ArrayDeque<>();
     private boolean leaving;
     /** What the list and the operators said last; told by the module's thread, looked at where bytes go
      * out. */
@@ -93,8 +93,8 @@
     }
 
     /** From the module's thread, which never waits here: false when the mailbox is full. */
-    boolean handOff(Item.HandOff ho) {
-        return mailbox.offer(() -> send(ho));
+    boolean attempt(Item.Attempt attempt) {
+        return mailbox.offer(() -> send(attempt));
     }
 
     /** From the module's thread: the list has told where it listens now. */
@@ -149,7 +149,7 @@
         mailbox.put(next);
     }
 
-    /** From a link: its hand-off is over and it may carry the next. */
+    /** From a link: its attempt is over and it may carry the next. */
     void rests(Link link) {
         mailbox.put(() -> {
             if (leaving || !link.address().equals(address) || !keeping.worthwhile()) {
@@ -161,7 +161,7 @@
         });
     }
 
-    /** From a link: its hand-off, not its first, broke off so many nanoseconds after it was sent. */
+    /** From a link: its attempt, not its first, broke off so many nanoseconds after it was sent. */
     void brokeWhenUsedAgain(long after) {
         keeping.broke(after);
     }
@@ -193,7 +193,7 @@
         return null;
     }
 
-    private void send(Item.HandOff ho) {
+    private void send(Item.Attempt attempt) {
         // Looked through now and then only, some had rested too long when they were used, and were reset.
         retire();
         if (!keeping.worthwhile()) {
@@ -201,48 +201,49 @@
             resting.clear();
         }
         for (Link link = settled(); link != null; link = settled()) {
-            if (!ho.attach(link)) {
+            if (!attempt.attach(link)) {
                 resting.addLast(link);
                 return;
             }
-            if (ho.wi.body.spooled() && elsewhere(link, ho)) {
+            if (attempt.wi.body.spooled() && elsewhere(link, attempt)) {
                 return;
             }
-            if (link.send(ho)) {
+            if (link.send(attempt)) {
                 return;
             }
-            if (ho.settled()) {
+            if (attempt.settled()) {
                 return;
             }
         }
         if (resting.size() > held.size()) {
-            held.add(ho);
+            held.add(attempt);
             return;
         }
         if (!places.take()) {
-            log.warn("out of sockets", "a hand-off got no connection");
-            ho.settle(Outcome.NO_CONNECTION);
+            log.warn("out of sockets", "an attempt got no connection");
+            attempt.settle(Outcome.NO_CONNECTION);
             return;
         }
-        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, figures, log, ho);
+        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, figures, log,
+            attempt);
         links.add(link);
         try {
             workers.serve(link);
         } catch (OutOfMemoryError e) {
-            // No thread can be had: this hand-off fails, the proxy must not.
-            log.warn("no thread", "a hand-off got no connection");
+            // No thread can be had: this attempt fails, the proxy must not.
+            log.warn("no thread", "an attempt got no connection");
             links.remove(link);
             places.give();
-            ho.settle(Outcome.NO_CONNECTION);
+            attempt.settle(Outcome.NO_CONNECTION);
         }
     }
 
     /** A long body is written on another thread: a backend that reads slowly must not stop this actor. */
-    private boolean elsewhere(Link link, Item.HandOff ho) {
+    private boolean elsewhere(Link link, Item.Attempt attempt) {
         try {
             workers.serve(() -> {
-                if (!link.send(ho) && !ho.settled()) {
-                    mailbox.put(() -> send(ho));
+                if (!link.send(attempt) && !attempt.settled()) {
+                    mailbox.put(() -> send(attempt));
                 }
             });
             return true;
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/Item.java
@@ -34,9 +34,9 @@
 
     /** What it ended by, where no backend's answer ended it; told before its client is answered. */
     volatile Reason why = Reason.ANSWER_LOST;
-    /** The module's number for it, its hand-offs, and how many are out: the module's thread alone. */
+    /** The module's number for it, its attempts, and how many are out: the module's thread alone. */
     long number;
-    final List<HandOff> handOffs = new ArrayList<>(1);
+    final List<Attempt> attempts = new ArrayList<>(1);
     int out;
 
     Item(Client client, Admission.Asked asked, Body body, long expiry, Set<String> openIds)
@@ -85,8 +85,8 @@
         }
     }
 
-    /** One hand-off: it is settled once, whatever reaches it first. */
-    static final class HandOff {
+    /** One attempt: it is settled once, whatever reaches it first. */
+    static final class Attempt {
         final Item wi;
         final int number;
         /** By the module's clock: its last byte may be written until then. */
@@ -95,7 +95,7 @@
         private Link link;
         private boolean settled;
 
-        HandOff(Item wi, int number, long sendBy, ModuleActor module) {
+        Attempt(Item wi, int number, long sendBy, ModuleActor module) {
             this.wi = wi;
             this.number = number;
             this.sendBy = sendBy;
--- a/src/main/java/cottonlock/net/Keeping.java
+++ b/src/main/java/cottonlock/net/Keeping.java
@@ -1,8 +1,8 @@
 package cottonlock.net;
 
 /**
- * Whether connections to backends are kept for the next hand-off. Some networks and backends end kept ones
- * without a word, or as soon as they are used: a hand-off lost that way may have run, and counts against a
+ * Whether connections to backends are kept for the next attempt. Some networks and backends end kept ones
+ * without a word, or as soon as they are used: an attempt lost that way may have run, and counts against a
  * sound backend, while a new connection costs little.
  */
 final class Keeping {
@@ -17,7 +17,7 @@
     private int breaks;
     private long notUntil = System.nanoTime();
 
-    /** A connection that had been kept broke so many nanoseconds after its next hand-off was sent. */
+    /** A connection that had been kept broke so many nanoseconds after its next attempt was sent. */
     synchronized void broke(long after) {
         if (after > AT_ONCE) {
             return;
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -24,17 +24,17 @@
     private final Figures figures;
     private final Log log;
     private final Socket socket = new Socket();
-    private final Item.HandOff first;
+    private final Item.Attempt first;
     /** When it last began to rest, for the actor; 0 before it first does. */
     long restingSince;
     private long sentAt;
-    private Item.HandOff current;
+    private Item.Attempt current;
     private boolean writing;
     private boolean written;
     private boolean ended;
 
     Link(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
-         HttpWriter writer, Watchdog watchdog, Clock clock, Figures figures, Log log, Item.HandOff first) {
+         HttpWriter writer, Watchdog watchdog, Clock clock, Figures figures, Log log, Item.Attempt first) {
         this.backend = backend;
         this.address = address;
         this.connectLimit = connectLimit;
@@ -63,7 +63,7 @@
                 HttpReader reader = new HttpReader(socket, buffer);
                 if (send(first)) {
                     while (reader.awaitOne() && expects() && exchange(reader)) {
-                        // One hand-off after the other.
+                        // One attempt after the other.
                     }
                 }
             }
@@ -82,7 +82,7 @@
         if (buffer != null) {
             buffers.give(buffer);
         }
-        Item.HandOff broken = null;
+        Item.Attempt broken = null;
         long after;
         synchronized (this) {
             ended = true;
@@ -102,7 +102,7 @@
         backend.ended(this);
     }
 
-    /** Whether an answer is due; what comes unasked would be taken for the answer to the next hand-off. */
+    /** Whether an answer is due; what comes unasked would be taken for the answer to the next attempt. */
     private synchronized boolean expects() {
         if (current == null) {
             ended = true;
@@ -111,18 +111,18 @@
         return current != null;
     }
 
-    /** Writes a hand-off; false when nothing more can go out on this connection. */
-    boolean send(Item.HandOff ho) {
+    /** Writes an attempt; false when nothing more can go out on this connection. */
+    boolean send(Item.Attempt attempt) {
         synchronized (this) {
             if (ended || unasked()) {
                 return false;
             }
-            current = ho;
+            current = attempt;
             sentAt = System.nanoTime();
             writing = true;
             written = false;
         }
-        Outcome skipped = write(ho);
+        Outcome skipped = write(attempt);
         boolean over;
         synchronized (this) {
             writing = false;
@@ -133,13 +133,13 @@
             }
         }
         if (skipped != null) {
-            ho.settle(skipped);
+            attempt.settle(skipped);
             Sockets.close(socket);
             return false;
         }
         if (over) {
             // It went out whole, but the other side had ended: it may have been read before that.
-            ho.settle(Outcome.BROKEN_OFF);
+            attempt.settle(Outcome.BROKEN_OFF);
         }
         return !over;
     }
@@ -155,8 +155,8 @@
     }
 
     /** Writes it whole and returns null, or tells why its last byte was never written. */
-    private Outcome write(Item.HandOff ho) {
-        if (!ho.wi.hold()) {
+    private Outcome write(Item.Attempt attempt) {
+        if (!attempt.wi.hold()) {
             return Outcome.NOT_SENT;
         }
         try {
@@ -164,15 +164,16 @@
                 // It waited in a mailbox or for a connection: meanwhile a drain may have been told.
                 return Outcome.NOT_SENT;
             }
-            long wait = Math.max(1, (ho.wi.expiry - clock.now()) / 10);
+            long wait = Math.max(1, (attempt.wi.expiry - clock.now()) / 10);
             String host = address.getHostString() + ":" + address.getPort();
-            watchdog.write(socket, out -> writer.request(new Until(out, ho.sendBy), ho.wi, host, wait));
-            figures.handedOff();
+            watchdog.write(socket,
+                out -> writer.request(new Until(out, attempt.sendBy), attempt.wi, host, wait));
+            figures.attempted();
             return null;
         } catch (IOException e) {
-            return clock.now() >= ho.sendBy ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
+            return clock.now() >= attempt.sendBy ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
         } finally {
-            ho.wi.release();
+            attempt.wi.release();
         }
     }
 
@@ -200,23 +201,23 @@
         Head head = reader.answer(GAP);
         Body body = reader.first(buffers);
         try {
-            Item.HandOff ho;
+            Item.Attempt attempt;
             boolean keep = head.keepsAlive(head.start[0]);
             synchronized (this) {
-                ho = current;
+                attempt = current;
                 current = null;
                 keep &= !writing;
             }
-            if (ho == null) {
+            if (attempt == null) {
                 return false;
             }
-            boolean passed = pass(ho, head, body, reader);
+            boolean passed = pass(attempt, head, body, reader);
             reader.within(0);
             if (!passed) {
                 return false;
             }
             if (keep && reader.surplus()) {
-                // A second copy or noise: the next hand-off on this connection would be answered with it.
+                // A second copy or noise: the next attempt on this connection would be answered with it.
                 log.warn("surplus", "more than its answer, from " + address);
                 return false;
             }
@@ -229,23 +230,23 @@
         }
     }
 
-    /** Settles the hand-off and passes its answer on; false when some of it is left unread. */
-    private boolean pass(Item.HandOff ho, Head head, Body body, HttpReader reader) throws BadMessage {
+    /** Settles the attempt and passes its answer on; false when some of it is left unread. */
+    private boolean pass(Item.Attempt attempt, Head head, Body body, HttpReader reader) throws BadMessage {
         int status = Integer.parseInt(head.start[1]);
         boolean notRun = "1".equals(head.only("X-Not-Processed"));
         if (status != 200) {
-            ho.settle((status == 503 || status == 504) && notRun ? Outcome.TURNED_AWAY : Outcome.ERROR);
+            attempt.settle((status == 503 || status == 504) && notRun ? Outcome.TURNED_AWAY : Outcome.ERROR);
             return reader.over();
         }
-        // Claimed first: the module must learn that the work item is over, by this hand-off.
-        boolean owed = ho.wi.claim();
-        ho.settle(Outcome.FINISHED);
+        // Claimed first: the module must learn that the work item is over, by this attempt.
+        boolean owed = attempt.wi.claim();
+        attempt.settle(Outcome.FINISHED);
         if (!reader.over()) {
-            // Begun, it is the client's: no other hand-off could answer it any more, nor would one be needed.
-            return owed && ho.wi.client.relay(ho.wi, body, reader);
+            // Begun, it is the client's: no other attempt could answer it any more, nor would one be needed.
+            return owed && attempt.wi.client.relay(attempt.wi, body, reader);
         }
         if (owed) {
-            ho.wi.client.finish(ho.wi, 200, null, null, body);
+            attempt.wi.client.finish(attempt.wi, 200, null, null, body);
         }
         return true;
     }
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -115,9 +115,9 @@
         long now = clock.now();
         while (!expiries.isEmpty() && expiries.peek().expiry <= now) {
             Item wi = expiries.poll();
-            for (Item.HandOff ho : wi.handOffs) {
-                if (ho.abandon()) {
-                    ended(ho, Outcome.TIMED_OUT);
+            for (Item.Attempt attempt : wi.attempts) {
+                if (attempt.abandon()) {
+                    ended(attempt, Outcome.TIMED_OUT);
                 }
             }
             // The module has given each its answer by now; this is for one that it lost in a fault.
@@ -176,18 +176,18 @@
         });
     }
 
-    /** A hand-off has been settled, by the thread that saw how it ended. */
-    void settled(Item.HandOff ho, Outcome outcome) {
-        mailbox.put(() -> ended(ho, outcome));
+    /** An attempt has been settled, by the thread that saw how it ended. */
+    void settled(Item.Attempt attempt, Outcome outcome) {
+        mailbox.put(() -> ended(attempt, outcome));
     }
 
-    private void ended(Item.HandOff ho, Outcome outcome) {
-        ho.wi.out--;
+    private void ended(Item.Attempt attempt, Outcome outcome) {
+        attempt.wi.out--;
         if (shadow != null) {
-            shadow.settled(clock.now(), ho.wi.number, outcome, ho.wi.claimed());
+            shadow.settled(clock.now(), attempt.wi.number, outcome, attempt.wi.claimed());
         }
-        balancer.settled(clock.now(), ho.wi.number, ho.number, outcome, ho.wi.claimed());
-        forget(ho.wi);
+        balancer.settled(clock.now(), attempt.wi.number, attempt.number, outcome, attempt.wi.claimed());
+        forget(attempt.wi);
     }
 
     private void forget(Item wi) {
@@ -317,7 +317,7 @@
         });
     }
 
-    /** Other categories, by number, and most hand-offs are in force for what comes from now on. */
+    /** Other categories, by number, and most attempts are in force for what comes from now on. */
     void retune(List<Category> categories, int most) {
         mailbox.put(() -> {
             if (shadow != null) {
@@ -345,28 +345,28 @@
     }
 
     @Override
-    public void handOff(long number, String backend, long sendBy) {
+    public void attempt(long number, String backend, long sendBy) {
         Item wi = items.get(number);
-        Item.HandOff ho = new Item.HandOff(wi, wi.handOffs.size(), sendBy, this);
-        wi.handOffs.add(ho);
+        Item.Attempt attempt = new Item.Attempt(wi, wi.attempts.size(), sendBy, this);
+        wi.attempts.add(attempt);
         wi.out++;
         if (shadow != null) {
             shadow.decided(number, backend);
         }
         BackendActor actor = backends.get(backend);
-        if (bans.out(backend) && ho.abandon()) {
+        if (bans.out(backend) && attempt.abandon()) {
             // The yes to the operator went out before the module could hear of it.
-            next.add(() -> ended(ho, Outcome.NOT_SENT));
-        } else if ((actor == null || !actor.handOff(ho)) && ho.abandon()) {
-            next.add(() -> ended(ho, Outcome.NO_CONNECTION));
+            next.add(() -> ended(attempt, Outcome.NOT_SENT));
+        } else if ((actor == null || !actor.attempt(attempt)) && attempt.abandon()) {
+            next.add(() -> ended(attempt, Outcome.NO_CONNECTION));
         }
     }
 
     @Override
-    public void recall(long number, int handOff) {
+    public void recall(long number, int attempt) {
         Item wi = items.get(number);
-        if (wi != null && wi.handOffs.get(handOff).abandon()) {
-            next.add(() -> ended(wi.handOffs.get(handOff), Outcome.RECALLED));
+        if (wi != null && wi.attempts.get(attempt).abandon()) {
+            next.add(() -> ended(wi.attempts.get(attempt), Outcome.RECALLED));
         }
     }
 
--- a/src/main/java/cottonlock/net/Shadow.java
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -15,7 +15,7 @@
  * A second module with other settings that is told all that the first is told, and whose decisions are only
  * counted: what operators watch before they change a deployment's settings.
  *
- * <p>The module's thread alone calls it. What became of the real hand-off stands for what would have become
+ * <p>The module's thread alone calls it. What became of the real attempt stands for what would have become
  * of its own, so it learns of the backends as they are under the real decisions. A fault ends the watch,
  * never the service.
  */
@@ -102,7 +102,7 @@
         guard(() -> balancer.left(now, number));
     }
 
-    /** The real module has handed off (a backend) or answered (null): its first decision is compared. */
+    /** The real module has sent (a backend) or answered (null): its first decision is compared. */
     void decided(long number, String backend) {
         Deed deed = deeds.get(number);
         if (deed == null || deed.compared) {
@@ -115,7 +115,7 @@
         counts.merge(kind, 1L, Long::sum);
     }
 
-    /** A real hand-off has ended: so has the one that stands beside it. */
+    /** A real attempt has ended: so has the one that stands beside it. */
     void settled(long now, long number, Outcome outcome, boolean over) {
         Deed deed = deeds.get(number);
         if (deed != null && deed.out) {
@@ -127,7 +127,7 @@
 
     /** The real work item is over and nothing of it is out any more. */
     void forget(long now, long number) {
-        // Where only the watched module would have handed off, nothing is known of how that would have ended.
+        // Where only the watched module would have sent, nothing is known of how that would have ended.
         settled(now, number, Outcome.NOT_SENT, true);
         deeds.remove(number);
     }
@@ -142,7 +142,7 @@
     }
 
     @Override
-    public void handOff(long number, String backend, long sendBy) {
+    public void attempt(long number, String backend, long sendBy) {
         Deed deed = deeds.get(number);
         if (deed != null) {
             deed.first = deed.first == null ? backend : deed.first;
@@ -152,13 +152,13 @@
     }
 
     @Override
-    public void recall(long number, int handOff) {
-        // The real hand-off runs on, and how it ends is told.
+    public void recall(long number, int attempt) {
+        // The real attempt runs on, and how it ends is told.
     }
 
     @Override
     public void defer(long number, long comeBack, Reason why) {
-        // Seen from there being no hand-off.
+        // Seen from there being no attempt.
     }
 
     @Override
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -53,7 +53,7 @@
             line,
             new Balancer.Lane(line, fleet),
             new Balancer.Pick(fleet, random.split()),
-            new Balancer.HandOffs(outlet, line, fleet, s.count("Limits.MaxHandOffs", 1),
+            new Balancer.Attempts(outlet, line, fleet, s.count("Limits.MaxHandOffs", 1),
                 s.flag("Limits.Cancel", false)),
             fleet);
     }
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -40,7 +40,7 @@
         }
     }
 
-    /** A hand-off as the ledger knows it. */
+    /** An attempt as the ledger knows it. */
     static final class Sent {
         final Member to;
         final long at;
@@ -97,7 +97,7 @@
         balancer = new Balancer(this,
             new Balancer.Intake(this, categories, tenants, first, shape, 10_000), line,
             new Balancer.Lane(line, fleet), new Balancer.Pick(fleet, random.split()),
-            new Balancer.HandOffs(this, line, fleet, MOST, mayRecall), fleet);
+            new Balancer.Attempts(this, line, fleet, MOST, mayRecall), fleet);
         balancer.start(now);
     }
 
@@ -178,7 +178,7 @@
         return finished;
     }
 
-    /** Lets time pass in steps; timers fire, and hand-offs still out at an expiry time out. */
+    /** Lets time pass in steps; timers fire, and attempts still out at an expiry time out. */
     void pass(long time) {
         for (long end = now + time; now < end;) {
             now = Math.min(end, now + 50);
@@ -212,14 +212,14 @@
     }
 
     @Override
-    public void handOff(long wi, String backend, long sendBy) {
-        Item item = open(wi, "hand-off");
+    public void attempt(long wi, String backend, long sendBy) {
+        Item item = open(wi, "attempt");
         assertTrue(now < sendBy && sendBy <= item.expiry, "may be written until " + sendBy + " at " + now);
         Member to = listed.get(backend);
-        assertNotNull(to, "hand-off to a backend that no list has named");
-        assertEquals(Member.State.READY, to.state(), "hand-off to a backend that leaves");
-        assertTrue(item.sent.size() < MOST, "too many hand-offs");
-        assertTrue(item.sent.stream().noneMatch(s -> s.out), "two hand-offs out at once");
+        assertNotNull(to, "attempt to a backend that no list has named");
+        assertEquals(Member.State.READY, to.state(), "attempt to a backend that leaves");
+        assertTrue(item.sent.size() < MOST, "too many attempts");
+        assertTrue(item.sent.stream().noneMatch(s -> s.out), "two attempts out at once");
         item.sent.stream().filter(s -> s.mayHaveRun).findFirst().ifPresent(ran -> {
             assertTrue(item.category.repeat() != Repeat.UNSAFE, "an unsafe work item sent twice");
             if (item.category.repeat() == Repeat.KEYED) {
@@ -261,8 +261,8 @@
     }
 
     @Override
-    public void recall(long wi, int handOff) {
-        Sent sent = items.get(wi).sent.get(handOff);
+    public void recall(long wi, int attempt) {
+        Sent sent = items.get(wi).sent.get(attempt);
         assertTrue(sent.out, "recall of what is not out");
         sent.recalled = true;
     }
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -78,7 +78,7 @@
         }
         try (Socket leaver = connect()) {
             send(leaver, request("book", "left", "", "body"));
-            eventually(() -> backend.requests.size() == 6, "handed off");
+            eventually(() -> backend.requests.size() == 6, "sent");
             assertEquals("1", figure("inflight"));
         }
         eventually(() -> figure("inflight").equals("0"), "who leaves is no longer under way");
@@ -175,7 +175,7 @@
         String next = now.replace("\"once\"", "\"twice\"").replace("\"MaxHandOffs\":3", "\"MaxHandOffs\":1");
         try (Socket old = connect()) {
             send(old, request("once", "old", "", "body"));
-            eventually(() -> !backend.requests.isEmpty(), "handed off");
+            eventually(() -> !backend.requests.isEmpty(), "sent");
             for (String bad : List.of("", "{", now.substring(0, now.length() / 2), "[]",
                 next.replace("\"MaxHandOffs\":1", "\"MaxHandOffs\":0"),
                 next.replace("\"MaxHandOffs\":1,", ""), next.replace("\"Expiry\":1500000,", ""),
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -217,7 +217,7 @@
         start(backend);
         try (Socket first = connect()) {
             send(first, request("once", "same", "", "body"));
-            eventually(() -> backend.requests.size() == 1, "handed off");
+            eventually(() -> backend.requests.size() == 1, "sent");
             assertEquals(409, status(call(request("once", "same", "", "other"))));
             assertEquals(200, status(receive(first)));
             assertEquals(1, backend.requests.size());
@@ -356,7 +356,7 @@
         long took = (System.nanoTime() - before) / 1_000_000;
         assertEquals(502, status, "it may have run");
         assertTrue(took >= 350 && took < 700, "answered at its expiry: " + took);
-        eventually(() -> silent.sockets.get(0).isClosed(), "the hand-off's connection is closed");
+        eventually(() -> silent.sockets.get(0).isClosed(), "the attempt's connection is closed");
         int endless = status(call(request("once", "e", "X-Timeout-Ms: 99999999\r\n", "body")));
         assertTrue(Set.of(502, 503).contains(endless), "answered within its category's expiry");
         assertTrue(silent.requests.size() <= 2, "nothing is sent again");
@@ -383,7 +383,7 @@
         start(one, two);
         Socket socket = connect();
         send(socket, request("read", "l", "", ""));
-        eventually(() -> one.requests.size() + two.requests.size() == 1, "handed off");
+        eventually(() -> one.requests.size() + two.requests.size() == 1, "sent");
         socket.close();
         Thread.sleep(200);
         assertEquals(1, one.requests.size() + two.requests.size(), "nothing is sent for who has left");
@@ -484,7 +484,7 @@
                 return OK;
             };
             send(held, request("once", "held", "", "body"));
-            eventually(() -> one.requests.size() == 1, "handed off");
+            eventually(() -> one.requests.size() == 1, "sent");
             for (String text : List.of("{", texts[1].replace("subscribe", "never"), texts[1])) {
                 Files.writeString(file, text);
                 assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -216,7 +216,7 @@
         startPatient(backend);
         Socket socket = connect();
         send(socket, request("once", "stuck", "X-Timeout-Ms: 20000\r\n", "body"));
-        eventually(() -> backend.requests.size() == 1, "handed off");
+        eventually(() -> backend.requests.size() == 1, "sent");
         // Told 2.4 s ago, it has one second more, and the request has eighteen.
         Thread draining = drain(System.nanoTime() - 2_400_000_000L);
         assertEquals(502, status(receive(socket)));
@@ -359,12 +359,12 @@
         body.add("body".getBytes(StandardCharsets.ISO_8859_1), 0, 4);
         Item item = new Item(null, new Admission.Asked(head, "id", null, 0, "once", 0, "acme", 0), body,
             clock.now() + 100_000, ConcurrentHashMap.newKeySet());
-        Item.HandOff attempt = new Item.HandOff(item, 0, sendBy, module);
-        assertTrue(actor == null || actor.handOff(attempt));
+        Item.Attempt attempt = new Item.Attempt(item, 0, sendBy, module);
+        assertTrue(actor == null || actor.attempt(attempt));
         return new Request(item, attempt);
     }
 
-    private record Request(Item item, Item.HandOff attempt) {
+    private record Request(Item item, Item.Attempt attempt) {
     }
 
     private BackendActor actor(StandIn backend, long settle) {
