--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -88,7 +88,10 @@
 
     /** The answer to a streamed work item has begun: it belongs to the client from now on. */
     public void underWay(long now, long id, int attempt) {
-        attempts.underWay(now, id, attempt);
+        WorkItem wi = attempts.open.get(id);
+        if (wi != null && attempt < wi.attempts.size()) {
+            wi.attempts.get(attempt).recalled = true;
+        }
     }
 
     /** The client of a work item has left, so nothing more is owed. */
@@ -370,11 +373,6 @@
             return finished.sum(now) >= 10 && typical(now) > calm.value() + PRESSED;
         }
 
-        /** What each attempt that ends tells of its tenant's lane, and of the room. */
-        void learn(WorkItem wi, Outcome outcome, long time, long now) {
-            lanes[wi.tenant].learn(outcome, time, wi.category.dueTime());
-        }
-
         /** How fast work may enter a lane of which one of many sees too little: by Little's law. */
         private final class Entry {
             /** The most tokens kept, and how many must be there for work over its quota. */
@@ -579,10 +577,9 @@
             Backend b = wi.candidates.get(0);
             repeats = Math.min(5, repeats + REPEATS);
             open.put(wi.id, wi);
-            long sendBy = wi.sendBy();
+            outlet.attempt(wi.id, b.id, wi.sendBy());
             wi.attempts.add(new Attempt(b, now));
             fleet.sent(b, wi, now);
-            outlet.attempt(wi.id, b.id, sendBy);
         }
 
         void settled(long now, long id, int number, Outcome outcome, boolean over) {
@@ -597,7 +594,7 @@
             fleet.settled(attempt, wi, outcome, now);
             // In the batch after a standstill, times tell of the balancer and not of the backends.
             if (now != fleet.stoodAt && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
-                line.learn(wi, outcome, now - attempt.sentAt, now);
+                line.lanes[wi.tenant].learn(outcome, now - attempt.sentAt, wi.category.dueTime());
             }
             boolean wasEnded = wi.ended;
             wi.ended |= over;
@@ -624,13 +621,6 @@
             return may;
         }
 
-        void underWay(long now, long id, int number) {
-            WorkItem wi = open.get(id);
-            if (wi != null && number < wi.attempts.size()) {
-                wi.attempts.get(number).recalled = true;
-            }
-        }
-
         void left(long now, long id) {
             WorkItem wi = open.get(id);
             if (wi != null && !wi.ended) {
