--- a/src/main/java/cottonlock/admin/Figures.java
+++ b/src/main/java/cottonlock/admin/Figures.java
@@ -12,7 +12,7 @@
 
 /** What this process has counted since it started; each count is defined here, and kept where it happens. */
 public final class Figures {
-    /** How a work item ended, as its client saw it. */
+    /** How a request ended, as its client saw it. */
     private enum End { SUCCESS, BUSY, FAILURE }
 
     private final Map<End, Map<String, LongAdder>> ends = Map.of(End.SUCCESS, new ConcurrentSkipListMap<>(),
@@ -48,12 +48,12 @@
         return zeros;
     }
 
-    /** A work item has been read whole. */
+    /** A request has been read whole. */
     public void taken() {
         inflight.incrementAndGet();
     }
 
-    /** A work item that was taken needs nothing more, whether it was answered or its client has left. */
+    /** A request that was taken needs nothing more, whether it was answered or its client has left. */
     public void over() {
         inflight.decrementAndGet();
     }
--- a/src/main/java/cottonlock/bench/Instance.java
+++ b/src/main/java/cottonlock/bench/Instance.java
@@ -25,24 +25,24 @@
     }
 
     @Override
-    public void attempt(long wi, String backend, long sendBy) {
+    public void attempt(long req, String backend, long sendBy) {
         // Sent in the moment of the call, it needs no bound; it ends with the request.
-        reply.start("dispatch", name).field(wi).field(backend).field(0).end();
+        reply.start("dispatch", name).field(req).field(backend).field(0).end();
     }
 
     @Override
-    public void recall(long wi, int attempt) {
-        reply.start("retract", name).field(wi).field(attempt).end();
+    public void recall(long req, int attempt) {
+        reply.start("retract", name).field(req).field(attempt).end();
     }
 
     @Override
-    public void defer(long wi, long comeBack, Reason why) {
-        reply.start("overload_reply", name).field(wi).field(comeBack * Settings.MICROS).end();
+    public void defer(long req, long comeBack, Reason why) {
+        reply.start("overload_reply", name).field(req).field(comeBack * Settings.MICROS).end();
     }
 
     @Override
-    public void writeOff(long wi, Reason why) {
-        reply.start("give_up", name).field(wi).end();
+    public void writeOff(long req, Reason why) {
+        reply.start("give_up", name).field(req).end();
     }
 
     @Override
--- a/src/main/java/cottonlock/bench/WireHost.java
+++ b/src/main/java/cottonlock/bench/WireHost.java
@@ -18,7 +18,7 @@
 public final class WireHost {
     private static final long MICROS = Settings.MICROS;
     private static final int BUFFERS = 16;
-    /** Work item and attempt numbers stay below this on the wire. */
+    /** Request and attempt numbers stay below this on the wire. */
     private static final int ANY = Integer.MAX_VALUE;
 
     private final LineReader in;
--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -66,9 +66,9 @@
         }
     }
 
-    /** Serves work items. */
+    /** Serves requests. */
     @Command(name = "serve", mixinStandardHelpOptions = true,
-        description = "Serves work items until SIGTERM.",
+        description = "Serves requests until SIGTERM.",
         footer = {"", "EDGE_CONFIG names the platform's configuration (JSON).",
         "Exit status: 143 after SIGTERM; "
             + "2 a configuration that can't be used."})
--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -38,8 +38,8 @@
     long spacedFrom;
     double spacing;
     long spacedFor = -1;
-    /** The work items handed to it and still out, in the order of sending. */
-    final Map<Long, WorkItem> held = new LinkedHashMap<>();
+    /** The requests handed to it and still out, in the order of sending. */
+    final Map<Long, Request> held = new LinkedHashMap<>();
 
     /** In due times: what an answer says of how a backend is now, and what its gaps say of its usual ones. */
     private static final double NOW = 1.28;
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -5,7 +5,7 @@
 import static java.util.stream.Collectors.toSet;
 
 import cottonlock.decision.Category.Repeat;
-import cottonlock.decision.WorkItem.Attempt;
+import cottonlock.decision.Request.Attempt;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -21,7 +21,7 @@
  *
  * <p>One thread tells it what happened through the public methods, each with the time in whole tenths of a
  * millisecond, never going back. It answers during the call through {@link Outlet}; it does no input or
- * output and reads no clock. A work item passes the stages Intake, Line, Lane, Pick and Attempts. Each passes
+ * output and reads no clock. A request passes the stages Intake, Line, Lane, Pick and Attempts. Each passes
  * it on or sends it back; what comes back passes them the other way. Fleet stands beside them and knows the
  * backends. docs/design.md tells which decision comes from where.
  */
@@ -72,7 +72,7 @@
         attempts.most = most;
     }
 
-    /** A work item has come; its client waits for {@code patience}. Hint: its work, 0 where not told. */
+    /** A request has come; its client waits for {@code patience}. Hint: its work, 0 where not told. */
     public void arrive(long now, long id, int category, int tenant, long patience, boolean repeated,
                        long hint) {
         doubtClock(now);
@@ -80,30 +80,30 @@
         intake.arrive(now, id, category, tenant, patience, repeated, hint, stood);
     }
 
-    /** An attempt has ended; {@code over} tells that the work item has had its final answer. */
+    /** An attempt has ended; {@code over} tells that the request has had its final answer. */
     public void settled(long now, long id, int attempt, Outcome outcome, boolean over) {
         doubtClock(now);
         attempts.settled(now, id, attempt, outcome, over);
     }
 
-    /** The answer to a streamed work item has begun: it belongs to the client from now on. */
+    /** The answer to a streamed request has begun: it belongs to the client from now on. */
     public void underWay(long now, long id, int attempt) {
-        WorkItem wi = attempts.open.get(id);
-        if (wi != null && attempt < wi.attempts.size()) {
-            wi.attempts.get(attempt).recalled = true;
+        Request req = attempts.open.get(id);
+        if (req != null && attempt < req.attempts.size()) {
+            req.attempts.get(attempt).recalled = true;
         }
     }
 
-    /** The client of a work item has left, so nothing more is owed. */
+    /** The client of a request has left, so nothing more is owed. */
     public void left(long now, long id) {
-        line.waiting.removeIf(wi -> wi.id == id);
+        line.waiting.removeIf(req -> req.id == id);
         attempts.left(now, id);
     }
 
     /** The balancer leaves: what it holds now is over by then, with its final answer. */
     public void endBy(long latest) {
-        line.waiting.forEach(wi -> wi.endBy(latest));
-        attempts.open.values().forEach(wi -> wi.endBy(latest));
+        line.waiting.forEach(req -> req.endBy(latest));
+        attempts.open.values().forEach(req -> req.endBy(latest));
     }
 
     /** News of the list of backends, whole or only what changed; cached: as this balancer last held it. */
@@ -152,16 +152,16 @@
             this.after = after;
         }
 
-        /** Takes a work item on its way to a backend. */
-        abstract void take(WorkItem wi, long now);
+        /** Takes a request on its way to a backend. */
+        abstract void take(Request req, long now);
 
-        /** Takes back a work item that has ended, or for which no more can be done. */
-        void back(WorkItem wi, long now) {
-            before.back(wi, now);
+        /** Takes back a request that has ended, or for which no more can be done. */
+        void back(Request req, long now) {
+            before.back(req, now);
         }
     }
 
-    /** Knows each category and quota; gives the final answer when a work item comes back unfinished. */
+    /** Knows each category and quota; gives the final answer when a request comes back unfinished. */
     public static final class Intake extends Stage {
         /** With a bucket of four, Poisson arrivals at nine tenths of the quota seldom find it empty. */
         private static final double DEPTH = 4;
@@ -176,7 +176,7 @@
         /** The longest patience seen of each category. */
         private long[] longest;
 
-        /** First: whether work items come from clients; the come-back time is 0 where clients follow none. */
+        /** First: whether requests come from clients; the come-back time is 0 where clients follow none. */
         public Intake(Outlet outlet, List<Category> categories, List<Tenant> tenants, boolean first,
                       Shape shape, long longestComeBack) {
             this.outlet = outlet;
@@ -202,42 +202,42 @@
             // What came during a standstill has waited as much as its patience lacks of the longest seen.
             longest[category] = Math.max(longest[category], patience);
             long waited = Math.min(stood, longest[category] - patience);
-            WorkItem wi = new WorkItem(id, categories.get(category), tenant, repeated, now - waited,
+            Request req = new Request(id, categories.get(category), tenant, repeated, now - waited,
                 now + patience, hint);
-            wi.overQuota = first && tenant < tokens.length && !withinQuota(tenant, repeated, now);
-            take(wi, now);
+            req.overQuota = first && tenant < tokens.length && !withinQuota(tenant, repeated, now);
+            take(req, now);
         }
 
         @Override
-        void take(WorkItem wi, long now) {
-            if (wi.expiry <= now) {
-                wi.why = Reason.EXPIRY;
-                back(wi, now);
+        void take(Request req, long now) {
+            if (req.expiry <= now) {
+                req.why = Reason.EXPIRY;
+                back(req, now);
             } else {
-                after.take(wi, now);
+                after.take(req, now);
             }
         }
 
         @Override
-        void back(WorkItem wi, long now) {
-            if (wi.ended) {
+        void back(Request req, long now) {
+            if (req.ended) {
                 return;
             }
-            wi.ended = true;
-            long comeBack = Math.min(longestComeBack, wi.category.dueTime() / 2);
-            if (mayDefer(wi, now + comeBack)) {
-                outlet.defer(wi.id, comeBack, wi.why);
+            req.ended = true;
+            long comeBack = Math.min(longestComeBack, req.category.dueTime() / 2);
+            if (mayDefer(req, now + comeBack)) {
+                outlet.defer(req.id, comeBack, req.why);
             } else {
-                outlet.writeOff(wi.id, wi.why);
+                outlet.writeOff(req.id, req.why);
             }
         }
 
-        /** A deferral says that trying again does no harm: of a work item that may have run, only if so, and
+        /** A deferral says that trying again does no harm: of a request that may have run, only if so, and
          * if backends still know it when its client comes back. */
-        private static boolean mayDefer(WorkItem wi, long back) {
-            return wi.category.repeat() == Repeat.SAFE || wi.mayHaveRun() == null
-                || wi.category.repeat() == Repeat.KEYED && wi.category.scope() == Category.Scope.ALL
-                && back < wi.mayHaveRun().sentAt + wi.category.repeatWindow();
+        private static boolean mayDefer(Request req, long back) {
+            return req.category.repeat() == Repeat.SAFE || req.mayHaveRun() == null
+                || req.category.repeat() == Repeat.KEYED && req.category.scope() == Category.Scope.ALL
+                && back < req.mayHaveRun().sentAt + req.category.repeatWindow();
         }
 
         private boolean withinQuota(int tenant, boolean repeated, long now) {
@@ -255,7 +255,7 @@
         private static final double SPAN = 1.28;
         /** Times as long: the calm that is remembered. */
         private static final int CALM = 15;
-        /** Half a backend for each balancer: with fewer, one more work item let in by each is too much. */
+        /** Half a backend for each balancer: with fewer, one more request let in by each is too much. */
         private static final double SPARSE = 0.5;
         /** Held for each backend whatever else is seen; 5 choked the simulator. With 2 for all, promised work
          * was left out for most of a day: room grows by some spreads of chance in a due time. */
@@ -266,7 +266,7 @@
         private static final double OVER_CALM = 0.9;
         /** In the logarithm of the latency: a fifth longer than calm. */
         private static final double PRESSED = 0.2;
-        /** Part of the due time that a work item may wait. */
+        /** Part of the due time that a request may wait. */
         private static final double WAIT = 0.15;
 
         private final Fleet fleet;
@@ -283,7 +283,7 @@
         /** The lowest typical latency over the span that has been seen of late. */
         private final Lowest calm;
         /** What is within its quota and waits for room, in order of coming. */
-        private final List<WorkItem> waiting = new ArrayList<>();
+        private final List<Request> waiting = new ArrayList<>();
         private final Entry[] lanes;
         /** The work of what comes, as far as it is told, and the quotas of all tenants together. */
         private final Averages hints = new Averages(300_000);
@@ -314,53 +314,53 @@
         }
 
         @Override
-        void take(WorkItem wi, long now) {
+        void take(Request req, long now) {
             firstAt = firstAt < 0 ? now : firstAt;
-            if (wi.hint > 0) {
-                hints.add(now, 0, wi.hint);
+            if (req.hint > 0) {
+                hints.add(now, 0, req.hint);
             }
-            if (!bounded || fits(wi, now)) {
-                enter(wi, now);
+            if (!bounded || fits(req, now)) {
+                enter(req, now);
             } else {
-                wi.why = wi.overQuota ? Reason.OVER_QUOTA : now + 4 * TICK >= wi.expiry ? Reason.EXPIRY
+                req.why = req.overQuota ? Reason.OVER_QUOTA : now + 4 * TICK >= req.expiry ? Reason.EXPIRY
                     : waiting.size() >= dues.sum(now) * WAIT / span(now) ? Reason.LINE_FULL : Reason.NO_ROOM;
-                if (wi.why == Reason.NO_ROOM && SPARSE * balancers <= fleet.ready.size()) {
-                    wi.inLineSince = now;
-                    waiting.add(wi);
+                if (req.why == Reason.NO_ROOM && SPARSE * balancers <= fleet.ready.size()) {
+                    req.inLineSince = now;
+                    waiting.add(req);
                 } else {
-                    before.back(wi, now);
+                    before.back(req, now);
                 }
             }
         }
 
-        private void enter(WorkItem wi, long now) {
-            wi.inLane = true;
-            wi.enteredAt = now;
+        private void enter(Request req, long now) {
+            req.inLane = true;
+            req.enteredAt = now;
             inside++;
-            after.take(wi, now);
+            after.take(req, now);
         }
 
         private double span(long now) {
             return Math.min(span, Math.max(1, now - firstAt));
         }
 
-        /** The mean logarithm of the latency: a few costly work items hardly move it. */
+        /** The mean logarithm of the latency: a few costly requests hardly move it. */
         private double typical(long now) {
             return latencyLog.sum(now) / 1000.0 / Math.max(1, finished.sum(now));
         }
 
-        private boolean fits(WorkItem wi, long now) {
+        private boolean fits(Request req, long now) {
             if (SPARSE * balancers > fleet.ready.size()) {
-                return lanes[wi.tenant].letsIn(wi, fleet.able(wi.tenant, Entry.MOST, now), now);
+                return lanes[req.tenant].letsIn(req, fleet.able(req.tenant, Entry.MOST, now), now);
             }
             // So many for each backend are never too many; a part below one is let in by chance.
-            double floor = (wi.overQuota ? EXCESS_FLOOR : FLOOR) * fleet.ready.size() / balancers;
-            if (wi.overQuota && shape.many()) {
+            double floor = (req.overQuota ? EXCESS_FLOOR : FLOOR) * fleet.ready.size() / balancers;
+            if (req.overQuota && shape.many()) {
                 // Let in beyond that, excess made its own room until the whole fleet choked on it.
                 return !pressed(now) && inside + random.nextDouble() < floor;
             }
             // What is usually inside, less while the fleet is not calm, and two or four spreads of chance.
-            double over = wi.overQuota ? OVER_CALM : WITHIN_CALM;
+            double over = req.overQuota ? OVER_CALM : WITHIN_CALM;
             double calmer = Math.min(1, over * Math.exp(calm.value() - typical(now)));
             double steady = latency.sum(now) / span(now) * calmer;
             boolean atEase = calm.value() < Double.POSITIVE_INFINITY && !pressed(now);
@@ -400,8 +400,8 @@
                 this.quota = quota;
             }
 
-            boolean letsIn(WorkItem wi, double backends, long now) {
-                double usual = wi.category.dueTime() / 3.0;
+            boolean letsIn(Request req, double backends, long now) {
+                double usual = req.category.dueTime() / 3.0;
                 double most = MOST;
                 if (quota > 0) {
                     // What the quotas ask of each backend, in cores: it may hold that and a few of its roots.
@@ -419,12 +419,12 @@
                 part = Math.min(part + waited * UP, rate / quota);
                 // A client that tries again brings the same hint. Drawn from it, the answer is the same: with
                 // a new draw for each try nearly all got in at the fourth, and a flood choked the fleet.
-                SplittableRandom draw = wi.hint > 0 ? new SplittableRandom(wi.hint) : random;
+                SplittableRandom draw = req.hint > 0 ? new SplittableRandom(req.hint) : random;
                 // What can't end by its due time any more is worth its late credit at most, or nothing.
-                double late = wi.due < wi.expiry ? wi.category.lateCredit() : 0;
-                double worth = now + time / 2 < wi.due ? 1 : late;
+                double late = req.due < req.expiry ? req.category.lateCredit() : 0;
+                double worth = now + time / 2 < req.due ? 1 : late;
                 return quota > 0 ? draw.nextDouble() < part * worth
-                    : tokens.take(now, rate / balancers, DEPTH, wi.overQuota ? OVER : 1);
+                    : tokens.take(now, rate / balancers, DEPTH, req.overQuota ? OVER : 1);
             }
 
             void learn(Outcome outcome, long took, long due) {
@@ -434,33 +434,33 @@
             }
         }
 
-        /** A work item stops counting as inside though it is not back yet. */
-        void release(WorkItem wi) {
-            inside -= wi.inLane ? 1 : 0;
-            wi.inLane = false;
+        /** A request stops counting as inside though it is not back yet. */
+        void release(Request req) {
+            inside -= req.inLane ? 1 : 0;
+            req.inLane = false;
         }
 
         @Override
-        void back(WorkItem wi, long now) {
-            if (wi.ended && wi.inLane) {
-                latency.add(now, now - wi.enteredAt);
+        void back(Request req, long now) {
+            if (req.ended && req.inLane) {
+                latency.add(now, now - req.enteredAt);
             }
             // What is overdue holds no room, but its latency is the fleet's.
-            if (wi.ended && !wi.last().missed) {
-                latencyLog.add(now, Math.round(1000 * Math.log(1 + now - wi.enteredAt)));
+            if (req.ended && !req.last().missed) {
+                latencyLog.add(now, Math.round(1000 * Math.log(1 + now - req.enteredAt)));
                 finished.add(now, 1);
-                dues.add(now, wi.category.dueTime());
+                dues.add(now, req.category.dueTime());
             }
-            release(wi);
-            before.back(wi, now);
+            release(req);
+            before.back(req, now);
             advance(now);
         }
 
         /** In order of the waits against the due times: by coming, work of long ones starved the rest. */
         private void advance(long now) {
             for (boolean fits = true; fits && !waiting.isEmpty();) {
-                WorkItem next = Collections.max(waiting, Comparator.comparingDouble(
-                    wi -> (double) (now - wi.inLineSince) / wi.category.dueTime()));
+                Request next = Collections.max(waiting, Comparator.comparingDouble(
+                    req -> (double) (now - req.inLineSince) / req.category.dueTime()));
                 fits = fits(next, now) && waiting.remove(next);
                 if (fits) {
                     enter(next, now);
@@ -470,10 +470,11 @@
 
         /** Ends early what has waited long enough; takes note of the typical latency, for the calm one. */
         void tidy(long now) {
-            for (WorkItem wi : List.copyOf(waiting)) {
-                if (now + 2 * TICK >= wi.expiry || now - wi.inLineSince > 2 * WAIT * wi.category.dueTime()) {
-                    waiting.remove(wi);
-                    before.back(wi, now);
+            for (Request req : List.copyOf(waiting)) {
+                if (now + 2 * TICK >= req.expiry
+                    || now - req.inLineSince > 2 * WAIT * req.category.dueTime()) {
+                    waiting.remove(req);
+                    before.back(req, now);
                 }
             }
             advance(now);
@@ -500,25 +501,25 @@
         }
 
         @Override
-        void take(WorkItem wi, long now) {
+        void take(Request req, long now) {
             double out = fleet.ready.stream().mapToInt(b -> b.out).sum();
             double far = FAR * out / fleet.ready.stream().mapToDouble(b -> fleet.size(b, now)).sum();
             double spare = line.pressed(now) ? 0 : 1;
-            boolean crowded = fleet.crowded(wi.tenant, fleet.shape.alike() ? FAR : CROWD, now);
-            wi.candidates = crowded ? List.of() : fleet.usable(fleet.lane(wi.tenant), wi, far, spare, now);
+            boolean crowded = fleet.crowded(req.tenant, fleet.shape.alike() ? FAR : CROWD, now);
+            req.candidates = crowded ? List.of() : fleet.usable(fleet.lane(req.tenant), req, far, spare, now);
             for (List<Backend> part : List.of(fleet.open, crowded ? fleet.calm(now) : fleet.ready)) {
-                if (wi.candidates.isEmpty()) {
-                    wi.candidates = fleet.usable(part, wi, far, spare, now);
+                if (req.candidates.isEmpty()) {
+                    req.candidates = fleet.usable(part, req, far, spare, now);
                 }
             }
-            if (wi.candidates.isEmpty()) {
-                wi.candidates = fleet.lastResort(wi, now);
+            if (req.candidates.isEmpty()) {
+                req.candidates = fleet.lastResort(req, now);
             }
-            if (wi.candidates.isEmpty()) {
-                wi.why = Reason.NO_BACKEND;
-                before.back(wi, now);
+            if (req.candidates.isEmpty()) {
+                req.why = Reason.NO_BACKEND;
+                before.back(req, now);
             } else {
-                after.take(wi, now);
+                after.take(req, now);
             }
         }
     }
@@ -534,18 +535,18 @@
         }
 
         @Override
-        void take(WorkItem wi, long now) {
+        void take(Request req, long now) {
             double sum = 0;
             Backend choice = null;
-            for (Backend b : wi.candidates) {
+            for (Backend b : req.candidates) {
                 double size = fleet.size(b, now);
                 sum += size;
                 if (random.nextDouble() * sum < size) {
                     choice = b;
                 }
             }
-            wi.candidates = List.of(choice);
-            after.take(wi, now);
+            req.candidates = List.of(choice);
+            after.take(req, now);
         }
     }
 
@@ -561,7 +562,7 @@
         private final Fleet fleet;
         private int most;
         private final boolean mayRecall;
-        private final Map<Long, WorkItem> open = new HashMap<>();
+        private final Map<Long, Request> open = new HashMap<>();
         private double repeats;
 
         public Attempts(Outlet outlet, Line line, Fleet fleet, int most, boolean mayRecall) {
@@ -573,59 +574,59 @@
         }
 
         @Override
-        void take(WorkItem wi, long now) {
-            Backend b = wi.candidates.get(0);
+        void take(Request req, long now) {
+            Backend b = req.candidates.get(0);
             repeats = Math.min(5, repeats + REPEATS);
-            open.put(wi.id, wi);
-            outlet.attempt(wi.id, b.id, wi.sendBy());
-            wi.attempts.add(new Attempt(b, now));
-            fleet.sent(b, wi, now);
+            open.put(req.id, req);
+            outlet.attempt(req.id, b.id, req.sendBy());
+            req.attempts.add(new Attempt(b, now));
+            fleet.sent(b, req, now);
         }
 
         void settled(long now, long id, int number, Outcome outcome, boolean over) {
-            WorkItem wi = open.get(id);
-            if (wi == null || number >= wi.attempts.size() || !wi.attempts.get(number).out) {
+            Request req = open.get(id);
+            if (req == null || number >= req.attempts.size() || !req.attempts.get(number).out) {
                 return;
             }
-            Attempt attempt = wi.attempts.get(number);
+            Attempt attempt = req.attempts.get(number);
             attempt.out = false;
             attempt.neverRan = outcome.neverRan();
-            wi.why = Reason.of(outcome);
-            fleet.settled(attempt, wi, outcome, now);
+            req.why = Reason.of(outcome);
+            fleet.settled(attempt, req, outcome, now);
             // In the batch after a standstill, times tell of the balancer and not of the backends.
             if (now != fleet.stoodAt && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
-                line.lanes[wi.tenant].learn(outcome, now - attempt.sentAt, wi.category.dueTime());
+                line.lanes[req.tenant].learn(outcome, now - attempt.sentAt, req.category.dueTime());
             }
-            boolean wasEnded = wi.ended;
-            wi.ended |= over;
-            if (!wi.anyOut()) {
+            boolean wasEnded = req.ended;
+            req.ended |= over;
+            if (!req.anyOut()) {
                 open.remove(id);
             }
-            if (!wi.ended && !wi.anyOut() && mayRepeat(wi, outcome, now)) {
-                before.before.take(wi, now);
-            } else if (wi.ended ? !wasEnded : !wi.anyOut()) {
-                before.back(wi, now);
+            if (!req.ended && !req.anyOut() && mayRepeat(req, outcome, now)) {
+                before.before.take(req, now);
+            } else if (req.ended ? !wasEnded : !req.anyOut()) {
+                before.back(req, now);
             }
         }
 
-        private boolean mayRepeat(WorkItem wi, Outcome last, long now) {
-            if (wi.attempts.size() >= most || now >= wi.due) {
+        private boolean mayRepeat(Request req, Outcome last, long now) {
+            if (req.attempts.size() >= most || now >= req.due) {
                 return false;
             }
-            boolean ran = wi.mayHaveRun() != null;
+            boolean ran = req.mayHaveRun() != null;
             if (!ran && !(last == Outcome.TURNED_AWAY && fleet.shape.balancers() > 2 * fleet.ready.size())) {
                 return true;
             }
-            boolean may = (!ran || wi.category.repeat() != Repeat.UNSAFE) && repeats >= 1;
+            boolean may = (!ran || req.category.repeat() != Repeat.UNSAFE) && repeats >= 1;
             repeats -= may ? 1 : 0;
             return may;
         }
 
         void left(long now, long id) {
-            WorkItem wi = open.get(id);
-            if (wi != null && !wi.ended) {
-                wi.ended = true;
-                before.back(wi, now);
+            Request req = open.get(id);
+            if (req != null && !req.ended) {
+                req.ended = true;
+                before.back(req, now);
             }
         }
 
@@ -636,20 +637,20 @@
             boolean few = silent * 2 <= fleet.ready.size();
             for (Backend b : fleet.known.values()) {
                 boolean isSilent = fleet.silence(b, now) >= SILENT;
-                for (WorkItem wi : List.copyOf(b.held.values())) {
-                    Attempt attempt = wi.last();
+                for (Request req : List.copyOf(b.held.values())) {
+                    Attempt attempt = req.last();
                     // Work stuck at backends that are lost filled the room, and all else was turned away.
-                    if (isSilent || fleet.overdue(wi, now - attempt.sentAt, now)) {
-                        line.release(wi);
+                    if (isSilent || fleet.overdue(req, now - attempt.sentAt, now)) {
+                        line.release(req);
                     }
                     if (isSilent && !attempt.missed) {
                         fleet.missed(attempt, now);
-                        if (mayRecall && !wi.ended && !attempt.recalled && now < wi.due
-                            && (few || repeats >= 1) && wi.category.repeat() == Repeat.SAFE
-                            && wi.attempts.size() < most) {
+                        if (mayRecall && !req.ended && !attempt.recalled && now < req.due
+                            && (few || repeats >= 1) && req.category.repeat() == Repeat.SAFE
+                            && req.attempts.size() < most) {
                             attempt.recalled = true;
                             repeats += few ? 1 : 0;
-                            outlet.recall(wi.id, wi.attempts.size() - 1);
+                            outlet.recall(req.id, req.attempts.size() - 1);
                         }
                     }
                 }
@@ -790,10 +791,10 @@
             double size = 0;
             long sent = 0;
             for (Backend b : known.values()) {
-                for (WorkItem wi : b.held.values()) {
+                for (Request req : b.held.values()) {
                     // What never comes back, or far too late, counts as long as a slow answer.
-                    long age = now - wi.last().sentAt;
-                    heldTime.add(now, age < LONG * wi.category.dueTime() ? Math.min(age, now - keptAt) : 0);
+                    long age = now - req.last().sentAt;
+                    heldTime.add(now, age < LONG * req.category.dueTime() ? Math.min(age, now - keptAt) : 0);
                 }
                 boolean spent = now - b.restsSince > shape.rest() * ready.size();
                 if (spent && shape.rest() > 0 && b.connected && b.out == 0) {
@@ -869,7 +870,7 @@
             return tenant < lanes.size() ? lanes.get(tenant) : open;
         }
 
-        /** Whether the lane counts as unusable for this work item: by chance, so that work stays there no
+        /** Whether the lane counts as unusable for this request: by chance, so that work stays there no
          * more than the given multiple of what is usual. One of many sees next to nothing in flight. */
         boolean crowded(int tenant, double far, long now) {
             double over = laneStay(tenant, now) / Math.max(1, stays.mean(now, 0, 0, 0));
@@ -900,25 +901,25 @@
                 .mapToDouble(b -> cold.warmth(b.member, now)).sum());
         }
 
-        /** The first of the given backends that this work item may go to now, in this balancer's order. */
-        List<Backend> usable(List<Backend> part, WorkItem wi, double far, double spare, long now) {
-            // Where connections are dear, one of a lane and one for each work item of the tenant that is out.
-            int width = shape.rest() <= 0 ? part.size() : 1 + out.getOrDefault(wi.tenant, 0);
-            Attempt ran = wi.mayHaveRun();
+        /** The first of the given backends that this request may go to now, in this balancer's order. */
+        List<Backend> usable(List<Backend> part, Request req, double far, double spare, long now) {
+            // Where connections are dear, one of a lane and one for each request of the tenant that is out.
+            int width = shape.rest() <= 0 ? part.size() : 1 + out.getOrDefault(req.tenant, 0);
+            Attempt ran = req.mayHaveRun();
             List<Backend> usable = new ArrayList<>(part.size());
             for (Backend b : part) {
-                if (usable.size() < width && b.out <= spare + far * size(b, now) && !wi.tried(b)
-                    && sameGroup(b, wi, ran, now) && warmEnough(b, now) && trusted(b, now)) {
+                if (usable.size() < width && b.out <= spare + far * size(b, now) && !req.tried(b)
+                    && sameGroup(b, req, ran, now) && warmEnough(b, now) && trusted(b, now)) {
                     usable.add(b);
                 }
             }
             return usable;
         }
 
-        private static boolean sameGroup(Backend b, WorkItem wi, Attempt ran, long now) {
-            return ran == null || wi.category.repeat() == Repeat.SAFE
-                || wi.category.repeat() == Repeat.KEYED && now < wi.sendBy()
-                && wi.category.scope().joins(ran.backend.member, b.member);
+        private static boolean sameGroup(Backend b, Request req, Attempt ran, long now) {
+            return ran == null || req.category.repeat() == Repeat.SAFE
+                || req.category.repeat() == Repeat.KEYED && now < req.sendBy()
+                && req.category.scope().joins(ran.backend.member, b.member);
         }
 
         /** The listed size, less while cold, and by how quickly its kind answers. */
@@ -945,11 +946,11 @@
 
         /** Where each is in doubt, those that hold nothing: a sole sound one that had failed once was passed
          * over. Only safe work, of which a failure costs least. */
-        List<Backend> lastResort(WorkItem wi, long now) {
-            boolean none = wi.category.repeat() != Repeat.SAFE
+        List<Backend> lastResort(Request req, long now) {
+            boolean none = req.category.repeat() != Repeat.SAFE
                 || ready.stream().anyMatch(b -> doubts(b, now) < 1);
             return none ? List.of() : ready.stream()
-                .filter(b -> b.out == 0 && !wi.tried(b) && warmEnough(b, now)).toList();
+                .filter(b -> b.out == 0 && !req.tried(b) && warmEnough(b, now)).toList();
         }
 
         /** How long attempts stay, what is still out counted in, by Little's law; some imagined. */
@@ -974,11 +975,11 @@
         }
 
         /** Whether that is far longer than answers of its category take; where few tell, those of all do. */
-        boolean overdue(WorkItem wi, long time, long now) {
-            double due = log(1 + wi.category.dueTime());
+        boolean overdue(Request req, long time, long now) {
+            double due = log(1 + req.category.dueTime());
             double all = times.mean(now, 0, IMAGINED_TIMES, -log(2));
             return log(1 + time) - log(SLOW)
-                > times.mean(now, 1 + wi.category.number(), IMAGINED_TIMES, due + all);
+                > times.mean(now, 1 + req.category.number(), IMAGINED_TIMES, due + all);
         }
 
         /** In thousandths. */
@@ -1015,16 +1016,16 @@
             }
         }
 
-        void sent(Backend b, WorkItem wi, long now) {
+        void sent(Backend b, Request req, long now) {
             b.quietSince = b.awaited() == 0 ? now : b.quietSince;
             if (halfDue == 0) {
                 firstSent = now;
-                halfDue = wi.category.dueTime() / 2.0;
+                halfDue = req.category.dueTime() / 2.0;
             }
             b.connected = true;
-            out.merge(wi.tenant, 1, Integer::sum);
+            out.merge(req.tenant, 1, Integer::sum);
             b.out++;
-            b.held.put(wi.id, wi);
+            b.held.put(req.id, req);
             b.sent.add(now, 1);
             sends.add(now, 1);
             b.spacedFrom = now;
@@ -1042,7 +1043,7 @@
             attempt.backend.lost = true;
         }
 
-        void settled(Attempt attempt, WorkItem wi, Outcome outcome, long now) {
+        void settled(Attempt attempt, Request req, Outcome outcome, long now) {
             Backend b = attempt.backend;
             if (outcome == Outcome.FINISHED || outcome == Outcome.ERROR || outcome == Outcome.TURNED_AWAY) {
                 b.gapCount.add(now, 1);
@@ -1052,10 +1053,10 @@
             b.missed -= attempt.missed ? 1 : 0;
             if (outcome == Outcome.FINISHED) {
                 // One that has slowed down still answers, and would draw work for as long as it does.
-                boolean slow = now != stoodAt && times.count(now, 1 + wi.category.number()) >= IMAGINED_TIMES
-                    && overdue(wi, now - attempt.sentAt, now);
-                times.add(now, 0, log(1 + now - attempt.sentAt) - log(1 + wi.category.dueTime()));
-                times.add(now, 1 + wi.category.number(), log(1 + now - attempt.sentAt));
+                boolean slow = now != stoodAt && times.count(now, 1 + req.category.number()) >= IMAGINED_TIMES
+                    && overdue(req, now - attempt.sentAt, now);
+                times.add(now, 0, log(1 + now - attempt.sentAt) - log(1 + req.category.dueTime()));
+                times.add(now, 1 + req.category.number(), log(1 + now - attempt.sentAt));
                 (slow ? b.failures : b.answers).add(now, 1);
                 b.streak = 0;
                 answered.add(now, 0, now - attempt.sentAt);
@@ -1070,10 +1071,10 @@
                 stays.add(now, 1 + 2 * b.lane, now - attempt.sentAt);
                 stays.add(now, 2 + 2 * b.member.kind(), now - attempt.sentAt);
             }
-            out.merge(wi.tenant, -1, Integer::sum);
+            out.merge(req.tenant, -1, Integer::sum);
             b.out--;
             b.restsSince = now;
-            b.held.remove(wi.id);
+            b.held.remove(req.id);
         }
     }
 }
--- a/src/main/java/cottonlock/decision/Category.java
+++ b/src/main/java/cottonlock/decision/Category.java
@@ -1,12 +1,12 @@
 package cottonlock.decision;
 
 /**
- * A category of work items. Times are in tenths of a millisecond.
+ * A category of requests. Times are in tenths of a millisecond.
  *
  * @param number       its place among the categories
  * @param dueTime      an answer within this time earns the full credit
  * @param lateCredit   the part of the credit that an answer after the due time earns
- * @param repeat       whether a work item may run again
+ * @param repeat       whether a request may run again
  * @param scope        for keyed ones: the backends that drop each other's repeats
  * @param repeatWindow for keyed ones: how long they do
  */
@@ -18,7 +18,7 @@
         return new Category(other, dueTime, credit, lateCredit, repeat, scope, repeatWindow);
     }
 
-    /** Whether a work item may run again. */
+    /** Whether a request may run again. */
     public enum Repeat { SAFE, KEYED, UNSAFE }
 
     /** The backends that know each other's keys. */
--- a/src/main/java/cottonlock/decision/Outcome.java
+++ b/src/main/java/cottonlock/decision/Outcome.java
@@ -4,7 +4,7 @@
 public enum Outcome {
     FINISHED, ERROR, TURNED_AWAY, TIMED_OUT, NO_CONNECTION, BROKEN_OFF, RECALLED, NOT_SENT;
 
-    /** Whether the outcome proves that the work item never ran on that backend. */
+    /** Whether the outcome proves that the request never ran on that backend. */
     public boolean neverRan() {
         return this == TURNED_AWAY || this == NO_CONNECTION || this == NOT_SENT;
     }
--- a/src/main/java/cottonlock/decision/Outlet.java
+++ b/src/main/java/cottonlock/decision/Outlet.java
@@ -4,19 +4,19 @@
 public interface Outlet {
 
     /**
-     * Hands a work item to a backend; it ends with the work item's expiry at the latest. Its last byte may
+     * Hands a request to a backend; it ends with the request's expiry at the latest. Its last byte may
      * only be written before {@code sendBy}: later, what may have run already would run again.
      */
-    void attempt(long wi, String backend, long sendBy);
+    void attempt(long req, String backend, long sendBy);
 
     /** Stops waiting for one attempt; what came of it is still reported. */
-    void recall(long wi, int attempt);
+    void recall(long req, int attempt);
 
-    /** Ends a work item: turned away unharmed, with the time after which to come back (0: no advice). */
-    void defer(long wi, long comeBack, Reason why);
+    /** Ends a request: turned away unharmed, with the time after which to come back (0: no advice). */
+    void defer(long req, long comeBack, Reason why);
 
-    /** Ends a work item without promising anything about its effect. */
-    void writeOff(long wi, Reason why);
+    /** Ends a request without promising anything about its effect. */
+    void writeOff(long req, Reason why);
 
     /** Calls {@link Balancer#wake} back at the given time or soon after. */
     void wakeMe(long at);
--- a/src/main/java/cottonlock/decision/Reason.java
+++ b/src/main/java/cottonlock/decision/Reason.java
@@ -1,6 +1,6 @@
 package cottonlock.decision;
 
-/** What ended a work item unfinished: the last thing that decided it, one for each. */
+/** What ended a request unfinished: the last thing that decided it, one for each. */
 public enum Reason {
     /** Beyond its tenant's quota, and no room for that. */
     OVER_QUOTA,
@@ -19,7 +19,7 @@
     /** The last answer was lost, failed or did not come; it may have run and is not sent again. */
     ANSWER_LOST;
 
-    /** What an attempt that ended so, and is the last, ends its work item by. */
+    /** What an attempt that ended so, and is the last, ends its request by. */
     static Reason of(Outcome outcome) {
         return switch (outcome) {
             case TURNED_AWAY -> TURNED_AWAY;
--- a/src/main/java/cottonlock/decision/WorkItem.java
+++ b/src/main/java/cottonlock/decision/Request.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A work item while the balancer holds it, and the attempts made for it. */
-final class WorkItem {
+/** A request while the balancer holds it, and the attempts made for it. */
+final class Request {
     final long id;
     final Category category;
     final int tenant;
@@ -30,7 +30,7 @@
     /** The backends that the lane stage leaves to the pick stage. */
     List<Backend> candidates = List.of();
 
-    WorkItem(long id, Category category, int tenant, boolean repeated, long arrived, long expiry,
+    Request(long id, Category category, int tenant, boolean repeated, long arrived, long expiry,
              long hint) {
         this.id = id;
         this.category = category;
@@ -48,7 +48,7 @@
         due = Math.min(due, latest);
     }
 
-    /** One attempt of the work item. */
+    /** One attempt of the request. */
     static final class Attempt {
         final Backend backend;
         final long sentAt;
--- a/src/main/java/cottonlock/decision/Tenant.java
+++ b/src/main/java/cottonlock/decision/Tenant.java
@@ -4,7 +4,7 @@
  * A tenant as configured.
  *
  * @param share its part of the service
- * @param quota work items a second, over all balancers, that earn full credit
+ * @param quota requests a second, over all balancers, that earn full credit
  */
 public record Tenant(double share, double quota) {
 }
--- a/src/main/java/cottonlock/lab/Arrivals.java
+++ b/src/main/java/cottonlock/lab/Arrivals.java
@@ -8,7 +8,7 @@
 import java.util.SplittableRandom;
 
 /**
- * The schedule of a run: when which work item comes, drawn from the seed alone before the run begins, so
+ * The schedule of a run: when which request comes, drawn from the seed alone before the run begins, so
  * that two runs of one seed are given the same. Each tenant draws from a generator of its own: a change of
  * one tenant's rate moves no arrival of another's.
  */
@@ -18,7 +18,7 @@
     private static final double MOST = 20;
 
     /**
-     * One work item that is due to be sent.
+     * One request that is due to be sent.
      *
      * @param work   core nanoseconds at speed 1
      * @param draw   for everything else that its client decides by chance
--- a/src/main/java/cottonlock/lab/Backend.java
+++ b/src/main/java/cottonlock/lab/Backend.java
@@ -41,7 +41,7 @@
         }
     }
 
-    /** What a connection holds: what has come of a request, and the request that waits for its answer. */
+    /** What a connection holds: what has come of a message, and the request that waits for its answer. */
     private static final class State {
         final HttpIn in = new HttpIn();
         long firstByte = -1;
--- a/src/main/java/cottonlock/lab/Caller.java
+++ b/src/main/java/cottonlock/lab/Caller.java
@@ -13,7 +13,7 @@
 import java.util.function.Supplier;
 
 /**
- * Brings work items to one proxy, one at a time on each connection, and tells the ledger. A connection that
+ * Brings requests to one proxy, one at a time on each connection, and tells the ledger. A connection that
  * ends before its answer begins, having been used before, is taken for one that the proxy closed between
  * requests: the request goes once more on a new one (PROTOCOL, Callers to proxies).
  */
@@ -30,7 +30,7 @@
     record Result(End end, long comeBack) {
     }
 
-    /** A work item as it is written on the wire. */
+    /** A request as it is written on the wire. */
     record Request(String id, String chain, String key, Scenario.CategoryPlan category, String tenant,
         long patience,
                    boolean retried, double work) {
@@ -46,7 +46,7 @@
         }
     }
 
-    /** One work item on its way on one connection. */
+    /** One request on its way on one connection. */
     private static final class Call {
         final Request request;
         final Consumer<Result> then;
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Sends a work item; the result comes later, once.
+     * Sends a request; the result comes later, once.
      *
      * @param keep    whether the connection is used again
      * @param leaveIn nanoseconds after which the client leaves; negative for never
--- a/src/main/java/cottonlock/lab/Clients.java
+++ b/src/main/java/cottonlock/lab/Clients.java
@@ -97,7 +97,7 @@
         send(a, number, 0, 0, key, from + a.at(), from, chance);
     }
 
-    /** One send of a work item: the first, or a client's retry of it. */
+    /** One send of a request: the first, or a client's retry of it. */
     private void send(Arrivals.Arrival a, int number, int tries, int retries, String key, long due, long from,
                       SplittableRandom chance) {
         Scenario.CategoryPlan category = categories.get(a.category());
--- a/src/main/java/cottonlock/lab/Experiment.java
+++ b/src/main/java/cottonlock/lab/Experiment.java
@@ -42,7 +42,7 @@
     /** Bytes of a process's log that are kept for its report. */
     private static final long MOST_LOG = 4 << 20;
 
-    /** Work items a second from which a run is warmed up for: below, compiling keeps up by the way. */
+    /** Requests a second from which a run is warmed up for: below, compiling keeps up by the way. */
     private static final double WARM_UP_FROM = 500;
     private static final String WARM_UP = """
         seconds = 2
--- a/src/main/java/cottonlock/lab/Ledger.java
+++ b/src/main/java/cottonlock/lab/Ledger.java
@@ -20,7 +20,7 @@
     /** The four rules. */
     enum Rule { LOST, TWICE, DRAINS, COLD }
 
-    /** One work item as its sender knows it. */
+    /** One request as its sender knows it. */
     private static final class Entry {
         final String chain;
         final String category;
@@ -71,7 +71,7 @@
     }
 
     /**
-     * A work item's last byte has been written to a proxy.
+     * A request's last byte has been written to a proxy.
      *
      * @param chain what all sends share that may have one effect together: a client's retry after a deferral
      *              belongs to it, one after a write-off is its client's own risk and begins another
@@ -80,7 +80,7 @@
         items.put(id, new Entry(chain, category, proxy, until));
     }
 
-    /** A whole answer has come; finished ones must be what a backend made for this work item. */
+    /** A whole answer has come; finished ones must be what a backend made for this request. */
     void answered(long now, String id, boolean finished, int body) {
         Entry e = items.get(id);
         if (e.over) {
@@ -156,7 +156,7 @@
         }
     }
 
-    /** A backend has made this answer for a work item; a further attempt of it is answered alike. */
+    /** A backend has made this answer for a request; a further attempt of it is answered alike. */
     void made(String id, int body) {
         made.put(id, body);
     }
--- a/src/main/java/cottonlock/lab/PlainProxy.java
+++ b/src/main/java/cottonlock/lab/PlainProxy.java
@@ -21,7 +21,7 @@
     /** Nanoseconds before the expiry at which it gives up: the way back. */
     private static final long RESERVE = 10_000_000L;
 
-    /** One work item. */
+    /** One request. */
     private final class Item {
         final Conn client;
         final HttpIn.Message message;
@@ -38,7 +38,7 @@
         }
     }
 
-    /** A connection to a backend and the work item on it. */
+    /** A connection to a backend and the request on it. */
     private final class Link implements Conn.Owner {
         final Backend to;
         final HttpIn in = new HttpIn();
--- a/src/main/java/cottonlock/lab/Series.java
+++ b/src/main/java/cottonlock/lab/Series.java
@@ -45,7 +45,7 @@
     private final Line[] tenantEarned;
     private final Line[] tenantOffered;
     private final Map<String, Work> backends = new LinkedHashMap<>();
-    /** Microseconds from when a work item was due to be sent to its answer, if it was finished. */
+    /** Microseconds from when a request was due to be sent to its answer, if it was finished. */
     final Histogram latency = new Histogram(LONGEST, 3);
     private final List<Histogram> perSecond = new ArrayList<>();
     private final Histogram[] perCategory;
@@ -74,7 +74,7 @@
         counts[what.ordinal()].add(second(now), 1);
     }
 
-    /** A work item's credit, in thousandths, by the second in which it was due to be sent. */
+    /** A request's credit, in thousandths, by the second in which it was due to be sent. */
     void credit(int tenant, long due, double offeredCredit, double earnedCredit) {
         int s = second(due);
         offered.add(s, Math.round(1_000 * offeredCredit));
@@ -144,7 +144,7 @@
         return all <= 0 ? 1 : got / all;
     }
 
-    /** A percentile of a second's finished work items in milliseconds; negative where there are none. */
+    /** A percentile of a second's finished requests in milliseconds; negative where there are none. */
     double latency(int second, double percentile) {
         Histogram h = second < perSecond.size() ? perSecond.get(second) : null;
         return h == null ? -1 : h.getValueAtPercentile(percentile) / 1_000.0;
--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -4,14 +4,14 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Turns a client's request into a work item, or says what is wrong with it. */
+/** Takes in a client's request, or says what is wrong with it. */
 final class Admission {
     /** What passing the answer on may take, in tenths of a millisecond: a busy core's few milliseconds. */
     private static final long RESERVE = 100;
 
     private final Clock clock;
     private volatile Rules rules;
-    /** By the module's clock: all work items are over by then, as the program leaves. */
+    /** By the module's clock: all requests are over by then, as the program leaves. */
     private volatile long leaving = Long.MAX_VALUE;
     private final Set<String> openIds = ConcurrentHashMap.newKeySet();
 
@@ -32,12 +32,12 @@
         return leaving;
     }
 
-    /** The longest that any work item is waited for, in milliseconds. */
+    /** The longest that any request is waited for, in milliseconds. */
     long longest() {
         return rules.longest() / 10;
     }
 
-    /** A request that may become a work item as soon as its body is there. */
+    /** A request that is taken in as soon as its body is there. */
     record Asked(Head head, String id, String idempotencyKey, int category, String name, int tenant,
                  String tenantName, long patience) {
     }
@@ -87,15 +87,15 @@
         return new Asked(head, requestId, idempotencyKey, category, first, tenant, tenantName, wait);
     }
 
-    /** The work item, now that all of it has come: from here on its time counts. */
-    Item item(Client client, Asked asked, Body body) throws BadMessage {
+    /** The request, now that all of it has come: from here on its time counts. */
+    ClientRequest request(Client client, Asked asked, Body body) throws BadMessage {
         // Taken but unanswered when the program is killed, it would be lost.
         long expiry = Math.min(clock.now() + asked.patience, leaving);
-        Item item = new Item(client, asked, body, expiry, openIds);
+        ClientRequest request = new ClientRequest(client, asked, body, expiry, openIds);
         if (!openIds.add(asked.id)) {
-            // Backends know a work item by its id: the other one would get this one's answer, or none.
-            throw new BadMessage(409, "the id of a work item that is under way");
+            // Backends know a request by its id: the other one would get this one's answer, or none.
+            throw new BadMessage(409, "the id of a request that is under way");
         }
-        return item;
+        return request;
     }
 }
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -38,7 +38,7 @@
     private final Deque<Link> resting = new ArrayDeque<>();
     private final Set<Link> links = new HashSet<>();
     /** Attempts that wait for connections to settle: sooner than a new one is up, which also costs more. */
-    private final Deque<Item.Attempt> held = new ArrayDeque<>();
+    private final Deque<ClientRequest.Attempt> held = new ArrayDeque<>();
     private boolean leaving;
     /** What the list and the operators said last; told by the module's thread, looked at where bytes go
      * out. */
@@ -93,7 +93,7 @@
     }
 
     /** From the module's thread, which never waits here: false when the mailbox is full. */
-    boolean attempt(Item.Attempt attempt) {
+    boolean attempt(ClientRequest.Attempt attempt) {
         return mailbox.offer(() -> send(attempt));
     }
 
@@ -193,7 +193,7 @@
         return null;
     }
 
-    private void send(Item.Attempt attempt) {
+    private void send(ClientRequest.Attempt attempt) {
         // Looked through now and then only, some had rested too long when they were used, and were reset.
         retire();
         if (!keeping.worthwhile()) {
@@ -205,7 +205,7 @@
                 resting.addLast(link);
                 return;
             }
-            if (attempt.wi.body.spooled() && elsewhere(link, attempt)) {
+            if (attempt.req.body.spooled() && elsewhere(link, attempt)) {
                 return;
             }
             if (link.send(attempt)) {
@@ -239,7 +239,7 @@
     }
 
     /** A long body is written on another thread: a backend that reads slowly must not stop this actor. */
-    private boolean elsewhere(Link link, Item.Attempt attempt) {
+    private boolean elsewhere(Link link, ClientRequest.Attempt attempt) {
         try {
             workers.serve(() -> {
                 if (!link.send(attempt) && !attempt.settled()) {
--- a/src/main/java/cottonlock/net/Bans.java
+++ b/src/main/java/cottonlock/net/Bans.java
@@ -74,7 +74,7 @@
     /** Waits until another process of this proxy, if there is one, has seen the last change too. */
     void seenByAll() {
         try {
-            // A yes given earlier was found too early: the other process still sent a work item after it.
+            // A yes given earlier was found too early: the other process still sent a request after it.
             Thread.sleep(shared.stamp() == null ? 0 : LOOK * 3 / 2);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/cottonlock/net/Body.java
+++ b/src/main/java/cottonlock/net/Body.java
@@ -79,7 +79,7 @@
         if (rest != null) {
             byte[] buffer = buffers.take();
             try {
-                // Read by place: two attempts of one work item may be written at once.
+                // Read by place: two attempts of one request may be written at once.
                 ByteBuffer bytes = ByteBuffer.wrap(buffer);
                 for (long at = 0; at < restLength; at += bytes.position()) {
                     bytes.clear();
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -7,7 +7,7 @@
 
 /**
  * One connection of a client. Its thread reads all the time, so that a client that leaves is noticed while
- * its work item is out; answers are written by the thread that has them.
+ * its request is out; answers are written by the thread that has them.
  */
 final class Client implements Runnable {
     /** Milliseconds between requests: many clients ask once and stay, and may be left after two seconds. */
@@ -42,7 +42,7 @@
     private final Watchdog watchdog;
     private final Figures figures;
     private final Log log;
-    private Item wi;
+    private ClientRequest req;
     private HttpReader coming;
     private boolean reading;
     private boolean closing;
@@ -81,12 +81,12 @@
                 coming = reader;
             }
             while (awaitRequest(reader) && serve(reader)) {
-                // One work item after the other.
+                // One request after the other.
             }
         } catch (IOException e) {
             // The client is gone; what it was owed is settled below.
         } finally {
-            Item unanswered = unanswered();
+            ClientRequest unanswered = unanswered();
             Sockets.close(socket);
             if (buffer != null) {
                 buffers.give(buffer);
@@ -99,17 +99,17 @@
         }
     }
 
-    /** The work item that the client has left behind, if it was the client who ended the connection. */
-    private synchronized Item unanswered() {
+    /** The request that the client has left behind, if it was the client who ended the connection. */
+    private synchronized ClientRequest unanswered() {
         // Ended from here just as a request had come whole, it looks the same, but the answer is still owed.
-        while (wi != null && inputEnded) {
+        while (req != null && inputEnded) {
             try {
                 wait();
             } catch (InterruptedException e) {
-                return wi;
+                return req;
             }
         }
-        return wi;
+        return req;
     }
 
     /** Waits for the next request to begin; false when the connection is to end. */
@@ -150,7 +150,7 @@
 
     /** Waits for the answer under way: whoever sends without end is read no further meanwhile. */
     private synchronized void awaitAnswer() throws IOException {
-        while (wi != null) {
+        while (req != null) {
             try {
                 wait();
             } catch (InterruptedException e) {
@@ -163,7 +163,7 @@
     private boolean serve(HttpReader reader) throws IOException {
         Body body = null;
         Head head;
-        Admission.Asked request = null;
+        Admission.Asked judged = null;
         try {
             if (asked) {
                 reader.within(READ);
@@ -171,7 +171,7 @@
             asked = true;
             head = reader.request();
             boolean health = head.start[1].equals("/_health");
-            request = health ? null : admission.asked(head);
+            judged = health ? null : admission.asked(head);
             if (head.lists("Expect", "100-continue")) {
                 watchdog.write(socket, out -> out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes()));
             }
@@ -193,28 +193,28 @@
             return false;
         }
         boolean keep = head.keepsAlive(head.start[2]);
-        if (request == null) {
+        if (judged == null) {
             body.release();
             keep &= !last();
             answer(200, null, null, null, !keep);
             return keep;
         }
-        Item item;
+        ClientRequest next;
         try {
-            item = admission.item(this, request, body);
+            next = admission.request(this, judged, body);
         } catch (BadMessage e) {
             body.release();
             refuse(e, reader);
             return false;
         }
         synchronized (this) {
-            wi = item;
+            req = next;
             worked = true;
             reading = false;
             closing |= !keep;
         }
         figures.taken();
-        module.arrive(item);
+        module.arrive(next);
         return true;
     }
 
@@ -241,8 +241,8 @@
         }
     }
 
-    /** The final answer to the work item under way, by whoever has claimed it. */
-    void finish(Item done, int status, String name, String value, Body body) {
+    /** The final answer to the request under way, by whoever has claimed it. */
+    void finish(ClientRequest done, int status, String name, String value, Body body) {
         boolean close;
         synchronized (this) {
             close = closing || last;
@@ -258,12 +258,12 @@
         over(close || !whole);
     }
 
-    /** The work item under way is over, and with it perhaps the connection. */
+    /** The request under way is over, and with it perhaps the connection. */
     private void over(boolean close) {
         boolean ends;
         figures.over();
         synchronized (this) {
-            wi = null;
+            req = null;
             reading = false;
             since = System.nanoTime();
             notifyAll();
@@ -275,10 +275,10 @@
     }
 
     /**
-     * Passes on a long answer as it comes, by whoever has claimed the work item; its first part is in hand,
+     * Passes on a long answer as it comes, by whoever has claimed the request; its first part is in hand,
      * the reader has the rest. False when it could not be passed on whole: the client sees that it is not.
      */
-    boolean relay(Item done, Body part, HttpReader rest) {
+    boolean relay(ClientRequest done, Body part, HttpReader rest) {
         long length = part.length() > 0 ? -1 : rest.length();
         boolean chunked = length < 0 && done.knowsChunks;
         boolean close;
@@ -331,7 +331,7 @@
     void close() {
         synchronized (this) {
             closing = true;
-            if (reading || wi != null || inputEnded || !asked && System.nanoTime() - since < NEW) {
+            if (reading || req != null || inputEnded || !asked && System.nanoTime() - since < NEW) {
                 return;
             }
         }
@@ -360,7 +360,7 @@
         return reading && coming != null ? coming.readAt() : since;
     }
 
-    /** Whether it has ever brought a work item. */
+    /** Whether it has ever brought a request. */
     synchronized boolean worked() {
         return worked;
     }
@@ -370,15 +370,15 @@
         return inputEnded;
     }
 
-    /** Whether a work item of its is under way. */
+    /** Whether a request of its is under way. */
     synchronized boolean owed() {
-        return wi != null;
+        return req != null;
     }
 
-    /** Ends it, unless a work item is under way or may be just about to come in whole. */
+    /** Ends it, unless a request is under way or may be just about to come in whole. */
     void giveWay() {
         synchronized (this) {
-            if (wi != null || reading && System.nanoTime() - since() < HALF) {
+            if (req != null || reading && System.nanoTime() - since() < HALF) {
                 return;
             }
             closing = true;
@@ -386,8 +386,8 @@
         endReading();
     }
 
-    /** Whether a request is being read or a work item is under way. */
+    /** Whether a request is being read or is under way. */
     synchronized boolean busy() {
-        return reading || wi != null;
+        return reading || req != null;
     }
 }
--- a/src/main/java/cottonlock/net/Item.java
+++ b/src/main/java/cottonlock/net/ClientRequest.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A work item on its way through the sockets: what came of it, and who still needs its body. */
-final class Item {
+/** A request on its way through the sockets: what came of it, and who still needs its body. */
+final class ClientRequest {
     final Client client;
     final String method;
     final String target;
@@ -26,7 +26,7 @@
     final boolean knowsChunks;
     /** By the module's clock: its client waits no longer. Shorter where the proxy leaves before. */
     volatile long expiry;
-    /** The ids of all work items that wait for their answer, its own among them. */
+    /** The ids of all requests that wait for their answer, its own among them. */
     private final Set<String> openIds;
     private final AtomicBoolean claimed = new AtomicBoolean();
     /** One for the answer that is owed, and one for each write of the body that is under way. */
@@ -39,7 +39,7 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     int out;
 
-    Item(Client client, Admission.Asked asked, Body body, long expiry, Set<String> openIds)
+    ClientRequest(Client client, Admission.Asked asked, Body body, long expiry, Set<String> openIds)
         throws BadMessage {
         Head head = asked.head();
         this.openIds = openIds;
@@ -73,7 +73,7 @@
         return claimed.get();
     }
 
-    /** Keeps the body for a write; false when the work item has been answered. */
+    /** Keeps the body for a write; false when the request has been answered. */
     boolean hold() {
         return holds.getAndUpdate(n -> n == 0 ? 0 : n + 1) > 0;
     }
@@ -87,7 +87,7 @@
 
     /** One attempt: it is settled once, whatever reaches it first. */
     static final class Attempt {
-        final Item wi;
+        final ClientRequest req;
         final int number;
         /** By the module's clock: its last byte may be written until then. */
         final long sendBy;
@@ -95,8 +95,8 @@
         private Link link;
         private boolean settled;
 
-        Attempt(Item wi, int number, long sendBy, ModuleActor module) {
-            this.wi = wi;
+        Attempt(ClientRequest req, int number, long sendBy, ModuleActor module) {
+            this.req = req;
             this.number = number;
             this.sendBy = sendBy;
             this.module = module;
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -228,7 +228,7 @@
     }
 
     private static Head parse(String text) throws BadMessage {
-        // Without patterns: until they were compiled, the first work items waited milliseconds for them.
+        // Without patterns: until they were compiled, the first requests waited milliseconds for them.
         int end = lineEnd(text, 0);
         Head head = new Head(text.substring(0, end).split(" ", 3));
         while (end < text.length()) {
--- a/src/main/java/cottonlock/net/HttpWriter.java
+++ b/src/main/java/cottonlock/net/HttpWriter.java
@@ -16,21 +16,21 @@
         this.buffers = buffers;
     }
 
-    /** A work item on its way to a backend, with how many milliseconds its balancer will wait. */
-    void request(OutputStream out, Item wi, String host, long wait) throws IOException {
+    /** A request on its way to a backend, with how many milliseconds its balancer will wait. */
+    void request(OutputStream out, ClientRequest req, String host, long wait) throws IOException {
         StringBuilder head = new StringBuilder(256);
-        head.append(wi.method).append(' ').append(wi.target).append(" HTTP/1.1\r\n");
+        head.append(req.method).append(' ').append(req.target).append(" HTTP/1.1\r\n");
         field(head, "Host", host);
-        field(head, "X-Request-ID", wi.requestId);
+        field(head, "X-Request-ID", req.requestId);
         field(head, "X-Timeout-Ms", Long.toString(wait));
-        field(head, "X-Priority-Class", wi.categoryName);
-        field(head, "X-Tenant-Id", wi.tenantName);
-        field(head, "Idempotency-Key", wi.idempotencyKey);
-        field(head, "Content-Type", wi.contentType);
-        if (wi.body.length() > 0 || !wi.method.equals("GET")) {
-            field(head, "Content-Length", Long.toString(wi.body.length()));
+        field(head, "X-Priority-Class", req.categoryName);
+        field(head, "X-Tenant-Id", req.tenantName);
+        field(head, "Idempotency-Key", req.idempotencyKey);
+        field(head, "Content-Type", req.contentType);
+        if (req.body.length() > 0 || !req.method.equals("GET")) {
+            field(head, "Content-Length", Long.toString(req.body.length()));
         }
-        send(out, head, wi.body);
+        send(out, head, req.body);
     }
 
     /** An answer to a client; a body of null is an empty one. */
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/Link.java
@@ -11,7 +11,7 @@
 /** One connection to a backend. Its thread connects and reads; the backend's actor writes on it later. */
 final class Link implements Runnable {
     /** Milliseconds of a pause in an answer: some backends take seconds to write it, in pieces. One that
-     * stops short would hold its work item until nothing else can be tried any more. */
+     * stops short would hold its request until nothing else can be tried any more. */
     private static final long GAP = 1_200;
 
     private final BackendActor backend;
@@ -24,17 +24,18 @@
     private final Figures figures;
     private final Log log;
     private final Socket socket = new Socket();
-    private final Item.Attempt first;
+    private final ClientRequest.Attempt first;
     /** When it last began to rest, for the actor; 0 before it first does. */
     long restingSince;
     private long sentAt;
-    private Item.Attempt current;
+    private ClientRequest.Attempt current;
     private boolean writing;
     private boolean written;
     private boolean ended;
 
     Link(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
-         HttpWriter writer, Watchdog watchdog, Clock clock, Figures figures, Log log, Item.Attempt first) {
+         HttpWriter writer, Watchdog watchdog, Clock clock, Figures figures, Log log,
+         ClientRequest.Attempt first) {
         this.backend = backend;
         this.address = address;
         this.connectLimit = connectLimit;
@@ -82,7 +83,7 @@
         if (buffer != null) {
             buffers.give(buffer);
         }
-        Item.Attempt broken = null;
+        ClientRequest.Attempt broken = null;
         long after;
         synchronized (this) {
             ended = true;
@@ -112,7 +113,7 @@
     }
 
     /** Writes an attempt; false when nothing more can go out on this connection. */
-    boolean send(Item.Attempt attempt) {
+    boolean send(ClientRequest.Attempt attempt) {
         synchronized (this) {
             if (ended || unasked()) {
                 return false;
@@ -155,8 +156,8 @@
     }
 
     /** Writes it whole and returns null, or tells why its last byte was never written. */
-    private Outcome write(Item.Attempt attempt) {
-        if (!attempt.wi.hold()) {
+    private Outcome write(ClientRequest.Attempt attempt) {
+        if (!attempt.req.hold()) {
             return Outcome.NOT_SENT;
         }
         try {
@@ -164,16 +165,16 @@
                 // It waited in a mailbox or for a connection: meanwhile a drain may have been told.
                 return Outcome.NOT_SENT;
             }
-            long wait = Math.max(1, (attempt.wi.expiry - clock.now()) / 10);
+            long wait = Math.max(1, (attempt.req.expiry - clock.now()) / 10);
             String host = address.getHostString() + ":" + address.getPort();
             watchdog.write(socket,
-                out -> writer.request(new Until(out, attempt.sendBy), attempt.wi, host, wait));
+                out -> writer.request(new Until(out, attempt.sendBy), attempt.req, host, wait));
             figures.attempted();
             return null;
         } catch (IOException e) {
             return clock.now() >= attempt.sendBy ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
         } finally {
-            attempt.wi.release();
+            attempt.req.release();
         }
     }
 
@@ -201,7 +202,7 @@
         Head head = reader.answer(GAP);
         Body body = reader.first(buffers);
         try {
-            Item.Attempt attempt;
+            ClientRequest.Attempt attempt;
             boolean keep = head.keepsAlive(head.start[0]);
             synchronized (this) {
                 attempt = current;
@@ -231,22 +232,23 @@
     }
 
     /** Settles the attempt and passes its answer on; false when some of it is left unread. */
-    private boolean pass(Item.Attempt attempt, Head head, Body body, HttpReader reader) throws BadMessage {
+    private boolean pass(ClientRequest.Attempt attempt, Head head, Body body, HttpReader reader)
+        throws BadMessage {
         int status = Integer.parseInt(head.start[1]);
         boolean notRun = "1".equals(head.only("X-Not-Processed"));
         if (status != 200) {
             attempt.settle((status == 503 || status == 504) && notRun ? Outcome.TURNED_AWAY : Outcome.ERROR);
             return reader.over();
         }
-        // Claimed first: the module must learn that the work item is over, by this attempt.
-        boolean owed = attempt.wi.claim();
+        // Claimed first: the module must learn that the request is over, by this attempt.
+        boolean owed = attempt.req.claim();
         attempt.settle(Outcome.FINISHED);
         if (!reader.over()) {
             // Begun, it is the client's: no other attempt could answer it any more, nor would one be needed.
-            return owed && attempt.wi.client.relay(attempt.wi, body, reader);
+            return owed && attempt.req.client.relay(attempt.req, body, reader);
         }
         if (owed) {
-            attempt.wi.client.finish(attempt.wi, 200, null, null, body);
+            attempt.req.client.finish(attempt.req, 200, null, null, body);
         }
         return true;
     }
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -45,10 +45,10 @@
     private volatile Set<String> ids = Set.of();
     private boolean listLost;
     private Bans bans;
-    private final Map<Long, Item> items = new HashMap<>();
+    private final Map<Long, ClientRequest> requests = new HashMap<>();
     private final Map<String, BackendActor> backends = new TreeMap<>();
-    private final PriorityQueue<Item> expiries =
-        new PriorityQueue<>(Comparator.comparingLong((Item wi) -> wi.expiry));
+    private final PriorityQueue<ClientRequest> expiries =
+        new PriorityQueue<>(Comparator.comparingLong((ClientRequest req) -> req.expiry));
     private Balancer balancer;
     private ListWatch watch;
     private Peers peers;
@@ -107,22 +107,22 @@
     }
 
     private long untilDue() {
-        Item first = expiries.peek();
+        ClientRequest first = expiries.peek();
         return Math.min(wakeAt, first == null ? wakeAt : first.expiry) - clock.now();
     }
 
     private void due() {
         long now = clock.now();
         while (!expiries.isEmpty() && expiries.peek().expiry <= now) {
-            Item wi = expiries.poll();
-            for (Item.Attempt attempt : wi.attempts) {
+            ClientRequest req = expiries.poll();
+            for (ClientRequest.Attempt attempt : req.attempts) {
                 if (attempt.abandon()) {
                     ended(attempt, Outcome.TIMED_OUT);
                 }
             }
             // The module has given each its answer by now; this is for one that it lost in a fault.
-            if (items.containsKey(wi.number) && wi.out == 0) {
-                writeOff(wi.number, Reason.ANSWER_LOST);
+            if (requests.containsKey(req.number) && req.out == 0) {
+                writeOff(req.number, Reason.ANSWER_LOST);
             }
         }
         if (now >= wakeAt) {
@@ -142,61 +142,61 @@
         mailbox.put(() -> {
             latestEnd = latest;
             balancer.endBy(latest);
-            List<Item> held = new ArrayList<>(expiries);
+            List<ClientRequest> held = new ArrayList<>(expiries);
             expiries.clear();
-            held.forEach(wi -> wi.expiry = Math.min(wi.expiry, latest));
+            held.forEach(req -> req.expiry = Math.min(req.expiry, latest));
             expiries.addAll(held);
         });
     }
 
     /** A client's request has been read whole. */
-    void arrive(Item wi) {
+    void arrive(ClientRequest req) {
         mailbox.put(() -> {
-            wi.number = ++lastNumber;
+            req.number = ++lastNumber;
             // It may have been admitted just before the end was told, and come here just behind it.
-            wi.expiry = Math.min(wi.expiry, latestEnd);
-            items.put(wi.number, wi);
-            expiries.add(wi);
+            req.expiry = Math.min(req.expiry, latestEnd);
+            requests.put(req.number, req);
+            expiries.add(req);
             long now = clock.now();
             if (shadow != null) {
-                shadow.arrive(wi, now);
+                shadow.arrive(req, now);
             }
-            balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated, 0);
+            balancer.arrive(now, req.number, req.category, req.tenant, req.expiry - now, req.repeated, 0);
         });
     }
 
-    /** The client of a work item has left. */
-    void left(Item wi) {
+    /** The client of a request has left. */
+    void left(ClientRequest req) {
         mailbox.put(() -> {
             if (shadow != null) {
-                shadow.left(clock.now(), wi.number);
+                shadow.left(clock.now(), req.number);
             }
-            balancer.left(clock.now(), wi.number);
-            forget(wi);
+            balancer.left(clock.now(), req.number);
+            forget(req);
         });
     }
 
     /** An attempt has been settled, by the thread that saw how it ended. */
-    void settled(Item.Attempt attempt, Outcome outcome) {
+    void settled(ClientRequest.Attempt attempt, Outcome outcome) {
         mailbox.put(() -> ended(attempt, outcome));
     }
 
-    private void ended(Item.Attempt attempt, Outcome outcome) {
-        attempt.wi.out--;
+    private void ended(ClientRequest.Attempt attempt, Outcome outcome) {
+        attempt.req.out--;
         if (shadow != null) {
-            shadow.settled(clock.now(), attempt.wi.number, outcome, attempt.wi.claimed());
+            shadow.settled(clock.now(), attempt.req.number, outcome, attempt.req.claimed());
         }
-        balancer.settled(clock.now(), attempt.wi.number, attempt.number, outcome, attempt.wi.claimed());
-        forget(attempt.wi);
+        balancer.settled(clock.now(), attempt.req.number, attempt.number, outcome, attempt.req.claimed());
+        forget(attempt.req);
     }
 
-    private void forget(Item wi) {
-        if (wi.claimed() && wi.out == 0) {
+    private void forget(ClientRequest req) {
+        if (req.claimed() && req.out == 0) {
             if (shadow != null) {
-                shadow.decided(wi.number, null);
-                shadow.forget(clock.now(), wi.number);
+                shadow.decided(req.number, null);
+                shadow.forget(clock.now(), req.number);
             }
-            items.remove(wi.number);
+            requests.remove(req.number);
         }
     }
 
@@ -346,10 +346,10 @@
 
     @Override
     public void attempt(long number, String backend, long sendBy) {
-        Item wi = items.get(number);
-        Item.Attempt attempt = new Item.Attempt(wi, wi.attempts.size(), sendBy, this);
-        wi.attempts.add(attempt);
-        wi.out++;
+        ClientRequest req = requests.get(number);
+        ClientRequest.Attempt attempt = new ClientRequest.Attempt(req, req.attempts.size(), sendBy, this);
+        req.attempts.add(attempt);
+        req.out++;
         if (shadow != null) {
             shadow.decided(number, backend);
         }
@@ -364,9 +364,9 @@
 
     @Override
     public void recall(long number, int attempt) {
-        Item wi = items.get(number);
-        if (wi != null && wi.attempts.get(attempt).abandon()) {
-            next.add(() -> ended(wi.attempts.get(attempt), Outcome.RECALLED));
+        ClientRequest req = requests.get(number);
+        if (req != null && req.attempts.get(attempt).abandon()) {
+            next.add(() -> ended(req.attempts.get(attempt), Outcome.RECALLED));
         }
     }
 
@@ -382,17 +382,17 @@
     }
 
     private void answer(long number, Reason why, int status, String name, String value) {
-        Item wi = items.get(number);
-        if (wi != null && wi.claim()) {
-            wi.why = why;
-            if (!clerk.offer(() -> wi.client.finish(wi, status, name, value, null))) {
+        ClientRequest req = requests.get(number);
+        if (req != null && req.claim()) {
+            req.why = why;
+            if (!clerk.offer(() -> req.client.finish(req, status, name, value, null))) {
                 // So far behind that nobody would still wait: it ends without an answer.
                 figures.over();
-                wi.client.abort();
+                req.client.abort();
             }
         }
-        if (wi != null) {
-            forget(wi);
+        if (req != null) {
+            forget(req);
         }
     }
 
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -31,7 +31,7 @@
     /** Milliseconds for which new connections go on coming after the program was told to stop: 0.4 s at
      * most. */
     private static final long COME = 450;
-    /** Milliseconds that the last work items taken have at least: twice what most of them need. */
+    /** Milliseconds that the last requests taken have at least: twice what most of them need. */
     private static final long LAST = 900;
     /** Where the settings give none, in their microseconds: a far network's connect, a common idle time. */
     private static final double CONNECT = 250_000;
@@ -42,7 +42,7 @@
     private static final long LOOK = 5;
 
     private final Path configuration;
-    /** What is in force: the file as it was last taken, and what its work items are taken in by. */
+    /** What is in force: the file as it was last taken, and what its requests are taken in by. */
     private Config inForce;
     private Rules rules;
     private final Figures figures = new Figures();
@@ -219,7 +219,7 @@
             rules = new Rules(rules, assembly, settings);
             inForce = config;
             rules.names().forEach(figures::category);
-            // The module first: it must know a category before a work item of it comes.
+            // The module first: it must know a category before a request of it comes.
             module.retune(rules.categories, settings.count("Limits.MaxHandOffs", 1));
             admission.follow(rules);
             watch.move(discovery);
@@ -245,7 +245,7 @@
         long left = Math.min(WAITED_FOR, admission.longest()) + MORE - MARGIN;
         left -= (System.nanoTime() - toldAt) / 1_000_000;
         long end = System.nanoTime() + left * 1_000_000;
-        // Taken before, some work items might wait for longer than the program is let live.
+        // Taken before, some requests might wait for longer than the program is let live.
         module.endBy(admission.endWithin(left));
         if (succession.replaced()) {
             // Another process takes what comes from now on: this one answers what it has, and one more each.
--- a/src/main/java/cottonlock/net/Rules.java
+++ b/src/main/java/cottonlock/net/Rules.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 
 /**
- * What work items are taken in by: one immutable set, swapped whole when the settings change. A category
+ * What requests are taken in by: one immutable set, swapped whole when the settings change. A category
  * keeps its number as long as the process lives, and a name that comes again gets its old one.
  */
 final class Rules {
@@ -23,7 +23,7 @@
     /** The numbers of those in force. */
     private final Map<String, Integer> inForce = new HashMap<>();
     final List<String> tenantNames;
-    /** A longer patience is taken for this: it would keep what is remembered of a work item for as long. */
+    /** A longer patience is taken for this: it would keep what is remembered of a request for as long. */
     private final long[] longest;
 
     /** The rules of the given settings, after the given ones (null at the start). */
@@ -59,7 +59,7 @@
         return inForce.keySet();
     }
 
-    /** The longest that a work item of a category is waited for, in tenths of a millisecond. */
+    /** The longest that a request of a category is waited for, in tenths of a millisecond. */
     long longest(int category) {
         return longest[category];
     }
--- a/src/main/java/cottonlock/net/Shadow.java
+++ b/src/main/java/cottonlock/net/Shadow.java
@@ -26,7 +26,7 @@
     /** How a first decision can differ, or not. */
     enum Kind { ALIKE, WOULD_DEFER, WOULD_HAND_OFF, OTHER_BACKEND, WOULD_CLOSE }
 
-    /** What it decided about one work item. */
+    /** What it decided about one request. */
     private static final class Deed {
         String first;
         int sent;
@@ -85,9 +85,10 @@
         }
     }
 
-    void arrive(Item wi, long now) {
-        deeds.put(wi.number, new Deed());
-        guard(() -> balancer.arrive(now, wi.number, wi.category, wi.tenant, wi.expiry - now, wi.repeated, 0));
+    void arrive(ClientRequest req, long now) {
+        deeds.put(req.number, new Deed());
+        guard(() -> balancer.arrive(now, req.number, req.category, req.tenant, req.expiry - now,
+            req.repeated, 0));
     }
 
     void list(long now, List<Member> members, boolean whole, boolean cached) {
@@ -125,7 +126,7 @@
         }
     }
 
-    /** The real work item is over and nothing of it is out any more. */
+    /** The real request is over and nothing of it is out any more. */
     void forget(long now, long number) {
         // Where only the watched module would have sent, nothing is known of how that would have ended.
         settled(now, number, Outcome.NOT_SENT, true);
--- a/src/main/java/cottonlock/setup/Assembly.java
+++ b/src/main/java/cottonlock/setup/Assembly.java
@@ -59,7 +59,7 @@
     }
 
     /** For each backend, the time after which a kept connection has cost as much as a new one by the fees.
-     * The one counts for 100 backends, the other for each work item. 0 where keeping costs nothing. */
+     * The one counts for 100 backends, the other for each request. 0 where keeping costs nothing. */
     private double restOfConnections() {
         double kept = fee("Fees.Connection");
         double quotas = tenants.stream().mapToDouble(Tenant::quota).sum();
--- a/src/test/java/cottonlock/decision/BalancerTest.java
+++ b/src/test/java/cottonlock/decision/BalancerTest.java
@@ -332,7 +332,7 @@
         assertTrue(ledger.items.isEmpty());
     }
 
-    /** Found when a product of zero and infinity shut the door: the first work items must get through. */
+    /** Found when a product of zero and infinity shut the door: the first requests must get through. */
     @Example
     void aFreshBalancerLetsWorkIn() {
         Ledger ledger = ledger(true, TWO, 6);
@@ -507,7 +507,7 @@
         return many;
     }
 
-    /** Found with hundreds of balancers: one work item from each at once pushed a cold backend over. */
+    /** Found with hundreds of balancers: one request from each at once pushed a cold backend over. */
     @Example
     void manyBalancersTogetherKeepAColdBackendUp() {
         int balancers = 200;
@@ -534,7 +534,7 @@
         assertTrue(inWindow > 0, "a cold backend is not left out");
     }
 
-    /** Found with hundreds of balancers: the least rooms of one work item each added up and choked all. */
+    /** Found with hundreds of balancers: the least rooms of one request each added up and choked all. */
     @Example
     void manyBalancersTogetherLetInWhatTheBackendsMayHold() {
         long held = 0;
@@ -589,7 +589,7 @@
             }
             outside += ledger.spilled(1, small);
         }
-        assertTrue(outside > 50, outside + " of the crowded lane's work items spilled");
+        assertTrue(outside > 50, outside + " of the crowded lane's requests spilled");
     }
 
     /** Found after a flood: so few were let in that nobody learned that it was over. */
--- a/src/test/java/cottonlock/decision/Ledger.java
+++ b/src/test/java/cottonlock/decision/Ledger.java
@@ -26,7 +26,7 @@
     static final double FALL_MULTIPLE = 2.5;
     static final int MOST = 4;
 
-    /** A work item as the ledger knows it. */
+    /** A request as the ledger knows it. */
     static final class Item {
         final Category category;
         final long expiry;
@@ -58,10 +58,10 @@
     final Map<Long, Item> items = new LinkedHashMap<>();
     final Map<String, Member> listed = new LinkedHashMap<>();
     final Map<String, List<Long>> sends = new LinkedHashMap<>();
-    /** By tenant, the backends that work items were first handed to. */
+    /** By tenant, the backends that requests were first handed to. */
     final Map<Integer, List<String>> firstSent = new LinkedHashMap<>();
     final List<String> told = new ArrayList<>();
-    /** Why work items were deferred. */
+    /** Why requests were deferred. */
     final Map<Reason, Integer> ends = new EnumMap<>(Reason.class);
     final List<String> released = new ArrayList<>();
     final List<Long> wakes = new ArrayList<>();
@@ -197,23 +197,23 @@
         }
     }
 
-    /** The first rule: no work item is without its answer after its expiry. */
+    /** The first rule: no request is without its answer after its expiry. */
     private void check() {
         items.forEach((id, item) ->
-            assertTrue(item.answered || now <= item.expiry + SLACK, () -> "work item " + id + " is lost"));
+            assertTrue(item.answered || now <= item.expiry + SLACK, () -> "request " + id + " is lost"));
         items.values().removeIf(item -> item.answered && item.sent.stream().noneMatch(s -> s.out));
     }
 
-    private Item open(long wi, String act) {
-        Item item = items.get(wi);
-        assertNotNull(item, () -> act + " of work item " + wi + " after its end");
-        assertFalse(item.answered, () -> act + " of work item " + wi + " after its final answer");
+    private Item open(long req, String act) {
+        Item item = items.get(req);
+        assertNotNull(item, () -> act + " of request " + req + " after its end");
+        assertFalse(item.answered, () -> act + " of request " + req + " after its final answer");
         return item;
     }
 
     @Override
-    public void attempt(long wi, String backend, long sendBy) {
-        Item item = open(wi, "attempt");
+    public void attempt(long req, String backend, long sendBy) {
+        Item item = open(req, "attempt");
         assertTrue(now < sendBy && sendBy <= item.expiry, "may be written until " + sendBy + " at " + now);
         Member to = listed.get(backend);
         assertNotNull(to, "attempt to a backend that no list has named");
@@ -221,7 +221,7 @@
         assertTrue(item.sent.size() < MOST, "too many attempts");
         assertTrue(item.sent.stream().noneMatch(s -> s.out), "two attempts out at once");
         item.sent.stream().filter(s -> s.mayHaveRun).findFirst().ifPresent(ran -> {
-            assertTrue(item.category.repeat() != Repeat.UNSAFE, "an unsafe work item sent twice");
+            assertTrue(item.category.repeat() != Repeat.UNSAFE, "an unsafe request sent twice");
             if (item.category.repeat() == Repeat.KEYED) {
                 assertTrue(sendBy < ran.at + item.category.repeatWindow(), "a key too old to be known");
                 assertTrue(switch (item.category.scope()) {
@@ -249,7 +249,7 @@
             () -> "cold backend " + to.id() + " sent " + recent(to, FALL) + ", warm ones " + busiest);
     }
 
-    /** How many work items of the tenant went first to a backend outside its lane. */
+    /** How many requests of the tenant went first to a backend outside its lane. */
     int spilled(int tenant, Set<String> lane) {
         List<String> to = firstSent.getOrDefault(tenant, List.of());
         return (int) to.stream().filter(b -> !lane.contains(b)).count();
@@ -261,15 +261,15 @@
     }
 
     @Override
-    public void recall(long wi, int attempt) {
-        Sent sent = items.get(wi).sent.get(attempt);
+    public void recall(long req, int attempt) {
+        Sent sent = items.get(req).sent.get(attempt);
         assertTrue(sent.out, "recall of what is not out");
         sent.recalled = true;
     }
 
     @Override
-    public void defer(long wi, long comeBack, Reason why) {
-        Item item = open(wi, "deferral");
+    public void defer(long req, long comeBack, Reason why) {
+        Item item = open(req, "deferral");
         boolean harmless = item.sent.stream().noneMatch(s -> s.mayHaveRun)
             || item.category.repeat() == Repeat.SAFE
             || item.category.repeat() == Repeat.KEYED && item.category.scope() == Scope.ALL
@@ -282,8 +282,8 @@
     }
 
     @Override
-    public void writeOff(long wi, Reason why) {
-        open(wi, "write-off").answered = true;
+    public void writeOff(long req, Reason why) {
+        open(req, "write-off").answered = true;
     }
 
     @Override
--- a/src/test/java/cottonlock/lab/LabTest.java
+++ b/src/test/java/cottonlock/lab/LabTest.java
@@ -117,11 +117,11 @@
     }
 
     /**
-     * All that can go wrong at once, with many backends and with few: each work item is answered all the
+     * All that can go wrong at once, with many backends and with few: each request is answered all the
      * same.
      */
     @Example
-    void everyFaultCanBePlayedAndEndsWithEachWorkItemAnswered() throws Exception {
+    void everyFaultCanBePlayedAndEndsWithEachRequestAnswered() throws Exception {
         StringBuilder text = new StringBuilder(MIXED)
             .append("[clients]\nretries = 1\nleave = 0.05\nkeep = 0.5\n");
         for (String kind : Scenario.KINDS.keySet()) {
--- a/src/test/java/cottonlock/net/OperatorDaysTest.java
+++ b/src/test/java/cottonlock/net/OperatorDaysTest.java
@@ -261,7 +261,7 @@
             Process leaving = old;
             try (Socket kept = new Socket("127.0.0.1", ports[0]);
                  Socket held = new Socket("127.0.0.1", ports[0])) {
-                // Held by one of the two; whichever it is, its work item is answered.
+                // Held by one of the two; whichever it is, its request is answered.
                 send(kept, request("read", "first" + i, "", ""));
                 assertEquals(200, status(receive(kept)));
                 send(held, request("once", "long" + i, "", "body"));
@@ -472,7 +472,7 @@
             assertEquals(body, got.get(got.size() - 1));
             cut.shutdownOutput();
             int cutOff = status(receive(cut));
-            assertTrue(cutOff == 0 || cutOff == 408, "a body that was cut off is no work item: " + cutOff);
+            assertTrue(cutOff == 0 || cutOff == 408, "a body that was cut off is no request: " + cutOff);
         }
         assertEquals(1, backend.requests.size());
         assertEquals(413, status(call(request("once", "huge", "Content-Length: 99000000\r\n", ""))));
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -66,7 +66,7 @@
     }
 
     @Example
-    void passesAWorkItemOnAndItsAnswerBack() throws Exception {
+    void passesARequestOnAndItsAnswerBack() throws Exception {
         String large = "x".repeat(60_000);
         StandIn backend = new StandIn(request -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             + "5;a=b\r\nhello\r\n" + Integer.toHexString(large.length()) + "\r\n" + large + "\r\n0\r\n\r\n");
@@ -395,15 +395,16 @@
         Body body = new Body(buffers, null);
         body.add(new byte[10], 0, 10);
         Head head = new Head(new String[] {"POST", "/once", "HTTP/1.1"});
-        Item wi = new Item(null, new Admission.Asked(head, "id", null, 0, "once", 0, null, 0), body, 0,
+        ClientRequest req = new ClientRequest(null,
+            new Admission.Asked(head, "id", null, 0, "once", 0, null, 0), body, 0,
             new HashSet<>());
-        assertTrue(wi.hold());
-        assertTrue(wi.claim());
-        assertFalse(wi.claim());
+        assertTrue(req.hold());
+        assertTrue(req.claim());
+        assertFalse(req.claim());
         assertEquals(0, buffers.left(), "a write of it is under way");
-        wi.release();
+        req.release();
         assertEquals(1, buffers.left());
-        assertFalse(wi.hold());
+        assertFalse(req.hold());
     }
 
     @Example
@@ -496,7 +497,7 @@
                 assertEquals(text.equals(texts[1]), !line.contains("stays in force"), line);
                 Thread.sleep(1_050);
             }
-            assertEquals(200, status(receive(held)), "work items are kept");
+            assertEquals(200, status(receive(held)), "requests are kept");
             eventually(() -> discovery[0].sockets.get(0).isClosed(), "the old watch is closed");
             assertTrue(discovery[1].requests.get(0).get(0).endsWith("index=0 HTTP/1.1"));
         }
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -353,18 +353,19 @@
 
     // Attempts on their way
 
-    private Request attempt(BackendActor actor, long sendBy) throws Exception {
+    private Sent attempt(BackendActor actor, long sendBy) throws Exception {
         Head head = new Head(new String[] {"POST", "/once", "HTTP/1.1"});
         Body body = new Body(buffers, null);
         body.add("body".getBytes(StandardCharsets.ISO_8859_1), 0, 4);
-        Item item = new Item(null, new Admission.Asked(head, "id", null, 0, "once", 0, "acme", 0), body,
-            clock.now() + 100_000, ConcurrentHashMap.newKeySet());
-        Item.Attempt attempt = new Item.Attempt(item, 0, sendBy, module);
+        ClientRequest request = new ClientRequest(null,
+            new Admission.Asked(head, "id", null, 0, "once", 0, "acme", 0), body, clock.now() + 100_000,
+            ConcurrentHashMap.newKeySet());
+        ClientRequest.Attempt attempt = new ClientRequest.Attempt(request, 0, sendBy, module);
         assertTrue(actor == null || actor.attempt(attempt));
-        return new Request(item, attempt);
+        return new Sent(request, attempt);
     }
 
-    private record Request(Item item, Item.Attempt attempt) {
+    private record Sent(ClientRequest request, ClientRequest.Attempt attempt) {
     }
 
     private BackendActor actor(StandIn backend, long settle) {
@@ -379,21 +380,21 @@
         long later = clock.now() + 100_000;
         for (int kind = 0; kind < 4; kind++) {
             BackendActor actor = actor(backend, BackendActor.SETTLE);
-            Request request = attempt(actor, kind == 1 ? clock.now() : later);
+            Sent sent = attempt(actor, kind == 1 ? clock.now() : later);
             if (kind == 2) {
                 actor.ready(false);
             }
             if (kind == 3) {
                 // Its client has left.
-                assertTrue(request.item.claim());
+                assertTrue(sent.request.claim());
             }
             Thread thread = Sockets.start("backend", actor);
-            eventually(request.attempt::settled, "settled");
+            eventually(sent.attempt::settled, "settled");
             assertEquals(1, backend.requests.size(), "only the first, that nothing speaks against");
             actor.end();
             thread.join(4_000);
             if (kind != 3) {
-                assertTrue(request.item.claim());
+                assertTrue(sent.request.claim());
             }
         }
         eventually(() -> buffers.left() == 16, "all buffers are back");
@@ -405,14 +406,14 @@
     void aStrayAnswerReadJustBeforeTheNextAttemptIsNotItsAnswer() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = actor(backend, BackendActor.SETTLE);
-        Request first = attempt(null, Long.MAX_VALUE);
+        Sent first = attempt(null, Long.MAX_VALUE);
         Link link = new Link(actor, address(backend), 1_000, buffers, new HttpWriter(buffers), watchdog,
             clock, figures, log, first.attempt);
         Thread thread = Sockets.thread("connection", link);
         thread.start();
         eventually(() -> first.attempt.settled() && List.of(thread.getStackTrace()).toString()
             .matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*"), "it rests");
-        Request next = attempt(null, Long.MAX_VALUE);
+        Sent next = attempt(null, Long.MAX_VALUE);
         synchronized (link) {
             send(backend.sockets.get(0), STRAY);
             eventually(() -> blocked(thread), "read, and not yet judged");
@@ -422,7 +423,7 @@
         thread.join(4_000);
         assertFalse(next.attempt.settled(), "it may go out elsewhere");
         assertEquals(1, backend.requests.size());
-        assertTrue(first.item.claim() && next.item.claim());
+        assertTrue(first.request.claim() && next.request.claim());
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
@@ -432,11 +433,11 @@
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = actor(backend, 8_000_000_000L);
         Thread thread = Sockets.start("backend", actor);
-        Request first = attempt(actor, Long.MAX_VALUE);
+        Sent first = attempt(actor, Long.MAX_VALUE);
         eventually(() -> first.attempt.settled() && Thread.getAllStackTraces().values().stream()
             .anyMatch(t -> List.of(t).toString().matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*")),
             "it rests");
-        Request next = attempt(actor, Long.MAX_VALUE);
+        Sent next = attempt(actor, Long.MAX_VALUE);
         CountDownLatch looked = new CountDownLatch(1);
         actor.then(looked::countDown);
         assertTrue(awaits(looked), "the attempt has been looked at");
@@ -446,7 +447,7 @@
         assertEquals(2, backend.sockets.size(), "each on a connection of its own");
         actor.end();
         thread.join(4_000);
-        assertTrue(first.item.claim() && next.item.claim());
+        assertTrue(first.request.claim() && next.request.claim());
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
