--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
 import net.jqwik.api.Example;
 
 /**
@@ -512,6 +513,90 @@
         assertEquals(1, backend.requests.size());
     }
 
+    // Bad input
+
+    private static long descriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
+            return open.count();
+        }
+    }
+
+    private static long threads() {
+        return Thread.getAllStackTraces().keySet().stream()
+            .filter(t -> t.isAlive() && t.getName().equals("connection")).count();
+    }
+
+    /** What a backend does to a request named so, on its socket; the answer that is left to give. */
+    private static String spoilt(String id, Socket socket) throws Exception {
+        String own = "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
+        switch (id.replaceAll("[0-9]", "")) {
+            case "noise" -> send(socket, "\u0001\u0002 no answer\r\n\r\n");
+            case "half" -> send(socket, own.substring(0, 30));
+            case "twice" -> {
+                send(socket, own);
+                Thread.sleep(2);
+                return own;
+            }
+            case "reset" -> {
+                send(socket, "HTTP/1.1 200 OK\r\n\r\nno length");
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            case "endless" -> {
+                send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                String chunk = "1000\r\n" + "x".repeat(4096) + "\r\n";
+                while (true) {
+                    send(socket, chunk);
+                }
+            }
+            default -> {
+                return own;
+            }
+        }
+        return CLOSE;
+    }
+
+    @Example
+    void badInputLeavesNothingBehindAndTouchesNoOther() throws Exception {
+        StandIn backend = new StandIn(request -> CLOSE);
+        backend.play = request -> spoilt(field(request, "X-Request-ID", ""),
+            backend.sockets.get(backend.sockets.size() - 1));
+        start(backend);
+        long descriptors = 0;
+        long threads = 0;
+        for (int round = 0; round < 8; round++) {
+            for (String kind : List.of("noise", "half", "reset", "twice", "fine")) {
+                String id = kind + round;
+                String answer = call(request("read", id, "", ""));
+                boolean good = kind.equals("twice") || kind.equals("fine");
+                assertEquals(good, status(answer) == 200, id + ": " + answer);
+                assertEquals(good, answer.endsWith("\r\n\r\n" + id), id + ": " + answer);
+            }
+            try (Socket endless = connect()) {
+                send(endless, request("read", "endless" + round, "", ""));
+                assertEquals('H', endless.getInputStream().read());
+            }
+            try (Socket flood = connect()) {
+                send(flood, "\u0000".repeat(100_000));
+            } catch (IOException e) {
+                // It has been ended before all was sent.
+            }
+            try (Socket half = connect()) {
+                send(half, request("once", "h", "", "body").substring(0, 60));
+            }
+            assertTrue(call(request("read", "fine" + round, "", "")).endsWith("fine" + round));
+            if (round == 0) {
+                eventually(() -> proxy.listener().clients().isEmpty(), "all clients have gone");
+                descriptors = descriptors();
+                threads = threads();
+            }
+        }
+        long most = descriptors + 4;
+        eventually(() -> proxy.listener().clients().isEmpty() && descriptors() <= most, "descriptors are back");
+        long mostThreads = threads + 2;
+        eventually(() -> threads() <= mostThreads, "threads are back");
+    }
+
     /** What comes next; -1 also for a reset, which bytes left unread lead to. */
     private static int afterwards(Socket socket) {
         try {
