--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -592,7 +592,8 @@
             }
         }
         long most = descriptors + 4;
-        eventually(() -> proxy.listener().clients().isEmpty() && descriptors() <= most, "descriptors are back");
+        eventually(() -> proxy.listener().clients().isEmpty() && descriptors() <= most,
+            "descriptors are back");
         long mostThreads = threads + 2;
         eventually(() -> threads() <= mostThreads, "threads are back");
     }
