--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -11,7 +11,7 @@
 
 /** A backend's actor: the one owner of the connections to it, kept ones first. */
 final class BackendActor implements Runnable {
-    /** More than the sockets there are: what the links tell always fits. */
+    /** More than the sockets there are: what the connections tell always fits. */
     private static final int MOST = 4_096;
     /** Parts of the idle time after which a connection is retired, before the backend does it. */
     private static final double RETIRE = 0.8;
@@ -22,8 +22,8 @@
     private static final long LOOK = 500_000;
 
     private final Mailbox mailbox;
-    private final Places places;
-    private final Keeping keeping;
+    private final ConnectionPermits permits;
+    private final KeepAlive keepAlive;
     private final Workers workers;
     private final int connectLimit;
     private final long retireAfter;
@@ -35,8 +35,8 @@
     private final Figures figures;
     private final Log log;
     private InetSocketAddress address;
-    private final Deque<Link> resting = new ArrayDeque<>();
-    private final Set<Link> links = new HashSet<>();
+    private final Deque<BackendConnection> resting = new ArrayDeque<>();
+    private final Set<BackendConnection> connections = new HashSet<>();
     /** Attempts that wait for connections to settle: sooner than a new one is up, which also costs more. */
     private final Deque<ClientRequest.Attempt> held = new ArrayDeque<>();
     private boolean leaving;
@@ -45,12 +45,12 @@
     private volatile boolean ready = true;
 
     /** Times in milliseconds; how long a connection settles, in nanoseconds. */
-    BackendActor(InetSocketAddress address, Places places, Keeping keeping, Workers workers,
+    BackendActor(InetSocketAddress address, ConnectionPermits permits, KeepAlive keepAlive, Workers workers,
                  long connectLimit, long idle, long settle, Buffers buffers, HttpWriter writer,
                  Watchdog watchdog, Clock clock, Figures figures, Log log) {
         this.address = address;
-        this.places = places;
-        this.keeping = keeping;
+        this.permits = permits;
+        this.keepAlive = keepAlive;
         this.workers = workers;
         this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
         this.retireAfter = (long) (idle * RETIRE * 1_000_000);
@@ -66,9 +66,9 @@
 
     @Override
     public void run() {
-        places.join(this);
+        permits.join(this);
         try {
-            while (!leaving || !links.isEmpty() || !held.isEmpty()) {
+            while (!leaving || !connections.isEmpty() || !held.isEmpty()) {
                 mailbox.next(held.isEmpty() ? LOOK : unsettled() / 1_000);
                 retire();
                 while (!held.isEmpty() && unsettled() <= 0) {
@@ -78,7 +78,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
-            places.leave(this);
+            permits.leave(this);
         }
     }
 
@@ -102,7 +102,7 @@
         mailbox.offer(() -> {
             if (!now.equals(address)) {
                 address = now;
-                resting.forEach(Link::kill);
+                resting.forEach(BackendConnection::kill);
                 resting.clear();
             }
         });
@@ -113,7 +113,7 @@
         ready = false;
         mailbox.offer(() -> {
             leaving = true;
-            resting.forEach(Link::kill);
+            resting.forEach(BackendConnection::kill);
             resting.clear();
         });
     }
@@ -121,7 +121,7 @@
     /** From the module's thread: what rests is worth less than it costs. */
     void release() {
         mailbox.offer(() -> {
-            resting.forEach(Link::kill);
+            resting.forEach(BackendConnection::kill);
             resting.clear();
         });
     }
@@ -129,7 +129,7 @@
     /** From another backend's actor: sockets have run out, so the longest at rest is closed. */
     void spareOne() {
         mailbox.offer(() -> {
-            Link spare = resting.pollFirst();
+            BackendConnection spare = resting.pollFirst();
             if (spare != null) {
                 spare.kill();
             }
@@ -140,7 +140,7 @@
     void end() {
         mailbox.offer(() -> {
             leaving = true;
-            links.forEach(Link::kill);
+            connections.forEach(BackendConnection::kill);
         });
     }
 
@@ -149,29 +149,29 @@
         mailbox.put(next);
     }
 
-    /** From a link: its attempt is over and it may carry the next. */
-    void rests(Link link) {
+    /** From a connection: its attempt is over and it may carry the next. */
+    void rests(BackendConnection connection) {
         mailbox.put(() -> {
-            if (leaving || !link.address().equals(address) || !keeping.worthwhile()) {
-                link.kill();
+            if (leaving || !connection.address().equals(address) || !keepAlive.worthwhile()) {
+                connection.kill();
             } else {
-                link.restingSince = System.nanoTime();
-                resting.addLast(link);
+                connection.restingSince = System.nanoTime();
+                resting.addLast(connection);
             }
         });
     }
 
-    /** From a link: its attempt, not its first, broke off so many nanoseconds after it was sent. */
+    /** From a connection: its attempt, not its first, broke off so many nanoseconds after it was sent. */
     void brokeWhenUsedAgain(long after) {
-        keeping.broke(after);
+        keepAlive.broke(after);
     }
 
-    /** From a link: it has given back all that it held. */
-    void ended(Link link) {
-        places.give();
+    /** From a connection: it has given back all that it held. */
+    void ended(BackendConnection connection) {
+        permits.give();
         mailbox.put(() -> {
-            links.remove(link);
-            resting.remove(link);
+            connections.remove(connection);
+            resting.remove(connection);
         });
     }
 
@@ -181,13 +181,13 @@
     }
 
     /** Takes the connection that was used last, of those that have settled; null if none has. */
-    private Link settled() {
+    private BackendConnection settled() {
         long now = System.nanoTime();
-        for (Iterator<Link> links = resting.descendingIterator(); links.hasNext();) {
-            Link link = links.next();
-            if (now - link.restingSince >= settle) {
-                links.remove();
-                return link;
+        for (Iterator<BackendConnection> last = resting.descendingIterator(); last.hasNext();) {
+            BackendConnection connection = last.next();
+            if (now - connection.restingSince >= settle) {
+                last.remove();
+                return connection;
             }
         }
         return null;
@@ -196,19 +196,19 @@
     private void send(ClientRequest.Attempt attempt) {
         // Looked through now and then only, some had rested too long when they were used, and were reset.
         retire();
-        if (!keeping.worthwhile()) {
-            resting.forEach(Link::kill);
+        if (!keepAlive.worthwhile()) {
+            resting.forEach(BackendConnection::kill);
             resting.clear();
         }
-        for (Link link = settled(); link != null; link = settled()) {
-            if (!attempt.attach(link)) {
-                resting.addLast(link);
+        for (BackendConnection connection = settled(); connection != null; connection = settled()) {
+            if (!attempt.attach(connection)) {
+                resting.addLast(connection);
                 return;
             }
-            if (attempt.req.body.spooled() && elsewhere(link, attempt)) {
+            if (attempt.req.body.spooled() && elsewhere(connection, attempt)) {
                 return;
             }
-            if (link.send(attempt)) {
+            if (connection.send(attempt)) {
                 return;
             }
             if (attempt.settled()) {
@@ -219,30 +219,30 @@
             held.add(attempt);
             return;
         }
-        if (!places.take()) {
+        if (!permits.take()) {
             log.warn("out of sockets", "an attempt got no connection");
             attempt.settle(Outcome.NO_CONNECTION);
             return;
         }
-        Link link = new Link(this, address, connectLimit, buffers, writer, watchdog, clock, figures, log,
-            attempt);
-        links.add(link);
+        BackendConnection connection = new BackendConnection(this, address, connectLimit, buffers, writer,
+            watchdog, clock, figures, log, attempt);
+        connections.add(connection);
         try {
-            workers.serve(link);
+            workers.serve(connection);
         } catch (OutOfMemoryError e) {
             // No thread can be had: this attempt fails, the proxy must not.
             log.warn("no thread", "an attempt got no connection");
-            links.remove(link);
-            places.give();
+            connections.remove(connection);
+            permits.give();
             attempt.settle(Outcome.NO_CONNECTION);
         }
     }
 
     /** A long body is written on another thread: a backend that reads slowly must not stop this actor. */
-    private boolean elsewhere(Link link, ClientRequest.Attempt attempt) {
+    private boolean elsewhere(BackendConnection connection, ClientRequest.Attempt attempt) {
         try {
             workers.serve(() -> {
-                if (!link.send(attempt) && !attempt.settled()) {
+                if (!connection.send(attempt) && !attempt.settled()) {
                     mailbox.put(() -> send(attempt));
                 }
             });
--- a/src/main/java/cottonlock/net/Link.java
+++ b/src/main/java/cottonlock/net/BackendConnection.java
@@ -9,7 +9,7 @@
 import java.net.Socket;
 
 /** One connection to a backend. Its thread connects and reads; the backend's actor writes on it later. */
-final class Link implements Runnable {
+final class BackendConnection implements Runnable {
     /** Milliseconds of a pause in an answer: some backends take seconds to write it, in pieces. One that
      * stops short would hold its request until nothing else can be tried any more. */
     private static final long GAP = 1_200;
@@ -33,7 +33,7 @@
     private boolean written;
     private boolean ended;
 
-    Link(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
+    BackendConnection(BackendActor backend, InetSocketAddress address, int connectLimit, Buffers buffers,
          HttpWriter writer, Watchdog watchdog, Clock clock, Figures figures, Log log,
          ClientRequest.Attempt first) {
         this.backend = backend;
@@ -77,7 +77,7 @@
         }
     }
 
-    /** The one place where the connection, its buffer and its place among the sockets are given back. */
+    /** The one place where the connection, its buffer and its permit are given back. */
     private void end(byte[] buffer) {
         Sockets.close(socket);
         if (buffer != null) {
--- a/src/main/java/cottonlock/net/ClientRequest.java
+++ b/src/main/java/cottonlock/net/ClientRequest.java
@@ -92,7 +92,7 @@
         /** By the module's clock: its last byte may be written until then. */
         final long sendBy;
         private final ModuleActor module;
-        private Link link;
+        private BackendConnection connection;
         private boolean settled;
 
         Attempt(ClientRequest req, int number, long sendBy, ModuleActor module) {
@@ -103,8 +103,8 @@
         }
 
         /** Binds it to the connection it will go out on; false if it has been settled before that. */
-        synchronized boolean attach(Link to) {
-            link = settled ? null : to;
+        synchronized boolean attach(BackendConnection to) {
+            connection = settled ? null : to;
             return !settled;
         }
 
@@ -115,7 +115,7 @@
                     return false;
                 }
                 settled = true;
-                link = null;
+                connection = null;
             }
             module.settled(this, outcome);
             return true;
@@ -127,14 +127,14 @@
 
         /** Gives it up, from the module's thread: its connection is closed before anything else happens. */
         boolean abandon() {
-            Link closing;
+            BackendConnection closing;
             synchronized (this) {
                 if (settled) {
                     return false;
                 }
                 settled = true;
-                closing = link;
-                link = null;
+                closing = connection;
+                connection = null;
             }
             // A repeat may be sent next: with this copy still out it would be a second one.
             if (closing != null) {
--- a/src/main/java/cottonlock/net/Places.java
+++ b/src/main/java/cottonlock/net/ConnectionPermits.java
@@ -6,14 +6,14 @@
 import java.util.concurrent.TimeUnit;
 
 /** The sockets there may be to backends, shared by their actors. */
-final class Places {
+final class ConnectionPermits {
     /** Milliseconds for the others to close a connection that rests: far below any due time. */
     private static final long WAIT = 20;
 
     private final Semaphore free;
     private final List<BackendActor> sharers = new CopyOnWriteArrayList<>();
 
-    Places(int most) {
+    ConnectionPermits(int most) {
         this.free = new Semaphore(most);
     }
 
@@ -25,7 +25,7 @@
         sharers.remove(actor);
     }
 
-    /** Takes a place; false when all are in use. */
+    /** Takes a permit; false when all are in use. */
     boolean take() {
         if (free.tryAcquire()) {
             return true;
--- a/src/main/java/cottonlock/net/Keeping.java
+++ b/src/main/java/cottonlock/net/KeepAlive.java
@@ -5,7 +5,7 @@
  * without a word, or as soon as they are used: an attempt lost that way may have run, and counts against a
  * sound backend, while a new connection costs little.
  */
-final class Keeping {
+final class KeepAlive {
     /** Nanoseconds: a request that was read and begun is not broken off so soon after it was sent. */
     private static final long AT_ONCE = 20_000_000;
     /** Nanoseconds for which breaks are remembered, and then none is kept: seldom enough to try again. */
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -98,15 +98,15 @@
         Spools spools = new Spools(spooled, Math.max(2, sockets / FOR_BODIES));
         HttpWriter writer = new HttpWriter(buffers);
         Watchdog watchdog = new Watchdog();
-        Places places = new Places(toBackends);
-        Keeping keeping = new Keeping();
+        ConnectionPermits permits = new ConnectionPermits(toBackends);
+        KeepAlive keepAlive = new KeepAlive();
         long connect = settings.timeDown("Limits.ConnectTimeout", CONNECT) / 10;
         long idle = settings.timeDown("Limits.ConnIdle", IDLE) / 10;
         String name = config.text("name", "proxy") + "-" + config.text("listen", "");
         Path kept = shares ? folder : null;
         succession = new Succession(new Shared(kept, name, "serving", log));
         module = new ModuleActor(clock, entry -> {
-            BackendActor actor = new BackendActor(entry.dial(), places, keeping, workers, connect, idle,
+            BackendActor actor = new BackendActor(entry.dial(), permits, keepAlive, workers, connect, idle,
                 BackendActor.SETTLE, buffers, writer, watchdog, clock, figures, log);
             Sockets.start("backend", actor);
             return actor;
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -370,8 +370,8 @@
     }
 
     private BackendActor actor(StandIn backend, long settle) {
-        return new BackendActor(address(backend), new Places(4), new Keeping(), workers, 1_000, 60_000,
-            settle, buffers, new HttpWriter(buffers), watchdog, clock, figures, log);
+        return new BackendActor(address(backend), new ConnectionPermits(4), new KeepAlive(), workers, 1_000,
+            60_000, settle, buffers, new HttpWriter(buffers), watchdog, clock, figures, log);
     }
 
     /** Held in the mailbox, as long as the actor's thread has not been started. */
@@ -408,18 +408,18 @@
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = actor(backend, BackendActor.SETTLE);
         Sent first = attempt(null, Long.MAX_VALUE);
-        Link link = new Link(actor, address(backend), 1_000, buffers, new HttpWriter(buffers), watchdog,
-            clock, figures, log, first.attempt);
-        Thread thread = Sockets.thread("connection", link);
+        BackendConnection connection = new BackendConnection(actor, address(backend), 1_000, buffers,
+            new HttpWriter(buffers), watchdog, clock, figures, log, first.attempt);
+        Thread thread = Sockets.thread("connection", connection);
         thread.start();
         eventually(() -> first.attempt.settled() && List.of(thread.getStackTrace()).toString()
             .matches("(?s).*NioSocketImpl.*HttpReader.awaitOne.*"), "it rests");
         Sent next = attempt(null, Long.MAX_VALUE);
-        synchronized (link) {
+        synchronized (connection) {
             send(backend.sockets.get(0), STRAY);
             eventually(() -> blocked(thread), "read, and not yet judged");
-            assertTrue(next.attempt.attach(link));
-            assertFalse(link.send(next.attempt), "something lies there already");
+            assertTrue(next.attempt.attach(connection));
+            assertFalse(connection.send(next.attempt), "something lies there already");
         }
         thread.join(4_000);
         assertFalse(next.attempt.settled(), "it may go out elsewhere");
