--- a/src/test/java/cottonlock/lab/LabTest.java
+++ b/src/test/java/cottonlock/lab/LabTest.java
@@ -141,7 +141,7 @@
         }
     }
 
-    /** Nanoseconds by which a thread that only sleeps wakes too late where no core is free; else it is one or two
+    /** Nanoseconds by which a thread that only sleeps wakes too late where no core is free; else one or two
      * milliseconds. Seen on a machine with too little for this test: 17. */
     private static final long LATE = 10_000_000;
 
