A backend's thread begins with its first attempt, and never on the module's thread

Change: a listed backend has no thread until its first attempt; then the module asks another thread, the starter, for it. What a backend without a thread is told is carried out at once or not needed, so that its mailbox does not fill. No thread to be had: its attempts fail (NO_CONNECTION), as before for connections, and the next one tries again. Tests: a list of 60 gives no backend a thread, each used one has one, made by the starter, and the module makes two threads in all. Off (begun as listed: 60 threads where 1 is right; begun by the module: 43 made by it): both fail. 5,000 notices before the first attempt: with them put into the mailbox the attempt is not taken any more. No test makes threads run out.

--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -40,6 +40,11 @@
     /** Attempts that wait for connections to settle: sooner than a new one is up, which also costs more. */
     private final Deque<ClientRequest.Attempt> held = new ArrayDeque<>();
     private boolean leaving;
+    /** Whether it has a thread, or is just being given one: from its first attempt on, for many a list names
+     * hundreds of which a balancer needs a few. Until then the module's thread owns what it holds. */
+    private volatile boolean begun;
+    /** Whether no thread could be had: what waits is settled by the one that should have started it. */
+    private boolean threadless;
     /** What the list and the operators said last; told by the module's thread, looked at where bytes go
      * out. */
     private volatile boolean ready = true;
@@ -64,8 +69,35 @@
         this.mailbox = new Mailbox(MOST, log);
     }
 
+    /** From the module's thread, behind the attempt: true where the caller has to have it started. */
+    boolean begins() {
+        boolean first = !begun;
+        begun = true;
+        return first;
+    }
+
+    /** From the module's thread: it was not started after all. */
+    void noThread() {
+        begun = false;
+    }
+
+    /** Starts its thread; never on the module's, which would wait for it. */
+    void begin() {
+        try {
+            Sockets.start("backend", this);
+        } catch (OutOfMemoryError e) {
+            // No thread can be had: these attempts fail, the next one tries again, the proxy must not end.
+            log.warn("no thread", "attempts got no connection");
+            begun = false;
+            threadless = true;
+            mailbox.drain();
+            threadless = false;
+        }
+    }
+
     @Override
     public void run() {
+        begun = true;
         permits.join(this);
         try {
             while (!leaving || !connections.isEmpty() || !held.isEmpty()) {
@@ -97,9 +129,19 @@
         return mailbox.offer(() -> send(attempt));
     }
 
+    /** From the module's thread: without a thread it has no connections, and nobody to read this. */
+    private void tell(Runnable message) {
+        if (begun) {
+            mailbox.offer(message);
+        }
+    }
+
     /** From the module's thread: the list has told where it listens now. */
     void listensAt(InetSocketAddress now) {
-        mailbox.offer(() -> {
+        if (!begun) {
+            address = now;
+        }
+        tell(() -> {
             if (!now.equals(address)) {
                 address = now;
                 resting.forEach(BackendConnection::kill);
@@ -111,7 +153,7 @@
     /** From the module's thread: it has gone from the list; what is out may still end. */
     void leave() {
         ready = false;
-        mailbox.offer(() -> {
+        tell(() -> {
             leaving = true;
             resting.forEach(BackendConnection::kill);
             resting.clear();
@@ -120,7 +162,7 @@
 
     /** From the module's thread: what rests is worth less than it costs. */
     void release() {
-        mailbox.offer(() -> {
+        tell(() -> {
             resting.forEach(BackendConnection::kill);
             resting.clear();
         });
@@ -138,7 +180,7 @@
 
     /** The proxy closes: nothing that is out is waited for. */
     void end() {
-        mailbox.offer(() -> {
+        tell(() -> {
             leaving = true;
             connections.forEach(BackendConnection::kill);
         });
@@ -194,6 +236,10 @@
     }
 
     private void send(ClientRequest.Attempt attempt) {
+        if (threadless) {
+            attempt.settle(Outcome.NO_CONNECTION);
+            return;
+        }
         // Looked through now and then only, some had rested too long when they were used, and were reset.
         retire();
         if (!keepAlive.worthwhile()) {
--- a/src/main/java/cottonlock/net/Mailbox.java
+++ b/src/main/java/cottonlock/net/Mailbox.java
@@ -36,6 +36,13 @@
         }
     }
 
+    /** Carries out all that has come so far. */
+    void drain() {
+        for (Runnable message = messages.poll(); message != null; message = messages.poll()) {
+            guard(message);
+        }
+    }
+
     /** Carries out a message; one that fails must not end the actor, and all that others wait for. */
     void guard(Runnable message) {
         try {
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -33,6 +33,9 @@
     private final Mailbox mailbox;
     /** Writes the answers that the module gives of itself, for this thread waits for no client. */
     private final Mailbox clerk;
+    /** Starts backends' threads: whoever starts one waits until it has been given a core for the first time.
+     * Seen where none was free: 2 to 5 s for a list of a hundred, with every deadline running meanwhile. */
+    private final Mailbox starter;
     /** What the module's own answers lead to, after the call that made them. */
     private final Deque<Runnable> next = new ArrayDeque<>();
     private final Clock clock;
@@ -68,6 +71,7 @@
         this.log = log;
         this.mailbox = new Mailbox(MOST, log);
         this.clerk = new Mailbox(MOST, log);
+        this.starter = new Mailbox(MOST, log);
     }
 
     /** Before the thread starts: the module, where its asks for the list go, and its messages to peers. */
@@ -86,6 +90,7 @@
     @Override
     public void run() {
         Thread writing = Sockets.start("clerk", clerk);
+        Thread starting = Sockets.start("starter", starter);
         mailbox.guard(() -> balancer.start(clock.now()));
         if (shadow != null) {
             shadow.start(clock.now());
@@ -103,6 +108,7 @@
         } catch (InterruptedException e) {
             backends.values().forEach(BackendActor::end);
             writing.interrupt();
+            starting.interrupt();
         }
     }
 
@@ -357,11 +363,20 @@
         if (bans.out(backend) && attempt.abandon()) {
             // The yes to the operator went out before the module could hear of it.
             next.add(() -> ended(attempt, Outcome.NOT_SENT));
-        } else if ((actor == null || !actor.attempt(attempt)) && attempt.abandon()) {
+        } else if ((actor == null || !actor.attempt(attempt) || !begun(actor)) && attempt.abandon()) {
             next.add(() -> ended(attempt, Outcome.NO_CONNECTION));
         }
     }
 
+    /** Has its thread started if it has none; false when so many wait for theirs that it would never be. */
+    private boolean begun(BackendActor actor) {
+        if (actor.begins() && !starter.offer(actor::begin)) {
+            actor.noThread();
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void recall(long number, int attempt) {
         ClientRequest req = requests.get(number);
--- /dev/null
+++ b/src/test/java/cottonlock/net/BackendThreadsTest.java
@@ -0,0 +1,71 @@
+package cottonlock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.FutureTask;
+import net.jqwik.api.Example;
+
+/** When a backend's thread begins, and that the module's thread waits for none. */
+class BackendThreadsTest extends ProxyFixture {
+    private static final int MANY = 60;
+
+    /** What each thread of the proxy was made by, told by the threads themselves: they inherit this. */
+    private static final List<String> MAKERS = new CopyOnWriteArrayList<>();
+    private static final InheritableThreadLocal<Boolean> MADE = new InheritableThreadLocal<>() {
+        @Override
+        protected Boolean childValue(Boolean parent) {
+            if (parent) {
+                MAKERS.add(Thread.currentThread().getName());
+            }
+            return parent;
+        }
+    };
+
+    private final ThreadGroup group = new ThreadGroup("proxy of this test");
+
+    /** All of the proxy's threads come from the one that it is built by. */
+    private void startInGroup(String... hosts) throws Exception {
+        MAKERS.clear();
+        FutureTask<Void> building = new FutureTask<>(() -> {
+            MADE.set(true);
+            start(256, 1, "", hosts);
+            return null;
+        });
+        new Thread(group, building, "builder").start();
+        building.get();
+    }
+
+    private long threads(String name) {
+        Thread[] all = new Thread[4 * MANY];
+        return Arrays.stream(all, 0, group.enumerate(all)).filter(t -> t.getName().equals(name)).count();
+    }
+
+    private static long madeBy(String name) {
+        return Collections.frequency(MAKERS, name);
+    }
+
+    /** The first answer shows that the list has been taken in. */
+    @Example
+    void aBackendsThreadBeginsWithItsFirstAttempt() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        String[] hosts = new String[MANY];
+        for (int i = 0; i < MANY; i++) {
+            hosts[i] = backend.host("b" + i);
+        }
+        startInGroup(hosts);
+        assertEquals(200, status(call(request("once", "first", "", "body"))));
+        assertEquals(1, threads("backend"), "the others have none");
+        for (int i = 0; i < MANY; i++) {
+            assertEquals(200, status(call(request("once", "next" + i, "", "body"))));
+        }
+        long begun = threads("backend");
+        assertTrue(begun > 1 && begun <= MANY, begun + " of " + MANY + " have been used");
+        assertEquals(begun, madeBy("starter"), "each begun once");
+        assertEquals(2, madeBy("module"), "those that write and start for it, and no other");
+    }
+}
--- a/src/test/java/cottonlock/net/RacesTest.java
+++ b/src/test/java/cottonlock/net/RacesTest.java
@@ -401,6 +401,28 @@
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
+    /** Until its first attempt an actor has no thread, and nobody reads what it is told. */
+    @Example
+    void whatABackendIsToldBeforeItsFirstAttemptNeitherFillsItsMailboxNorIsForgotten() throws Exception {
+        StandIn old = new StandIn(request -> CLOSE);
+        StandIn now = new StandIn(request -> FAILED);
+        BackendActor actor = actor(old, BackendActor.SETTLE);
+        for (int i = 0; i < 5_000; i++) {
+            actor.release();
+            actor.listensAt(address(i % 2 == 0 ? old : now));
+        }
+        Sent sent = attempt(actor, Long.MAX_VALUE);
+        assertTrue(actor.begins(), "it has no thread yet");
+        assertFalse(actor.begins(), "it is being given one");
+        actor.begin();
+        eventually(sent.attempt::settled, "settled");
+        assertEquals(1, now.requests.size());
+        assertEquals(0, old.requests.size());
+        actor.end();
+        assertTrue(sent.request.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
     // Connections to backends at rest
 
     @Example
