Virtual time knows regions and zones, and its judge no longer looks at all pairs

A sampling of 300 members (JFR) showed the judge's look at all pairs every 50 ms, and a search through all names at each change told, among the costs that grow with the square of the size.

Change: delays by pair, zones and regions (`Topology`), cuts by zone and region, a study of racks, zones, regions and restarts (`--regions`, `--zones`, `--apart`, `--seeds`, `--known`, `--out` with one JSON file each); names are found by a map, views with the digest of a right one count as right, whoever was wrong last is asked first. False failures within one side of a cut count as well there. A print of all datagrams tells worlds apart. One process in eight is metered by the processor time of the thread, less the cost of reading it.

Ruled out: a look at all pairs less often, which would make times coarser.

--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -204,7 +204,28 @@
                     @Option(names = "--operator", paramLabel = "FILE",
                     description = "An operator's file whose [membership] is played.") Path operator,
                     @Option(names = "--out", paramLabel = "DIR",
-                    description = "Where members.html goes.") Path out) {
+                    description = "Where members.html goes; with --regions or --zones "
+                        + "members-SIZE-SEED.json.") Path out,
+                    @Option(names = "--regions", defaultValue = "1", description = "Regions with zones: "
+                        + "racks, zones and regions fail in place of single members.") int regions,
+                    @Option(names = "--zones", defaultValue = "1",
+                    description = "Over all regions.") int zones,
+                    @Option(names = "--apart", defaultValue = "3600", paramLabel = "SECONDS",
+                    description = "For which regions are cut off; a zone a tenth of it.") int apart,
+                    @Option(names = "--seeds", split = ",",
+                    description = "With zones, in place of --seed.") List<Long> seeds,
+                    @Option(names = "--known", defaultValue = "0", paramLabel = "N", description =
+                    "With zones: addresses that each member is told; 0: all.") int known) {
+            if (zones != 1 || regions != 1) {
+                if (regions < 1 || zones < 2 || regions > zones || zones > 64 || quiet < 1 || apart < 1 || known < 0
+                    || sizes.stream().anyMatch(n -> n < zones || n > 4_096)) {
+                    spec.commandLine().getErr().println("cottonlock lab members: expected 2 to 64 zones, no "
+                        + "more regions than zones, sizes from the zones to 4096, and one second or more");
+                    return UNUSABLE;
+                }
+                return lab().membersOver(regions, zones, sizes, seeds == null ? List.of(seed) : seeds, quiet,
+                    apart, known, operator, out);
+            }
             if (sizes.stream().anyMatch(n -> n < 2 || n > 4_096) || deaths < 1 || quiet < 1
                 || losses.stream().anyMatch(l -> l < 0 || l > 0.9)) {
                 spec.commandLine().getErr().println("cottonlock lab members: expected sizes of 2 to 4096, "
--- a/src/main/java/cottonlock/lab/Lab.java
+++ b/src/main/java/cottonlock/lab/Lab.java
@@ -3,6 +3,7 @@
 import cottonlock.config.BadFile;
 import cottonlock.config.Doc;
 import cottonlock.config.OperatorFile;
+import cottonlock.lab.world.Topology;
 import cottonlock.setup.MembershipRules;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -231,6 +232,27 @@
         return UNUSABLE;
     }
 
+    /** Plays fleets over regions and zones in virtual time, each size with each seed. */
+    public int membersOver(int regions, int zones, List<Integer> sizes, List<Long> seeds, int quiet,
+                           int apart, int known, Path operator, Path folder) {
+        try {
+            MembershipRules rules = operator == null ? MembershipRules.USUAL : OperatorFile.rules(operator);
+            MembersRegions study = new MembersRegions(new Topology(regions, zones), quiet, apart, known,
+                rules, out);
+            for (int size : sizes) {
+                for (long seed : seeds) {
+                    study.play(size, seed, folder);
+                }
+            }
+            return 0;
+        } catch (BadFile e) {
+            e.faults().forEach(err::println);
+        } catch (IOException e) {
+            err.println(e.getMessage());
+        }
+        return UNUSABLE;
+    }
+
     private static String curve(Path file, String path, List<String> values, List<String> figures,
                                 double[][] means) {
         double[] xs = new double[values.size()];
--- /dev/null
+++ b/src/main/java/cottonlock/lab/MembersRegions.java
@@ -0,0 +1,140 @@
+package cottonlock.lab;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import cottonlock.lab.world.RegionsStudy;
+import cottonlock.lab.world.Topology;
+import cottonlock.setup.MembershipRules;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/** Fleets over regions and zones in virtual time, for each size and seed: lines as they are played, and files. */
+final class MembersRegions implements RegionsStudy.Gauge {
+    /** Readings of the processor's clock by which its own cost is found. */
+    private static final int READINGS = 200_000;
+    /** Collections after which the heap counts as tidied: the first may leave what the second frees. */
+    private static final int COLLECTIONS = 2;
+    private static final List<String> APART = List.of("seconds_virtual", "datagrams_print");
+
+    private final Topology topology;
+    private final int quiet;
+    private final int apart;
+    private final int known;
+    private final MembershipRules rules;
+    private final PrintStream out;
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private long reading = -1;
+
+    /** Known: addresses that each member is told; 0: all. */
+    MembersRegions(Topology topology, int quiet, int apart, int known, MembershipRules rules,
+                   PrintStream out) {
+        this.topology = topology;
+        this.quiet = quiet;
+        this.apart = apart;
+        this.known = known;
+        this.rules = rules;
+        this.out = out;
+    }
+
+    /**
+     * Plays one.
+     *
+     * @param folder where {@code members-SIZE-SEED.json} goes; null: nowhere
+     * @throws IOException where that can't be written
+     */
+    void play(int size, long seed, Path folder) throws IOException {
+        String command = "lab members --regions " + topology.regions() + " --zones " + topology.zones()
+            + " --sizes " + size + " --seeds " + seed + " --quiet " + quiet + " --apart " + apart
+            + (known > 0 ? " --known " + known : "");
+        out.println(command);
+        long from = System.nanoTime();
+        RegionsStudy.Play play = new RegionsStudy.Play(seed, size, topology, quiet, apart,
+            known > 0 ? Math.min(known, size) : size);
+        Map<String, Long> figures = RegionsStudy.of(play, rules, this, line -> {
+            out.printf("  %6d s  %s%n", (System.nanoTime() - from) / 1_000_000_000, line);
+            out.flush();
+        });
+        if (folder != null) {
+            Files.createDirectories(folder);
+            write(folder.resolve("members-" + size + "-" + seed + ".json"), play, command,
+                (System.nanoTime() - from) / 1_000_000_000, figures);
+        }
+    }
+
+    private void write(Path file, RegionsStudy.Play play, String command, long seconds,
+                       Map<String, Long> figures) throws IOException {
+        try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
+            json.useDefaultPrettyPrinter();
+            json.writeStartObject();
+            json.writeStringField("kind", "members");
+            json.writeNumberField("size", play.size());
+            json.writeNumberField("seed", play.seed());
+            json.writeNumberField("regions", topology.regions());
+            json.writeNumberField("zones", topology.zones());
+            json.writeStringField("command", command);
+            json.writeStringField("commit", commit());
+            json.writeNumberField("seconds_virtual", figures.get("seconds_virtual"));
+            json.writeNumberField("seconds_real", seconds);
+            json.writeStringField("datagrams_print", Long.toHexString(figures.get("datagrams_print")));
+            json.writeObjectFieldStart("figures");
+            for (Map.Entry<String, Long> figure : figures.entrySet()) {
+                if (!APART.contains(figure.getKey())) {
+                    json.writeNumberField(figure.getKey(), figure.getValue());
+                }
+            }
+            json.writeEndObject();
+            json.writeEndObject();
+            json.writeRaw('\n');
+        }
+    }
+
+    /** The state of the sources that this was built from, where it is run beside them. */
+    private static String commit() {
+        try {
+            Process git = new ProcessBuilder("git", "describe", "--always", "--dirty", "--exclude", "*")
+                .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            String text = new String(git.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+            return git.waitFor() == 0 && !text.isEmpty() ? text : "unknown";
+        } catch (IOException e) {
+            return "unknown";
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "unknown";
+        }
+    }
+
+    @Override
+    public LongSupplier processor() {
+        return threads::getCurrentThreadCpuTime;
+    }
+
+    @Override
+    public long reading() {
+        if (reading < 0) {
+            for (int round = 0; round < 2; round++) {
+                long from = threads.getCurrentThreadCpuTime();
+                for (int i = 0; i < READINGS; i++) {
+                    threads.getCurrentThreadCpuTime();
+                }
+                reading = (threads.getCurrentThreadCpuTime() - from) / READINGS;
+            }
+        }
+        return reading;
+    }
+
+    @Override
+    public long heap() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
--- a/src/main/java/cottonlock/lab/world/Fleet.java
+++ b/src/main/java/cottonlock/lab/world/Fleet.java
@@ -8,10 +8,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.IntUnaryOperator;
+import java.util.function.LongSupplier;
 
 /**
  * Processes that know one another, in a world: started, killed, paused, hung and cut off from outside, and
@@ -24,6 +28,8 @@
     private static final long SECOND = 10_000;
     /** Periods within which a change from outside may still lead to a failure that is none by then. */
     private static final int SETTLED = 14;
+    /** One in so many nodes is metered: reading the processor's clock takes as long as a datagram. */
+    private static final int METERED = 8;
 
     /** One called another failed, which lived and could be reached. */
     public record False(long at, String viewer, String who, String reason) {
@@ -62,6 +68,22 @@
         }
 
         private void send(String to, byte[] datagram) {
+            // What the world does with a datagram is no cost of the process.
+            meter(false);
+            carry(to, datagram);
+            meter(true);
+        }
+
+        /** The processor's clock is read where the process begins, and again where it is done. */
+        private void meter(boolean begins) {
+            if (clockOfProcessor != null && number % METERED == 0) {
+                long time = clockOfProcessor.getAsLong();
+                spent += begins ? -time : time;
+                readings++;
+            }
+        }
+
+        private void carry(String to, byte[] datagram) {
             long s = world.now() / SECOND;
             bytes = s == second ? bytes + datagram.length : datagram.length;
             second = s;
@@ -85,7 +107,10 @@
             }
             int life = start;
             progress();
-            wakeAt(machine.heard(world.now(), from, datagram, datagram.length), life);
+            meter(true);
+            long time = machine.heard(world.now(), from, datagram, datagram.length);
+            meter(false);
+            wakeAt(time, life);
         }
 
         private void progress() {
@@ -112,7 +137,10 @@
             }
             planned = -1;
             progress();
-            wakeAt(machine.wake(world.now()), life);
+            meter(true);
+            long next = machine.wake(world.now());
+            meter(false);
+            wakeAt(next, life);
         }
 
         /** A process starts, with a clock that is off by so much. */
@@ -137,15 +165,18 @@
                 public void changed(String who, State state, String reason) {
                     Node other = named(who);
                     if (state == State.FAILED && other != null && other != Node.this
-                        && reachable(other.number)) {
+                        && reachable(Node.this, other.number)) {
                         falseFailures.add(new False(world.now(), name, who, reason));
                     }
                 }
-            }, name, address, contacts, true, 1_700_000_000_000L + (world.now() + clock) / 10, 0,
+            }, name, address, contacts, closed, 1_700_000_000_000L + (world.now() + clock) / 10, 0,
                 new SplittableRandom(world.chance().nextLong()));
             progress();
             planned = -1;
-            wakeAt(machine.start(world.now()), life);
+            meter(true);
+            long time = machine.start(world.now());
+            meter(false);
+            wakeAt(time, life);
         }
 
         public void kill() {
@@ -198,18 +229,39 @@
     private final MembershipRules rules;
     private final Maker maker;
     private final List<String> contacts = new ArrayList<>();
+    private final Map<String, Node> byName = new HashMap<>();
+    private final boolean closed;
     /** The side of each node while the fleet is split, and when that was last changed. */
     private final int[] sides;
+    private boolean split;
     private long splitAt;
+    /** Whether a failure told within one side of a split counts as a false one, too. */
+    private boolean judgesSides;
+    private long settled;
+    /** Whose view was not right when all were last asked: it is asked first. */
+    private int lastWrong;
+    private LongSupplier clockOfProcessor;
+    private long spent;
+    private long readings;
 
     public Fleet(World world, int size, MembershipRules rules, Maker maker) {
+        this(world, size, rules, maker, size);
+    }
+
+    /** Known: how many addresses each is told, evenly spread; where they are all, it takes no other's. */
+    public Fleet(World world, int size, MembershipRules rules, Maker maker, int known) {
         this.world = world;
         this.rules = rules;
         this.maker = maker;
         sides = new int[size];
+        settled = SETTLED * rules.period();
+        closed = known >= size;
         for (int i = 0; i < size; i++) {
             nodes.add(new Node(i));
-            contacts.add(nodes.get(i).address);
+            byName.put(nodes.get(i).name, nodes.get(i));
+        }
+        for (int i = 0; i < known; i++) {
+            contacts.add(nodes.get((int) ((long) i * size / known)).address);
         }
     }
 
@@ -226,28 +278,70 @@
 
     /** A node; null for a name that no datagram but a spoilt one can bear. */
     private Node named(String name) {
-        return nodes.stream().filter(n -> n.name.equals(name)).findFirst().orElse(null);
+        return byName.get(name);
+    }
+
+    /**
+     * Meters one in eight nodes from now on.
+     *
+     * @param clock the processor time of this thread, in nanoseconds
+     */
+    public void meter(LongSupplier clock) {
+        clockOfProcessor = clock;
+        spent = 0;
+        readings = 0;
+    }
+
+    /** Nanoseconds that the metered nodes have spent since the meter was set, and how many those nodes are. */
+    public long spent() {
+        return spent;
+    }
+
+    /** How often the processor's clock was read for it. */
+    public long readings() {
+        return readings;
+    }
+
+    public int metered() {
+        return (nodes.size() + METERED - 1) / METERED;
     }
 
     /** Splits it: node i is on side {@code i % groups}; one group is none. */
     public void split(int groups) {
+        sides(i -> i % groups);
+    }
+
+    /** Splits it into sides, each whole in itself; all on one side is none. */
+    public void sides(IntUnaryOperator side) {
+        split = false;
         for (int i = 0; i < sides.length; i++) {
-            sides[i] = i % groups;
+            sides[i] = side.applyAsInt(i);
+            split |= sides[i] != sides[0];
         }
         splitAt = world.now();
         world.cut((from, to) -> sides[from] != sides[to]);
     }
 
+    /** Judges failures told within each side of a split, too, once the longest doubt there has ended. */
+    public void judgeSides() {
+        judgesSides = true;
+        double longest = rules.suspicion() * rules.longest() * Math.max(1, Math.log10(nodes.size()));
+        settled = Math.max(SETTLED, Math.round(longest) + 2) * rules.period();
+    }
+
     /** Whether a node has lived, served and been in reach of all for a while: who calls it failed errs. */
     public boolean reachable(int number) {
-        Node n = nodes.get(number);
-        for (int side : sides) {
-            if (side != sides[0]) {
-                return false;
-            }
-        }
-        return n.up && !n.paused && !n.hung
-            && world.now() - Math.max(n.changedAt, splitAt) > SETTLED * rules.period();
+        return !split && settled(nodes.get(number));
+    }
+
+    private boolean reachable(Node viewer, int number) {
+        return split && judgesSides
+            ? sides[viewer.number] == sides[number] && settled(nodes.get(number)) && settled(viewer)
+            : reachable(number);
+    }
+
+    private boolean settled(Node n) {
+        return n.up && !n.paused && !n.hung && world.now() - Math.max(n.changedAt, splitAt) > settled;
     }
 
     /** How many were called failed wrongly, from an entry on; by several within half a minute is once. */
@@ -283,7 +377,30 @@
 
     /** Whether all views are right, and so alike. */
     public boolean agree() {
-        return nodes.stream().filter(n -> n.up && !n.paused).allMatch(this::right);
+        // Per side: how many are there, and the digest of a view that was found right. Another view with the
+        // same digest has the same members, and need not be compared one by one.
+        Map<Integer, Integer> there = new HashMap<>();
+        Map<Integer, Long> right = new HashMap<>();
+        for (Node n : nodes) {
+            there.merge(sides[n.number], n.up && !n.hung && !n.paused ? 1 : 0, Integer::sum);
+        }
+        for (int i = 0; i < nodes.size(); i++) {
+            Node n = nodes.get((lastWrong + i) % nodes.size());
+            if (!n.up || n.paused) {
+                continue;
+            }
+            int side = sides[n.number];
+            boolean wrong = n.machine.alive() != there.get(side) - (n.hung ? 0 : 1);
+            if (!wrong && (right.get(side) == null || right.get(side) != n.machine.digest())) {
+                wrong = !right(n);
+                right.put(side, n.machine.digest());
+            }
+            if (wrong) {
+                lastWrong = n.number;
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Goes on until all views are right; returns the time it took, or -1 after {@code most}. */
--- a/src/main/java/cottonlock/lab/world/World.java
+++ b/src/main/java/cottonlock/lab/world/World.java
@@ -3,6 +3,7 @@
 import cottonlock.decision.Decides;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.zip.CRC32;
 
 /**
  * Virtual time, and the way of datagrams between numbered places: what is lost, late, doubled or spoilt, and
@@ -15,6 +16,15 @@
         boolean cuts(int from, int to);
     }
 
+    /** How long datagrams between two places take, in tenths of a millisecond. */
+    public interface Delay {
+        /** The shortest. */
+        long least(int from, int to);
+
+        /** Evenly drawn up to so much more. */
+        long spread(int from, int to);
+    }
+
     private record Task(long at, long order, Runnable run) implements Comparable<Task> {
         @Override
         public int compareTo(Task other) {
@@ -29,9 +39,10 @@
     private double loss;
     private double twice;
     private double spoilt;
-    private long least = 2;
-    private long spread = 8;
+    private Delay delay = even(2, 8);
     private Cut cut = (from, to) -> false;
+    private final CRC32 sum = new CRC32();
+    private long print;
 
     public World(long seed) {
         chance = new SplittableRandom(seed);
@@ -55,8 +66,31 @@
 
     /** How long a datagram takes: this at least, and evenly drawn up to so much more, so some overtake. */
     public void delay(long shortest, long upTo) {
-        least = shortest;
-        spread = upTo;
+        delay = even(shortest, upTo);
+    }
+
+    /** The same, by pair of places. */
+    public void delay(Delay byPair) {
+        delay = byPair;
+    }
+
+    private static Delay even(long shortest, long upTo) {
+        return new Delay() {
+            @Override
+            public long least(int from, int to) {
+                return shortest;
+            }
+
+            @Override
+            public long spread(int from, int to) {
+                return upTo;
+            }
+        };
+    }
+
+    /** Of all datagrams so far, with their times and ways, byte by byte: two worlds alike have the same. */
+    public long print() {
+        return print;
     }
 
     public void cut(Cut which) {
@@ -70,6 +104,9 @@
 
     /** Sends a datagram; {@code arrives} is given it when it comes, once, twice or never. */
     public void send(int from, int to, byte[] datagram, java.util.function.Consumer<byte[]> arrives) {
+        sum.reset();
+        sum.update(datagram, 0, datagram.length);
+        print = (print * 31 + now) * 31 + ((long) from << 44 ^ (long) to << 32 ^ sum.getValue());
         if (cut.cuts(from, to)) {
             return;
         }
@@ -84,7 +121,8 @@
                 bytes[chance.nextInt(bytes.length)] ^= (byte) (1 + chance.nextInt(255));
             }
             byte[] carried = bytes;
-            at(now + least + (spread > 0 ? chance.nextLong(spread + 1) : 0), () -> {
+            long spread = delay.spread(from, to);
+            at(now + delay.least(from, to) + (spread > 0 ? chance.nextLong(spread + 1) : 0), () -> {
                 if (!cut.cuts(from, to)) {
                     arrives.accept(carried);
                 }
--- a/src/main/java/cottonlock/membership/Membership.java
+++ b/src/main/java/cottonlock/membership/Membership.java
@@ -651,6 +651,11 @@
         return table.alive();
     }
 
+    /** Of the view: those that hold the same members for alive have the same, whatever they doubt. */
+    public long digest() {
+        return table.digest();
+    }
+
     /** What another is held for; null: it is not known. */
     public State stateOf(String name) {
         Known k = table.get(name);
