--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -4,6 +4,7 @@
 import cottonlock.config.OperatorFile;
 import cottonlock.config.PlatformFile;
 import cottonlock.lab.Lab;
+import cottonlock.lab.scale.ScaleLab;
 import cottonlock.setup.Operator;
 import java.io.PrintWriter;
 import java.nio.file.Path;
@@ -131,6 +132,8 @@
                 try {
                     if (file.toString().endsWith(".json")) {
                         PlatformFile.check(file);
+                    } else if (ScaleLab.isScaleFile(file)) {
+                        ScaleLab.check(file);
                     } else if (Lab.isScenario(file)) {
                         Lab.check(file);
                     } else {
@@ -154,7 +157,7 @@
 
         @Override
         public Integer call() {
-            spec.commandLine().getErr().println("cottonlock lab: expected run, compare or sweep; --help "
+            spec.commandLine().getErr().println("cottonlock lab: expected run, compare, members, scale or sweep; --help "
                 + "tells more");
             return UNUSABLE;
         }
@@ -235,6 +238,20 @@
             return lab().members(sizes, losses, seed, deaths, quiet, operator, out);
         }
 
+        @Command(name = "scale", mixinStandardHelpOptions = true,
+            description = "Plays the control of a whole fleet: real proxies beside hollow ones.",
+            footer = {"", "The last line on standard output is the verdict.",
+            "Exit status: 0 pass; 1 a bound broke; 2 the file can't be used, or takes too much of this "
+                + "machine; 3 the machine ran late, so there is no verdict."})
+        int scale(@Parameters(paramLabel = "FILE") Path file,
+                  @Option(names = "--seed", description = "In place of the file's.") Long seed,
+                  @Option(names = "--set", paramLabel = "PATH=VALUE", description = "Sets a value of the "
+                      + "file: --set fleet.size=300. May be given again.") List<String> sets,
+                  @Option(names = "--out", paramLabel = "DIR",
+                  description = "Where scale-SIZE-SEED.json and .html go.") Path out) {
+            return new ScaleLab(System.out, System.err).run(file, seed, sets == null ? List.of() : sets, out);
+        }
+
         @Command(name = "sweep", mixinStandardHelpOptions = true,
             description = "Plays a scenario for each of several values of one setting.")
         int sweep(@Parameters(paramLabel = "SCENARIO") Path file,
--- a/src/main/java/cottonlock/lab/Chart.java
+++ b/src/main/java/cottonlock/lab/Chart.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 
 /** A line chart over the seconds of a run as inline SVG, with the faults marked behind the lines. */
-final class Chart {
+public final class Chart {
     private static final int WIDTH = 860;
     private static final int HEIGHT = 190;
     private static final int LEFT = 56;
@@ -25,22 +25,34 @@
     private final double[] xs;
     private final String xUnit;
     private final List<Line> lines = new ArrayList<>();
-    private final List<Timeline.Entry> faults;
+    private final List<Mark> marks;
+
+    /** A span of seconds that is marked behind the lines, with words for whoever points at it. */
+    public record Mark(double from, double to, String words) {
+    }
 
     Chart(String title, String unit, double[] xs, String xUnit, List<Timeline.Entry> faults) {
+        this(xs, title, unit, xUnit, faults.stream().map(fault -> new Mark(fault.at() / 1e9,
+            (fault.at() + fault.length()) / 1e9, fault.words())).toList());
+    }
+
+    /** A chart over these places along its x axis. */
+    public Chart(double[] xs, String title, String unit, String xUnit, List<Mark> marks) {
         this.title = title;
         this.unit = unit;
         this.xs = xs;
         this.xUnit = xUnit;
-        this.faults = faults;
+        this.marks = marks;
     }
 
-    Chart line(String name, double[] values) {
+    /** One more line: a value for each place, a negative one is a gap. */
+    public Chart line(String name, double[] values) {
         lines.add(new Line(name, values));
         return this;
     }
 
-    String svg() {
+    /** The chart as it stands in a page. */
+    public String svg() {
         double top = 0;
         for (Line line : lines) {
             for (double v : line.values) {
@@ -53,12 +65,12 @@
         StringBuilder s = new StringBuilder("<figure><figcaption>").append(text(title)).append(" <small>")
             .append(text(unit)).append("</small></figcaption>\n<svg viewBox=\"0 0 ").append(WIDTH).append(' ')
             .append(HEIGHT).append("\" role=\"img\" aria-label=\"").append(text(title)).append("\">\n");
-        for (Timeline.Entry fault : faults) {
-            double from = x(Math.min(high, fault.at() / 1e9), low, high);
-            double to = x(Math.min(high, (fault.at() + fault.length()) / 1e9), low, high);
+        for (Mark mark : marks) {
+            double from = x(Math.min(high, mark.from), low, high);
+            double to = x(Math.min(high, mark.to), low, high);
             s.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" "
                 + "class=\"fault\"><title>%s</title></rect>\n", from, TOP, Math.max(1, to - from),
-                HEIGHT - TOP - BOTTOM, text(fault.words())));
+                HEIGHT - TOP - BOTTOM, text(mark.words)));
         }
         for (int i = 0; i <= 4; i++) {
             double y = y(top * i / 4, top);
@@ -129,7 +141,8 @@
             : String.format(Locale.ROOT, Math.abs(value) < 10 ? "%.2f" : "%.1f", value);
     }
 
-    static String text(String raw) {
+    /** Text for a page. */
+    public static String text(String raw) {
         return raw.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
     }
 }
--- a/src/main/java/cottonlock/lab/Experiment.java
+++ b/src/main/java/cottonlock/lab/Experiment.java
@@ -134,7 +134,7 @@
             }
             judge = new MembersJudge(names, SETTLED * scenario.knowing.period());
             watch = new MembersWatch();
-            watcher = new Watcher(Host.code());
+            watcher = new Watcher(ServeCommand.code());
         }
         List<Caller> callers = new ArrayList<>();
         int[] rooms = new int[scenario.proxies.count()];
--- a/src/main/java/cottonlock/lab/Host.java
+++ b/src/main/java/cottonlock/lab/Host.java
@@ -6,9 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.net.URISyntaxException;
 import java.nio.file.Files;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -137,40 +135,9 @@
         }
     }
 
-    /** As deploy/balancer.toml has it, from where the lab itself was started from. */
     private List<String> command() throws IOException {
-        List<String> command = new ArrayList<>();
-        command.add(java.nio.file.Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        java.nio.file.Path options = java.nio.file.Path.of("deploy", "jvm.options");
-        if (Files.isRegularFile(options)) {
-            command.add("@" + options);
-        } else {
-            command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-                "-Xms24m", "-Xmx64m", "-Xss192k"));
-        }
-        java.nio.file.Path code = code();
-        java.nio.file.Path archive = code.resolveSibling("cottonlock.jsa");
-        if (code.toString().endsWith(".jar") && Files.exists(archive)) {
-            command.addAll(List.of("-Xshare:auto", "-XX:SharedArchiveFile=" + archive, "-Xlog:cds=off",
-                "-Xlog:cds+dynamic=off"));
-        }
-        if (operator != null) {
-            command.add("-Dcottonlock.test.clock_ms=" + clockOff);
-            command.add("-Dcottonlock.test.hang=" + hang);
-        }
-        String path = operator == null ? code.toString() : System.getProperty("java.class.path");
-        command.addAll(List.of("-cp", path, "cottonlock.Main", "serve"));
-        return command;
-    }
-
-    /** The jar or folder that the lab itself runs from. */
-    static java.nio.file.Path code() throws IOException {
-        try {
-            return java.nio.file.Path.of(
-                Host.class.getProtectionDomain().getCodeSource().getLocation().toURI());
-        } catch (URISyntaxException e) {
-            throw new IOException(e);
-        }
+        return ServeCommand.of(operator != null, operator == null ? List.of()
+            : List.of("-Dcottonlock.test.clock_ms=" + clockOff, "-Dcottonlock.test.hang=" + hang));
     }
 
     private boolean healthy() {
--- a/src/main/java/cottonlock/lab/Loop.java
+++ b/src/main/java/cottonlock/lab/Loop.java
@@ -16,14 +16,14 @@
  * tasks from other threads, in this order. It keeps account of how late tasks ran, for a run on a machine
  * that can't keep up must give no verdict. Times are nanoseconds since the loop was made.
  */
-final class Loop {
+public final class Loop {
     /** Microseconds: what is later is as bad as this. */
     private static final long LATEST = 60_000_000;
     /** Sockets served before the tasks that are due get a turn: with more, arrivals waited behind bursts. */
     private static final int TURN = 64;
 
     /** A task with its time; a cancelled one stays in the heap until then. */
-    static final class Timer implements Comparable<Timer> {
+    public static final class Timer implements Comparable<Timer> {
         private final long at;
         private final long order;
         private Runnable task;
@@ -34,7 +34,7 @@
             this.task = task;
         }
 
-        void cancel() {
+        public void cancel() {
             task = null;
         }
 
@@ -45,7 +45,7 @@
     }
 
     /** Whom a socket that is ready is told to. */
-    interface Ready {
+    public interface Ready {
         void ready(SelectionKey key) throws IOException;
     }
 
@@ -57,7 +57,7 @@
     private long orders;
     private volatile boolean stopped;
 
-    Loop() {
+    public Loop() {
         try {
             selector = Selector.open();
         } catch (IOException e) {
@@ -65,28 +65,28 @@
         }
     }
 
-    long now() {
+    public long now() {
         return System.nanoTime() - from;
     }
 
     /** Runs a task at a time; one whose time has passed runs next. */
-    Timer at(long time, Runnable task) {
+    public Timer at(long time, Runnable task) {
         Timer timer = new Timer(time, orders++, task);
         timers.add(timer);
         return timer;
     }
 
-    Timer after(long nanos, Runnable task) {
+    public Timer after(long nanos, Runnable task) {
         return at(now() + nanos, task);
     }
 
     /** From any thread. */
-    void post(Runnable task) {
+    public void post(Runnable task) {
         posted.add(task);
         selector.wakeup();
     }
 
-    SelectionKey register(SelectableChannel channel, int ops, Ready whom) throws IOException {
+    public SelectionKey register(SelectableChannel channel, int ops, Ready whom) throws IOException {
         channel.configureBlocking(false);
         return channel.register(selector, ops, whom);
     }
@@ -97,7 +97,7 @@
     }
 
     /** From any thread: {@link #run} returns soon. */
-    void stop() {
+    public void stop() {
         stopped = true;
         selector.wakeup();
     }
@@ -107,7 +107,7 @@
     }
 
     /** Runs until it is stopped; then the sockets are closed by whoever owns them. */
-    void run() throws IOException {
+    public void run() throws IOException {
         while (!stopped) {
             Timer next = timers.peek();
             long wait = next == null ? 1_000_000_000L : next.at - now();
@@ -167,11 +167,11 @@
     }
 
     /** Microseconds by which tasks ran late. */
-    Histogram late() {
+    public Histogram late() {
         return late;
     }
 
-    void close() {
+    public void close() {
         try {
             selector.close();
         } catch (IOException e) {
--- a/src/main/java/cottonlock/lab/Page.java
+++ b/src/main/java/cottonlock/lab/Page.java
@@ -7,10 +7,11 @@
 import java.util.function.IntToDoubleFunction;
 
 /** One page with all of a run: the verdict, the faults and plots over time; it opens without a network. */
-final class Page {
+public final class Page {
     /** Backends in one plot: more lines than this can't be told apart, the busiest are shown. */
     private static final int MOST_LINES = 12;
-    static final String STYLE = """
+    /** How pages of the lab look. */
+    public static final String STYLE = """
         <style>
         body{font:15px/1.45 system-ui,sans-serif;max-width:920px;margin:24px auto;padding:0 16px}
         body{color:#222;background:#fff}
@@ -32,7 +33,8 @@
         </style>
         """;
 
-    static final String HEAD = "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">";
+    /** How they begin. */
+    public static final String HEAD = "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">";
 
     private Page() {
     }
--- a/src/main/java/cottonlock/lab/Watcher.java
+++ b/src/main/java/cottonlock/lab/Watcher.java
@@ -4,6 +4,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
 
 /**
  * A process that does nothing but measure its own lateness: so a machine that was late is told from a program
@@ -11,12 +12,14 @@
  */
 public final class Watcher {
     private static final long NAP = 5_000_000L;
+    /** Microseconds: what is later is as bad as this. */
+    private static final long LATEST = 600_000_000L;
 
     private final Process process;
-    private volatile long worst;
+    private final Histogram tenths = new Histogram(LATEST, 3);
 
     /** Starts one; its command is the lab's own. */
-    Watcher(java.nio.file.Path code) throws IOException {
+    public Watcher(java.nio.file.Path code) throws IOException {
         String command = java.nio.file.Path.of(System.getProperty("java.home"), "bin", "java").toString();
         process = new ProcessBuilder(command, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx16m",
             "-Xss192k", "-cp", code.toString(), "cottonlock.lab.Watcher")
@@ -24,7 +27,7 @@
         Thread reader = new Thread(() -> {
             try (BufferedReader lines = process.inputReader()) {
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                    worst = Math.max(worst, Long.parseLong(line.trim()));
+                    record(Math.max(0, Math.min(LATEST, Long.parseLong(line.trim()))));
                 }
             } catch (IOException | NumberFormatException e) {
                 // It has been ended.
@@ -34,17 +37,26 @@
         reader.start();
     }
 
+    private synchronized void record(long micros) {
+        tenths.recordValue(micros);
+    }
+
     /** What counts begins now. */
-    void reset() {
-        worst = 0;
+    public synchronized void reset() {
+        tenths.reset();
     }
 
     /** Milliseconds by which it woke too late at the worst. */
-    double worstMs() {
-        return worst / 1_000.0;
+    public synchronized double worstMs() {
+        return tenths.getMaxValue() / 1_000.0;
+    }
+
+    /** Milliseconds by which it woke too late at the worst in that part of all tenths of a second. */
+    public synchronized double percentileMs(double percentile) {
+        return tenths.getValueAtPercentile(percentile) / 1_000.0;
     }
 
-    void end() {
+    public void end() {
         process.destroyForcibly();
     }
 
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/Bounds.java
@@ -0,0 +1,106 @@
+package cottonlock.lab.scale;
+
+import cottonlock.config.BadFile;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+
+/** What a run takes of the machine; one that would take too much is refused before anything starts. */
+final class Bounds {
+    /** Megabytes of a process of each kind without what grows, as measured; docs/lab.md has the run. */
+    private static final double JVM = 70;
+    private static final double SERVE = 90;
+    /** Kilobytes of a thread, with what of its stack is touched. */
+    private static final double THREAD_KB = 60;
+    /** Kilobytes of one entry of a held list, and of one member in a view. */
+    private static final double ENTRY_KB = 0.45;
+    private static final double MEMBER_KB = 0.5;
+    /** Descriptors of a process of its own, and threads of the machine that are left to others. */
+    private static final long OWN_DESCRIPTORS = 100;
+    /** Ports below those that the kernel deals out; a run needs three in a row. */
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 32_000;
+    static final int PORTS = 3;
+
+    final int hosts;
+    final int processes;
+    final double memoryMb;
+    final int port;
+
+    /** Throws, in one line, what the run would take too much of. */
+    Bounds(ScaleFile file) throws BadFile {
+        ScaleFile.Fleet fleet = file.fleet;
+        int hollow = fleet.size() - fleet.real();
+        hosts = (hollow + fleet.perJvm() - 1) / fleet.perJvm();
+        processes = hosts + fleet.real() + file.control.machines() + 2;
+        int members = file.membership == null ? 0 : fleet.size();
+        double perHollow = (2 * THREAD_KB + fleet.size() * ENTRY_KB + members * MEMBER_KB) / 1_024;
+        // A process that serves has a thread for each backend of its list.
+        double perReal = SERVE + fleet.size() * (THREAD_KB + ENTRY_KB) / 1_024;
+        memoryMb = hosts * JVM + hollow * perHollow + fleet.real() * perReal
+            + file.control.machines() * (JVM + fleet.size() / 1_024.0) + JVM;
+        if (processes > file.processes) {
+            refuse("needs " + processes + " processes, and may have " + file.processes
+                + ": fewer real ones, or more hollow ones to a JVM (fleet.per_jvm)");
+        }
+        long half = Math.min(file.memoryMb, machineMb() / 2);
+        if (memoryMb > half) {
+            refuse("needs some " + Math.round(memoryMb) + " MB, and may have " + half
+                + " (half of the machine's, or bounds.memory_mb): a smaller fleet.size or fleet.real");
+        }
+        long descriptors = descriptors();
+        long needed = OWN_DESCRIPTORS + Math.max(2L * fleet.perJvm(),
+            2L * fleet.size() / file.control.machines() + fleet.size());
+        if (needed > descriptors) {
+            refuse("needs some " + needed + " file descriptors in one process, and it may have "
+                + descriptors + ": more control.machines, a smaller fleet.per_jvm, or a higher limit");
+        }
+        port = ports();
+    }
+
+    private static void refuse(String what) throws BadFile {
+        throw new BadFile(List.of("this scale run " + what));
+    }
+
+    static long machineMb() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof
+            com.sun.management.OperatingSystemMXBean system ? system.getTotalMemorySize() >> 20
+            : Long.MAX_VALUE;
+    }
+
+    private static long descriptors() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof
+            com.sun.management.UnixOperatingSystemMXBean system ? system.getMaxFileDescriptorCount()
+            : Long.MAX_VALUE;
+    }
+
+    /** The first of some ports that nobody has at any address of this machine. */
+    private static int ports() throws BadFile {
+        int span = (LAST_PORT - FIRST_PORT) / PORTS;
+        // Two runs that begin together begin to look at different places.
+        int from = (int) (ProcessHandle.current().pid() % span);
+        for (int i = 0; i < span; i++) {
+            int port = FIRST_PORT + (from + i) % span * PORTS;
+            if (free(port) && free(port + 1) && free(port + 2)) {
+                return port;
+            }
+        }
+        refuse("needs " + PORTS + " free ports in a row, and there are none from " + FIRST_PORT + " to "
+            + LAST_PORT);
+        return 0;
+    }
+
+    private static boolean free(int port) {
+        try (ServerSocket tcp = new ServerSocket(); DatagramSocket udp = new DatagramSocket(null)) {
+            tcp.setReuseAddress(false);
+            tcp.bind(new InetSocketAddress(port));
+            udp.bind(new InetSocketAddress(port));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/Child.java
@@ -0,0 +1,126 @@
+package cottonlock.lab.scale;
+
+import cottonlock.lab.ServeCommand;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A process of the run's that takes orders by lines and answers by lines. It ends when its input does, so
+ * none is left when the run itself is killed.
+ */
+final class Child {
+    /** Seconds for an answer, on a machine with no core to spare. */
+    private static final long PATIENCE = 60;
+
+    final String name;
+    private final Process process;
+    private final Writer orders;
+    private final Path log;
+    private final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    private volatile boolean ending;
+
+    /** Starts one; lines that begin with one of the words of news go to whom, on a thread of their own. */
+    Child(String name, Path folder, int heapMb, Class<?> main, List<String> args, List<String> news,
+          Consumer<String[]> whom) throws IOException {
+        this.name = name;
+        this.log = folder.resolve(name + ".log");
+        List<String> command = new ArrayList<>(List.of(ServeCommand.java(), "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xss192k", "-Xmx" + heapMb + "m",
+            "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), main.getName()));
+        command.addAll(args);
+        process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+        orders = process.outputWriter(StandardCharsets.ISO_8859_1);
+        Thread reader = new Thread(null, () -> {
+            try (BufferedReader lines = process.inputReader(StandardCharsets.ISO_8859_1)) {
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    String[] words = line.split(" ");
+                    if (news.contains(words[0])) {
+                        whom.accept(words);
+                    } else {
+                        answers.add(line);
+                    }
+                }
+            } catch (IOException e) {
+                // It has been ended.
+            }
+            answers.add("");
+        }, name, 256 << 10);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean lives() {
+        return process.isAlive();
+    }
+
+    void tell(String order) throws IOException {
+        try {
+            synchronized (orders) {
+                orders.write(order);
+                orders.write('\n');
+            }
+        } catch (IOException e) {
+            throw gone();
+        }
+    }
+
+    void flush() throws IOException {
+        try {
+            synchronized (orders) {
+                orders.flush();
+            }
+        } catch (IOException e) {
+            throw gone();
+        }
+    }
+
+    /** The next answer, without its end of line. */
+    String answer() throws IOException, InterruptedException {
+        String answer = answers.poll(PATIENCE, TimeUnit.SECONDS);
+        if (answer == null || answer.isEmpty()) {
+            throw gone();
+        }
+        return answer;
+    }
+
+    private IOException gone() {
+        String why = "";
+        try {
+            why = Files.size(log) < 1 << 16 ? Files.readString(log).strip() : "see its log";
+        } catch (IOException e) {
+            // There is none.
+        }
+        return new IOException(name + (lives() ? " does not answer" : " has ended") + ": " + why);
+    }
+
+    /** Ends it as SIGKILL does, and waits for its end. */
+    void kill() throws InterruptedException {
+        ending = true;
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Whether it ended although nobody ended it. */
+    boolean failed() {
+        return !ending && !process.isAlive();
+    }
+
+    /** For a run that ends: does not wait. */
+    void end() {
+        ending = true;
+        process.destroyForcibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/Samples.java
@@ -0,0 +1,57 @@
+package cottonlock.lab.scale;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What each role used and what passed, by second. Told from any thread; a second's number is that of the
+ * clock which all processes of a machine share.
+ */
+final class Samples {
+    /** What is counted; all but the worst are sums over the role. */
+    enum What { BYTES_IN, BYTES_OUT, MESSAGES_IN, MESSAGES_OUT, WORST_OUT, CPU, RESIDENT_MB, CALLS, WHOLE_LISTS }
+
+    private final Map<String, TreeMap<Long, double[]>> roles = new TreeMap<>();
+
+    synchronized void add(String role, long second, What what, double value) {
+        double[] row = row(role, second);
+        if (what == What.WORST_OUT) {
+            row[what.ordinal()] = Math.max(row[what.ordinal()], value);
+        } else {
+            row[what.ordinal()] += value;
+        }
+    }
+
+    private double[] row(String role, long second) {
+        return roles.computeIfAbsent(role, r -> new TreeMap<>())
+            .computeIfAbsent(second, s -> new double[What.values().length]);
+    }
+
+    /** The value of a second; 0 where nothing was told. */
+    synchronized double at(String role, long second, What what) {
+        TreeMap<Long, double[]> seconds = roles.get(role);
+        double[] row = seconds == null ? null : seconds.get(second);
+        return row == null ? 0 : row[what.ordinal()];
+    }
+
+    /** The mean over seconds, the last left out. */
+    double mean(String role, long from, long to, What what) {
+        return sum(role, from, to, what) / Math.max(1, to - from);
+    }
+
+    double sum(String role, long from, long to, What what) {
+        double sum = 0;
+        for (long s = from; s < to; s++) {
+            sum += at(role, s, what);
+        }
+        return sum;
+    }
+
+    double worst(String role, long from, long to, What what) {
+        double worst = 0;
+        for (long s = from; s < to; s++) {
+            worst = Math.max(worst, at(role, s, what));
+        }
+        return worst;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/ScaleFile.java
@@ -0,0 +1,155 @@
+package cottonlock.lab.scale;
+
+import cottonlock.config.BadFile;
+import cottonlock.config.Doc;
+import cottonlock.config.Fields;
+import cottonlock.config.OperatorFile;
+import cottonlock.setup.MembershipPlan;
+import cottonlock.setup.MembershipRules;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A scale run as read from its file; docs/lab.md lists every key with unit, range and default. */
+final class ScaleFile {
+    /** Every part of the timeline, in the order in which they are played. */
+    static final List<String> EVENTS = List.of("ordinary", "rack", "zone", "regions", "control_killed",
+        "control_restarted");
+    private static final String NAME = "[A-Za-z0-9._-]{1,40}";
+    private static final double SECOND = 1e9;
+
+    /** The proxies: how many, how many of them real, and how they are laid out. */
+    record Fleet(int size, int real, int perJvm, int regions, int zones, int racks, int services) {
+    }
+
+    /** The machines of control: calls a second of each; time until another takes over a dead one's address. */
+    record Control(int machines, double calls, long takeover) {
+    }
+
+    /** An ordinary day, of which a part is played within a time. */
+    record Day(int changes, int restarts, int failures, double part, long over) {
+        /** How many of so many a day are played: one at least where there are any. */
+        int played(int aDay) {
+            return aDay == 0 ? 0 : (int) Math.max(1, Math.round(aDay * part));
+        }
+    }
+
+    /** What must hold; infinite where nothing is said. */
+    record Expect(double inForceMs, double cpuShare, double rssMb, double bytes) {
+    }
+
+    final String name;
+    final String about;
+    final long seed;
+    final Fleet fleet;
+    final Control control;
+    final Day day;
+    final List<String> events;
+    /** Nanoseconds: until all hold the list, and for a change to be in force, at most. */
+    final long settle;
+    final long patience;
+    /** Nanoseconds that something stays lost, and of quiet after each event. */
+    final long lost;
+    final long quiet;
+    final double lateLimitMs;
+    /** Parts of the machine's memory, and processes, at most. */
+    final int processes;
+    final int memoryMb;
+    /** Null: the proxies don't know one another. */
+    final MembershipRules membership;
+    /** The table of the operator's file. */
+    final String membershipToml;
+    final Expect expect;
+
+    /** Reads a file with some of its values set anew; a seed of null is the file's. */
+    static ScaleFile read(Path file, List<String> sets, Long seed) throws BadFile {
+        Doc doc = Doc.toml(file);
+        for (String set : sets) {
+            doc.set(set);
+        }
+        if (seed != null) {
+            doc.set("seed=" + seed);
+        }
+        if (!doc.has("membership") || !Fields.of(doc).table("membership").has("enabled")) {
+            // Unlike in service it is on here: it is a part of what control costs.
+            doc.set("membership.enabled=true");
+        }
+        Fields top = Fields.of(doc);
+        ScaleFile read = new ScaleFile(top, String.valueOf(file.getFileName()).replaceAll("\\.toml$", ""),
+            file);
+        top.end();
+        return read;
+    }
+
+    /** Whether a TOML file is one of these, by what only they have. */
+    static boolean isOne(Path file) throws BadFile {
+        return Doc.toml(file).has("fleet");
+    }
+
+    private ScaleFile(Fields top, String stem, Path file) {
+        name = top.formed("name", stem, NAME, "a short name");
+        about = top.text("about", "");
+        seed = (long) top.number("seed", 1, 0, 1L << 53);
+        Fields f = top.table("fleet");
+        fleet = new Fleet(f.whole("size", 100, 2, 4_096), f.whole("real", 4, 0, 190),
+            f.whole("per_jvm", 200, 1, 1_000), f.whole("regions", 2, 1, 8), f.whole("zones", 7, 1, 64),
+            f.whole("racks", 4, 1, 64), f.whole("services", 460, 1, 4_096));
+        if (fleet.regions > fleet.zones) {
+            f.fault("regions", "expected no more than zones, found " + fleet.regions);
+        }
+        if (fleet.real > fleet.size / fleet.regions) {
+            f.fault("real", "expected no more than the proxies of one region, found " + fleet.real);
+        }
+        Fields c = top.table("control");
+        control = new Control(c.whole("machines", 3, 1, 60), c.number("calls_s", 50, 1, 1e6),
+            seconds(c, "takeover_s", 1));
+        if (control.machines < fleet.regions) {
+            c.fault("machines", "expected one for each region at least, found " + control.machines);
+        }
+        Fields d = top.table("day");
+        day = new Day(d.whole("changes", 2_100, 0, 100_000), d.whole("restarts", 350, 0, 10_000),
+            d.whole("failures", 4, 0, 1_000), d.number("part", 0.01, 0.0001, 1), seconds(d, "over_s", 20));
+        events = top.texts("events", EVENTS);
+        if (!EVENTS.containsAll(events) || new HashSet<>(events).size() < events.size()) {
+            top.fault("events", "expected some of " + String.join(", ", EVENTS) + ", each once");
+        }
+        settle = seconds(top, "settle_s", 60);
+        patience = seconds(top, "patience_s", 20);
+        lost = seconds(top, "lost_s", 5);
+        quiet = seconds(top, "quiet_s", 2);
+        lateLimitMs = top.number("late_limit_ms", 500, 1, 60_000);
+        Fields bounds = top.table("bounds");
+        processes = bounds.whole("processes", 200, 2, 200);
+        memoryMb = bounds.whole("memory_mb", Integer.MAX_VALUE, 64, Integer.MAX_VALUE);
+        Fields m = top.table("membership");
+        membershipToml = m.toml(Set.of("enabled", "listen", "advertise", "seeds"));
+        // The process's own reader, so that a file means here what it means in service.
+        MembershipPlan plan = OperatorFile.membership(m, file);
+        membership = plan == null ? null : plan.rules();
+        if (membership != null && membership.most() < fleet.size) {
+            m.fault("most", "expected fleet.size (" + fleet.size + ") or more, found " + membership.most());
+        }
+        Fields e = top.table("expect");
+        expect = new Expect(bound(e, "in_force_ms"), bound(e, "cpu_share"), bound(e, "rss_mb"),
+            bound(e, "bytes_s"));
+    }
+
+    private static double bound(Fields f, String key) {
+        return f.has(key) ? f.number(key, Double.NaN, 0, 1e12) : Double.POSITIVE_INFINITY;
+    }
+
+    private static long seconds(Fields f, String key, double otherwise) {
+        return (long) (SECOND * f.number(key, otherwise, 0.1, 600));
+    }
+
+    /** Names of the zones, as the settings have them. */
+    List<String> zoneNames() {
+        List<String> names = new ArrayList<>();
+        for (int z = 0; z < fleet.zones; z++) {
+            names.add("z" + z);
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/ScaleLab.java
@@ -0,0 +1,97 @@
+package cottonlock.lab.scale;
+
+import cottonlock.config.BadFile;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+
+/** What the command line and the tests use of scale runs; the exit status is as the lab's (docs/lab.md). */
+public final class ScaleLab {
+    private static final int UNUSABLE = 2;
+    /** Milliseconds that an interrupted run has to write its report. */
+    private static final long REPORT = 5_000;
+
+    private final PrintStream out;
+    private final PrintStream err;
+
+    /** Verdicts go to out; progress and faults to err. */
+    public ScaleLab(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Checks a file without playing it; throws what is wrong. */
+    public static void check(Path file) throws BadFile {
+        ScaleFile.read(file, List.of(), null);
+    }
+
+    /** Whether a TOML file is one of a scale run. */
+    public static boolean isScaleFile(Path file) throws BadFile {
+        return ScaleFile.isOne(file);
+    }
+
+    /**
+     * Plays one, and prints the verdict as the last line.
+     *
+     * @param seed   null for the file's own
+     * @param folder where the report goes; null for nowhere
+     */
+    public int run(Path file, Long seed, List<String> sets, Path folder) {
+        try {
+            ScaleRun run = new ScaleRun(ScaleFile.read(file, sets, seed), err::println);
+            StringBuilder command = new StringBuilder("lab scale ").append(file);
+            command.append(seed == null ? "" : " --seed " + seed);
+            sets.forEach(set -> command.append(" --set ").append(set));
+            ScaleReport report = play(run, command.toString());
+            if (folder != null) {
+                report.write(folder);
+            }
+            report.broken().forEach(out::println);
+            out.println(report.line());
+            return switch (report.verdict()) {
+                case PASS -> 0;
+                case FAIL -> 1;
+                default -> 3;
+            };
+        } catch (BadFile e) {
+            e.faults().forEach(err::println);
+        } catch (IOException | RuntimeException e) {
+            err.println(file + ": " + e);
+        }
+        return UNUSABLE;
+    }
+
+    private ScaleReport play(ScaleRun run, String command) throws IOException {
+        Thread main = Thread.currentThread();
+        boolean[] interrupted = new boolean[1];
+        Thread hook = new Thread(() -> {
+            interrupted[0] = true;
+            run.end();
+            main.interrupt();
+            try {
+                main.join(REPORT);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            run.play();
+        } catch (IOException | RuntimeException e) {
+            if (!interrupted[0]) {
+                throw e;
+            }
+        } catch (InterruptedException e) {
+            // It was ended early: what is known is told, without a verdict.
+            interrupted[0] = true;
+        } finally {
+            try {
+                Runtime.getRuntime().removeShutdownHook(hook);
+            } catch (IllegalStateException e) {
+                err.println("ended early");
+            }
+        }
+        return new ScaleReport(run, interrupted[0], command);
+    }
+}
--- a/src/main/java/cottonlock/net/ListWatch.java
+++ b/src/main/java/cottonlock/net/ListWatch.java
@@ -20,13 +20,22 @@
     /** Characters of a list of some thousand backends. */
     private static final int LONGEST_LINE = 1 << 20;
 
+    /** Who is told what the watch brings, on its thread. */
+    interface Sink {
+        /** News of the list; cached: as this balancer last held it. */
+        void list(Directory.News news, boolean cached);
+
+        /** A watch has ended, and none runs. */
+        void listFailed();
+    }
+
     /** Where discovery is: it moves with the configuration. */
     private volatile InetSocketAddress address;
     private final Directory directory;
     private final boolean onlyWhenAsked;
     /** Milliseconds without a line after which a watch is broken. */
     private final long silence;
-    private final ModuleActor module;
+    private final Sink module;
     private final Buffers buffers;
     private final Log log;
     private final SplittableRandom random;
@@ -37,7 +46,7 @@
     private volatile Socket socket;
 
     ListWatch(InetSocketAddress address, Directory directory, long version, boolean onlyWhenAsked,
-              long silence, ModuleActor module, Buffers buffers, Log log, SplittableRandom random) {
+              long silence, Sink module, Buffers buffers, Log log, SplittableRandom random) {
         this.address = address;
         this.directory = directory;
         this.version = version;
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -23,7 +23,7 @@
 import java.util.function.Function;
 
 /** The module's actor: its thread alone calls the module, and it waits for nobody but its mailbox. */
-final class ModuleActor implements Runnable, Outlet {
+final class ModuleActor implements Runnable, Outlet, ListWatch.Sink {
     /** More than the sockets there are: each has a message or two under way at most. */
     private static final int MOST = 4_096;
 
@@ -206,8 +206,8 @@
         }
     }
 
-    /** News of the list; cached: as this balancer last held it. */
-    void list(Directory.News news, boolean cached) {
+    @Override
+    public void list(Directory.News news, boolean cached) {
         mailbox.put(() -> {
             List<Member> members = new ArrayList<>();
             Map<String, BackendActor> absent = news.whole() ? new TreeMap<>(backends) : new TreeMap<>();
@@ -333,7 +333,8 @@
         });
     }
 
-    void listFailed() {
+    @Override
+    public void listFailed() {
         mailbox.put(() -> {
             listLost = true;
             balancer.listFailed(clock.now());
