Capacity page: slopes, budgets and ratios from the files of measured runs

Need: what each role costs at the operators' size, and which need is largest against its budget, stood nowhere; figures of pages were written by hand. Ruled out: a page written by hand with links (nothing fails when a run is replaced), figures in code (the operators' design changes without it).

Slopes are least squares of a line and a power law over four sizes or more; runs on a late machine are named and in no slope; what is not measured says so. Reports of the lab have percentiles of the second half of a run, which that needs.

--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -4,6 +4,7 @@
 import cottonlock.config.OperatorFile;
 import cottonlock.config.PlatformFile;
 import cottonlock.lab.Lab;
+import cottonlock.lab.scale.Capacity;
 import cottonlock.lab.scale.ScaleLab;
 import cottonlock.setup.Operator;
 import java.io.PrintWriter;
@@ -192,6 +193,20 @@
             return lab().compare(one, other);
         }
 
+        @Command(name = "capacity", mixinStandardHelpOptions = true,
+            description = "Works out docs/CAPACITY.md from the results in a folder.",
+            footer = {"", "Exit status: 0 done; 1 a measured run broke a rule; 2 a file can't be used; 3 the "
+                + "machine ran late, so a measured run shows nothing."})
+        int capacity(@Parameters(paramLabel = "DIR", description = "docs/capacity.") Path folder,
+                     @Option(names = "--write", paramLabel = "PAGE",
+                     description = "Writes the page there; else it is printed.") Path page,
+                     @Option(names = "--measure", paramLabel = "WHAT",
+                     description = "Measures instead, into DIR/WHAT.json: proxy-ENTRIES-SEED, "
+                         + "latency-TIERS-SEED.") String measure) throws InterruptedException {
+            Capacity capacity = new Capacity(System.out, System.err);
+            return measure == null ? capacity.page(folder, page) : capacity.measure(folder, measure);
+        }
+
         @Command(name = "members", mixinStandardHelpOptions = true,
             description = "Plays fleets that know one another in virtual time: what it costs and brings.",
             footer = {"", "One seed gives the same figures on any machine."})
--- a/src/main/java/cottonlock/lab/Report.java
+++ b/src/main/java/cottonlock/lab/Report.java
@@ -91,6 +91,16 @@
                 json.writeEndObject();
             }
             json.writeEndArray();
+            // When compiling and first connections are over: what a figure of the usual needs.
+            org.HdrHistogram.Histogram steady = series.from(seconds / 2);
+            json.writeObjectFieldStart("steady");
+            json.writeNumberField("from_s", seconds / 2);
+            json.writeNumberField("finished", steady.getTotalCount());
+            for (double p : PERCENTILES) {
+                json.writeNumberField("p" + (p == Math.rint(p) ? "" + (int) p : "" + p) + "_ms",
+                    steady.getValueAtPercentile(p) / 1_000.0);
+            }
+            json.writeEndObject();
             json.writeObjectFieldStart("per_second");
             for (Series.Count what : Series.Count.values()) {
                 json.writeArrayFieldStart(what.name().toLowerCase(java.util.Locale.ROOT));
--- a/src/main/java/cottonlock/lab/Series.java
+++ b/src/main/java/cottonlock/lab/Series.java
@@ -150,6 +150,13 @@
         return h == null ? -1 : h.getValueAtPercentile(percentile) / 1_000.0;
     }
 
+    /** All that was due from a second on, in microseconds. */
+    Histogram from(int second) {
+        Histogram all = new Histogram(LONGEST, 3);
+        perSecond.stream().skip(second).filter(java.util.Objects::nonNull).forEach(all::add);
+        return all;
+    }
+
     Histogram category(int category) {
         return perCategory[category];
     }
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/Capacity.java
@@ -0,0 +1,85 @@
+package cottonlock.lab.scale;
+
+import cottonlock.config.BadFile;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** What the command line uses of this package for docs/CAPACITY.md. Each call returns an exit status. */
+public final class Capacity {
+    private static final int UNUSABLE = 2;
+    /** As the lab has it: the machine ran late, so there is no verdict. */
+    private static final int NO_VERDICT = 3;
+    private static final String MEASURE = "(proxy|latency)-[0-9]{1,5}-[0-9]{1,9}";
+
+    private final PrintStream out;
+    private final PrintStream err;
+
+    /** What is generated goes to the one, faults and progress to the other. */
+    public Capacity(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /**
+     * Measures one figure's run and writes its result into the folder: {@code proxy-ENTRIES-SEED} or
+     * {@code latency-TIERS-SEED}, which is also the file's name.
+     */
+    public int measure(Path folder, String what) throws InterruptedException {
+        if (!what.matches(MEASURE)) {
+            err.println("expected proxy-ENTRIES-SEED or latency-TIERS-SEED to measure, found " + what);
+            return UNUSABLE;
+        }
+        String[] parts = what.split("-");
+        int size = Integer.parseInt(parts[1]);
+        long seed = Long.parseLong(parts[2]);
+        boolean latency = parts[0].equals("latency");
+        if (size < 1 || latency && size > 3 || !latency && size > 10_000) {
+            err.println("expected 1 to 3 tiers or 1 to 10000 entries, found " + what);
+            return UNUSABLE;
+        }
+        try {
+            Files.createDirectories(folder);
+            Path result = folder.resolve(what + ".json");
+            String command = "cottonlock lab capacity docs/capacity --measure " + what;
+            String verdict = latency ? new LatencyMeasure(size, seed, err).play(result, command, commit())
+                : new ProxyMeasure(size, seed).play(result, command, commit());
+            out.println("measured: " + verdict + " " + result);
+            return verdict.equals("none") ? NO_VERDICT : verdict.equals("fail") ? 1 : 0;
+        } catch (IOException e) {
+            err.println(what + ": " + e.getMessage());
+            return UNUSABLE;
+        }
+    }
+
+    /** The state that is measured, as git calls it; "unknown" outside of a clone. */
+    private static String commit() throws InterruptedException {
+        try {
+            Process git = new ProcessBuilder("git", "rev-parse", "--short", "HEAD").start();
+            String id = new String(git.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+            return git.waitFor() == 0 && !id.isEmpty() ? id : "unknown";
+        } catch (IOException e) {
+            return "unknown";
+        }
+    }
+
+    /** Generates the page from a folder of results, its template and its budget. */
+    public int page(Path folder, Path page) {
+        try {
+            String text = CapacityPage.of(folder);
+            if (page == null) {
+                out.print(text);
+            } else {
+                Files.writeString(page, text);
+            }
+            return 0;
+        } catch (BadFile e) {
+            e.faults().forEach(err::println);
+        } catch (IOException e) {
+            err.println(e.getMessage());
+        }
+        return UNUSABLE;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/LatencyMeasure.java
@@ -0,0 +1,134 @@
+package cottonlock.lab.scale;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import cottonlock.lab.Lab;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * What a proxy adds to a call over one, two or three tiers: the same schedule is played by the real proxy in
+ * processes of its own, by the lab's relay that decides nothing but whose turn it is (policy {@code round}),
+ * and with no proxy at all ({@code direct}). Percentiles are those of the second half of each run, when
+ * compiling is over. It has a verdict only where all three have one.
+ */
+final class LatencyMeasure {
+    /** Each policy, and what the result calls it; in this order they are played. */
+    private static final List<String> POLICIES = List.of("direct", "round", "lanes");
+    private static final Map<String, String> NAMES =
+        Map.of("direct", "none", "round", "relay", "lanes", "proxy");
+    private static final List<String> FIGURES = List.of("service", "lost", "twice", "drains", "cold",
+        "behind_ms");
+
+    private final int tiers;
+    private final long seed;
+    private final PrintStream err;
+
+    LatencyMeasure(int tiers, long seed, PrintStream err) {
+        this.tiers = tiers;
+        this.seed = seed;
+        this.err = err;
+    }
+
+    /** Plays it and writes the result; returns its verdict. */
+    String play(Path result, String command, String commit) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("cottonlock-latency");
+        Path scenario = Path.of("scenarios", "latency-" + tiers + ".toml");
+        Map<String, Map<String, String>> runs = new TreeMap<>();
+        try (Lateness lateness = new Lateness()) {
+            String verdict = "pass";
+            for (String policy : POLICIES) {
+                Path out = folder.resolve(policy);
+                int status = new Lab(err, err, false).run(scenario, seed, List.of("proxy.policy=\"" + policy
+                    + "\""), out, policy.equals("lanes"));
+                if (!Files.exists(out.resolve("report.json"))) {
+                    throw new IOException(scenario + " could not be played with policy " + policy);
+                }
+                runs.put(NAMES.get(policy), flat(out.resolve("report.json")));
+                verdict = verdict.equals("none") || status == 3 ? "none" : status == 0 ? verdict : "fail";
+            }
+            lateness.close();
+            try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(result))) {
+                json.useDefaultPrettyPrinter();
+                json.writeStartObject();
+                json.writeStringField("kind", "latency");
+                json.writeNumberField("size", tiers);
+                json.writeNumberField("seed", seed);
+                json.writeStringField("command", command);
+                json.writeStringField("commit", commit);
+                lateness.machine(json);
+                json.writeStringField("verdict", verdict);
+                json.writeObjectFieldStart("runs");
+                for (Map.Entry<String, Map<String, String>> run : runs.entrySet()) {
+                    json.writeObjectFieldStart(run.getKey());
+                    json.writeStringField("verdict", run.getValue().get("verdict"));
+                    for (String key : FIGURES) {
+                        raw(json, key, run.getValue().get("figures." + key));
+                    }
+                    for (String key : List.of("from_s", "finished", "p50_ms", "p99_ms")) {
+                        raw(json, "steady_" + key, run.getValue().get("steady." + key));
+                    }
+                    json.writeEndObject();
+                }
+                json.writeEndObject();
+                json.writeObjectFieldStart("added");
+                for (String than : List.of("relay", "none")) {
+                    for (String key : List.of("p50_ms", "p99_ms")) {
+                        double proxy = Double.parseDouble(runs.get("proxy").get("steady." + key));
+                        double other = Double.parseDouble(runs.get(than).get("steady." + key));
+                        raw(json, "to_" + than + "_" + key, Double.toString(
+                            Math.round((proxy - other) * 1_000) / 1_000.0));
+                    }
+                }
+                json.writeEndObject();
+                json.writeEndObject();
+            }
+            return verdict;
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
+    private static void raw(JsonGenerator json, String key, String number) throws IOException {
+        json.writeFieldName(key);
+        json.writeRawValue(number);
+    }
+
+    /** The plain values of a report's first two levels, by path. */
+    private static Map<String, String> flat(Path report) throws IOException {
+        Map<String, String> values = new TreeMap<>();
+        try (JsonParser json = new JsonFactory().createParser(Files.readString(report))) {
+            json.nextToken();
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String outer = json.currentName();
+                if (json.nextToken() == JsonToken.START_OBJECT) {
+                    while (json.nextToken() == JsonToken.FIELD_NAME) {
+                        String key = outer + "." + json.currentName();
+                        if (json.nextToken().isScalarValue()) {
+                            values.put(key, json.getText());
+                        } else {
+                            json.skipChildren();
+                        }
+                    }
+                } else if (json.currentToken().isScalarValue()) {
+                    values.put(outer, json.getText());
+                } else {
+                    json.skipChildren();
+                }
+            }
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/ProxyMeasure.java
@@ -0,0 +1,238 @@
+package cottonlock.lab.scale;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * What one process of {@code serve} costs against the number of backends in its list: memory, threads, the
+ * time of its start, its processor time at rest, and the bytes of a whole list on the wire. Nothing is sent
+ * through it, and no backend is there: what is measured is the list alone. Discovery is a stand-in that
+ * tells the whole list once and then beats as the real one does.
+ */
+final class ProxyMeasure {
+    /** Milliseconds of lateness above which a start's time says more of the machine than of the start. */
+    private static final double LATE_LIMIT = 200;
+    /** Milliseconds: the list is read and compiling is over; then it is watched at rest. */
+    private static final long SETTLE = 6_000;
+    private static final long REST = 10_000;
+    private static final long START = 30_000;
+    private static final long BEAT = 2_000;
+    /** The kernel counts processor time in hundredths of a second. */
+    private static final double TICKS = 100;
+    private static final int PORTS = 20_000;
+    private static final int FIRST_PORT = 30_000;
+    /** The platform's memory for a proxy and its sockets, as deploy/jvm.options is made for. */
+    private static final int MEMORY_MB = 128;
+    private static final int SOCKETS = 1_024;
+
+    private final int entries;
+    private final long seed;
+
+    ProxyMeasure(int entries, long seed) {
+        this.entries = entries;
+        this.seed = seed;
+    }
+
+    /** Plays it and writes the result; returns its verdict. */
+    String play(Path result, String command, String commit) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("cottonlock-proxy");
+        Process process = null;
+        try (ServerSocket discovery = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+                Lateness lateness = new Lateness()) {
+            String list = list();
+            long[] onWire = new long[1];
+            Thread told = new Thread(() -> serve(discovery, list, onWire), "discovery");
+            told.setDaemon(true);
+            told.start();
+            int port = freePort();
+            Path file = folder.resolve("proxy.json");
+            Files.writeString(file, configuration(port, discovery.getLocalPort(), list));
+            ProcessBuilder builder = new ProcessBuilder(command());
+            builder.environment().put("EDGE_CONFIG", file.toString());
+            builder.environment().remove("COTTONLOCK_OPERATOR");
+            builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
+            long before = System.nanoTime();
+            process = builder.start();
+            double first = firstAnswer(process, port, before, folder.resolve("log"));
+            Thread.sleep(SETTLE);
+            double ticks = ticks(process);
+            long from = System.nanoTime();
+            Thread.sleep(REST);
+            double share = (ticks(process) - ticks) / TICKS / ((System.nanoTime() - from) / 1e9);
+            lateness.close();
+            String verdict = lateness.usual() > LATE_LIMIT ? "none" : "pass";
+            try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(result))) {
+                json.useDefaultPrettyPrinter();
+                json.writeStartObject();
+                json.writeStringField("kind", "proxy");
+                json.writeNumberField("size", entries);
+                json.writeNumberField("seed", seed);
+                json.writeStringField("command", command);
+                json.writeStringField("commit", commit);
+                lateness.machine(json);
+                json.writeStringField("verdict", verdict);
+                json.writeObjectFieldStart("figures");
+                json.writeNumberField("first_200_ms", Math.round(first * 10) / 10.0);
+                json.writeNumberField("rss_mb", Math.round(status(process, "VmRSS") / 102.4) / 10.0);
+                json.writeNumberField("threads", status(process, "Threads"));
+                json.writeNumberField("cpu_rest_share", Math.round(share * 10_000) / 10_000.0);
+                json.writeNumberField("cpu_all_s", ticks(process) / TICKS);
+                json.writeNumberField("list_bytes", onWire[0]);
+                json.writeNumberField("config_bytes", Files.size(file));
+                json.writeEndObject();
+                json.writeEndObject();
+            }
+            return verdict;
+        } finally {
+            if (process != null) {
+                process.destroyForcibly().waitFor();
+            }
+            for (String left : List.of("proxy.json", "log")) {
+                Files.deleteIfExists(folder.resolve(left));
+            }
+            Files.deleteIfExists(folder);
+        }
+    }
+
+    /** As deploy/balancer.toml starts it, from the jar and the folder that this is called in. */
+    private static List<String> command() throws IOException {
+        Path options = Path.of("deploy", "jvm.options");
+        Path jar = Path.of("target", "cottonlock.jar");
+        if (!Files.isRegularFile(options) || !Files.isRegularFile(jar)) {
+            throw new IOException("expected " + options + " and " + jar + " below the current folder");
+        }
+        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "@" + options,
+            "-cp", jar.toString(), "cottonlock.Main", "serve");
+    }
+
+    /** A whole list as discovery tells it: names, places and addresses of the usual length. */
+    private String list() {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<String> hosts = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            hosts.add("{\"host\":\"s" + i % 460 + "-" + Long.toString(random.nextLong() >>> 36, 36) + "-" + i
+                + "\",\"dial\":\"127." + (1 + i / 250 % 250) + "." + i % 250 + ".1:"
+                + (FIRST_PORT + random.nextInt(PORTS)) + "\",\"site\":\"" + (char) ('a' + i % 7)
+                + "\",\"class\":\"std\",\"block\":" + i / 20
+                + ",\"health\":\"active\",\"share\":1.0,\"born_ms\":1700000000000}");
+        }
+        return "{\"seq\":" + (1 + entries) + ",\"whole\":true,\"hosts\":[" + String.join(",", hosts) + "]}";
+    }
+
+    private String configuration(int port, int discovery, String list) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = new JsonFactory().createGenerator(text)) {
+            json.writeStartObject();
+            json.writeStringField("name", "measured");
+            json.writeStringField("listen", "127.0.0.1:" + port);
+            json.writeStringField("discovery", "127.0.0.1:" + discovery);
+            json.writeStringField("seed", Long.toHexString(seed));
+            json.writeFieldName("limits");
+            json.writeRawValue("{\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS + "}");
+            json.writeFieldName("known");
+            json.writeRawValue(list);
+            json.writeFieldName("settings");
+            json.writeRawValue("{\"Stage\":0,\"FleetSize\":" + entries + ",\"MembershipMode\":\"subscribe\","
+                + "\"Zones\":[\"a\",\"b\",\"c\",\"d\",\"e\",\"f\",\"g\"],\"Flavors\":[\"std\"],"
+                + "\"Categories\":[{\"Name\":\"quote\",\"DueTime\":500000,\"Expiry\":2000000,\"Credit\":1,"
+                + "\"LateCredit\":0,\"Repeat\":\"safe\",\"KeyScope\":\"all\",\"RepeatWindow\":10000000}],"
+                + "\"Projects\":[{\"Name\":\"acme\",\"Share\":1,\"QuotaRps\":640000}],"
+                + "\"Limits\":{\"MaxHandOffs\":3,\"Cancel\":true,\"RetryAfter\":true,"
+                + "\"MaxRetryAfter\":2000000,\"ConnectTimeout\":150000,\"ConnIdle\":60000000},"
+                + "\"Obligations\":{\"AskWithin\":10000000,\"ColdShare\":0.35,\"Cold\":8700000,"
+                + "\"FallMultiple\":3,\"Fall\":3000000}}");
+            json.writeEndObject();
+        }
+        return text.toString();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** The stand-in of discovery: the whole list, then an empty line every two seconds. */
+    private static void serve(ServerSocket socket, String list, long[] onWire) {
+        while (!socket.isClosed()) {
+            try (Socket watch = socket.accept()) {
+                InputStream in = watch.getInputStream();
+                int ends = 0;
+                while (ends < 4) {
+                    int b = in.read();
+                    if (b < 0) {
+                        break;
+                    }
+                    ends = b == '\r' || b == '\n' ? ends + 1 : 0;
+                }
+                OutputStream out = watch.getOutputStream();
+                byte[] body = (list + "\n").getBytes(StandardCharsets.UTF_8);
+                byte[] head = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(body.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+                out.write(head);
+                out.write(body);
+                out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                onWire[0] = head.length + body.length + 2;
+                while (!socket.isClosed()) {
+                    Thread.sleep(BEAT);
+                    out.write("1\r\n\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                }
+            } catch (IOException e) {
+                // The proxy ended its watch, or the measure is over: the loop tells which.
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    /** Milliseconds from the start of the process to its first 200 of /_health. */
+    private static double firstAnswer(Process process, int port, long before, Path log)
+        throws IOException, InterruptedException {
+        byte[] ask = "GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n"
+            .getBytes(StandardCharsets.ISO_8859_1);
+        while (true) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout((int) START);
+                socket.getOutputStream().write(ask);
+                if (new String(socket.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1)
+                    .equals("HTTP/1.1 200")) {
+                    return (System.nanoTime() - before) / 1e6;
+                }
+            } catch (IOException e) {
+                // It does not listen yet.
+            }
+            if (!process.isAlive() || System.nanoTime() - before > START * 1_000_000) {
+                throw new IOException("the proxy did not start: " + Files.readString(log).strip());
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    private static double ticks(Process process) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+    }
+
+    private static long status(Process process, String key) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+            if (line.startsWith(key + ":")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        throw new IOException("the process has no " + key);
+    }
+}
--- /dev/null
+++ b/src/main/java/cottonlock/lab/scale/ResultFile.java
@@ -0,0 +1,187 @@
+package cottonlock.lab.scale;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import cottonlock.config.BadFile;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * What one run measured, as its file has it: {@code KIND-SIZE-SEED.json}. Every plain value is found by the
+ * names that lead to it, joined by dots ({@code roles.control.rss_mb}); a list of plain values is left out.
+ * docs/capacity/README.md tells what each kind holds.
+ */
+final class ResultFile {
+    /** A value that a run didn't reach, in place of a time: never. */
+    private static final double NEVER = -1;
+    /** A result holds some hundred values; what is much longer is no result. */
+    private static final long LONGEST = 1 << 20;
+    private static final int DEEPEST = 8;
+    /** What each kind must hold beside its kind, size and seed. */
+    private static final Map<String, List<String>> NEEDED = Map.of(
+        "scale", List.of("command", "commit", "verdict", "machine.late_ms_p999"),
+        "members", List.of("command", "commit", "seconds_virtual"),
+        "latency", List.of("command", "commit", "verdict", "machine.late_ms_p999"),
+        "proxy", List.of("command", "commit", "verdict", "machine.late_ms_p999"));
+    private static final List<String> VERDICTS = List.of("pass", "none", "fail");
+
+    final String name;
+    private final Map<String, Double> numbers = new TreeMap<>();
+    private final Map<String, String> texts = new TreeMap<>();
+
+    private ResultFile(String name) {
+        this.name = name;
+    }
+
+    /** Reads one file; every fault of it is told at once. */
+    static ResultFile read(Path file) throws BadFile {
+        ResultFile result = new ResultFile(file.getFileName().toString());
+        try {
+            if (Files.size(file) > LONGEST) {
+                throw new BadFile(List.of(file + ": is longer than a result of a run can be"));
+            }
+            JsonFactory factory = JsonFactory.builder()
+                .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+            try (JsonParser json = factory.createParser(Files.readString(file))) {
+                if (json.nextToken() != JsonToken.START_OBJECT) {
+                    throw new BadFile(List.of(file + ": expected a JSON object"));
+                }
+                result.object(file, json, "", 0);
+                if (json.nextToken() != null) {
+                    throw new BadFile(List.of(file + ": expected nothing behind the object"));
+                }
+            }
+        } catch (JsonProcessingException e) {
+            throw new BadFile(List.of(file + ":" + e.getLocation().getLineNr() + ": "
+                + e.getOriginalMessage()));
+        } catch (IOException e) {
+            throw new BadFile(List.of(file + ": cannot be read: " + e.getMessage()));
+        }
+        result.check(file);
+        return result;
+    }
+
+    /** All results of a folder in the order of kind, size and seed; other files in it are left alone. */
+    static List<ResultFile> all(Path folder) throws BadFile {
+        List<Path> files;
+        try (Stream<Path> there = Files.list(folder)) {
+            files = there.filter(f -> f.getFileName().toString().endsWith(".json")).sorted().toList();
+        } catch (IOException e) {
+            throw new BadFile(List.of(folder + ": cannot be read: " + e.getMessage()));
+        }
+        List<ResultFile> results = new ArrayList<>();
+        List<String> faults = new ArrayList<>();
+        for (Path file : files) {
+            try {
+                results.add(read(file));
+            } catch (BadFile e) {
+                faults.addAll(e.faults());
+            }
+        }
+        if (!faults.isEmpty()) {
+            throw new BadFile(faults);
+        }
+        results.sort(Comparator.comparing(ResultFile::kind).thenComparing(ResultFile::size)
+            .thenComparing(ResultFile::seed));
+        return results;
+    }
+
+    private void object(Path file, JsonParser json, String path, int depth) throws IOException, BadFile {
+        if (depth > DEEPEST) {
+            throw new BadFile(List.of(file + ": values lie too deep in each other"));
+        }
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String key = path + json.currentName();
+            switch (json.nextToken()) {
+                case START_OBJECT -> object(file, json, key + ".", depth + 1);
+                case START_ARRAY -> json.skipChildren();
+                case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> numbers.put(key, json.getDoubleValue());
+                case VALUE_STRING, VALUE_TRUE, VALUE_FALSE -> texts.put(key, json.getText());
+                default -> texts.remove(key);
+            }
+        }
+    }
+
+    private void check(Path file) throws BadFile {
+        List<String> faults = new ArrayList<>();
+        String kind = texts.getOrDefault("kind", "");
+        if (!NEEDED.containsKey(kind)) {
+            throw new BadFile(List.of(file + ": kind: expected one of " + String.join(", ",
+                new TreeMap<>(NEEDED).keySet()) + ", found \"" + kind + "\""));
+        }
+        for (String key : List.of("size", "seed")) {
+            double value = numbers.getOrDefault(key, Double.NaN);
+            if (!(value >= 0 && value == Math.rint(value) && value < 1L << 53)) {
+                faults.add(file + ": " + key + ": expected a whole number, found "
+                    + (Double.isNaN(value) ? "none" : value));
+            }
+        }
+        for (String key : NEEDED.get(kind)) {
+            if (!numbers.containsKey(key) && !texts.containsKey(key)) {
+                faults.add(file + ": " + key + ": is not there");
+            }
+        }
+        if (texts.containsKey("verdict") && !VERDICTS.contains(texts.get("verdict"))) {
+            faults.add(file + ": verdict: expected pass, none or fail, found \"" + texts.get("verdict")
+                + "\"");
+        }
+        if (faults.isEmpty() && !name.equals(kind + "-" + size() + "-" + seed() + ".json")) {
+            faults.add(file + ": expected the name " + kind + "-" + size() + "-" + seed() + ".json");
+        }
+        numbers.forEach((key, value) -> {
+            if (!Double.isFinite(value) || value < NEVER && !key.startsWith("added.")) {
+                faults.add(file + ": " + key + ": expected a number from -1 (never), found " + value);
+            }
+        });
+        if (!faults.isEmpty()) {
+            throw new BadFile(faults);
+        }
+    }
+
+    String kind() {
+        return texts.get("kind");
+    }
+
+    int size() {
+        return numbers.get("size").intValue();
+    }
+
+    long seed() {
+        return numbers.get("seed").longValue();
+    }
+
+    /** Of a run in virtual time, which no machine makes late: pass. */
+    String verdict() {
+        return texts.getOrDefault("verdict", "pass");
+    }
+
+    /** Whether figures may be taken from it: what ran on a late machine shows nothing. */
+    boolean counts() {
+        return !verdict().equals("none");
+    }
+
+    String text(String path) {
+        return texts.getOrDefault(path, "");
+    }
+
+    /** A number, or NaN where the run has none or what it timed never came. */
+    double number(String path) {
+        double value = numbers.getOrDefault(path, Double.NaN);
+        return value == NEVER && !path.startsWith("added.") ? Double.NaN : value;
+    }
+
+    /** Whether the run tells that what this figure times never came. */
+    boolean never(String path) {
+        return !path.startsWith("added.") && numbers.getOrDefault(path, 0.0) == NEVER;
+    }
+}
--- /dev/null
+++ b/src/test/java/cottonlock/lab/scale/CapacityPageTest.java
@@ -0,0 +1,221 @@
+package cottonlock.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.config.BadFile;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+
+/** docs/CAPACITY.md and the results that it is made of, and what makes it of them. */
+class CapacityPageTest {
+    private static final Path FOLDER = Path.of("docs", "capacity");
+    private static final Path PAGE = Path.of("docs", "CAPACITY.md");
+    private static final Path FIXTURE = Path.of("src", "test", "resources", "capacity");
+    private static final Pattern PLACE = Pattern.compile("\\{\\{([^{}]*)}}");
+
+    @Example
+    void thePageIsWhatItsFilesSay() throws Exception {
+        assertEquals(CapacityPage.of(FOLDER), Files.readString(PAGE), "docs/CAPACITY.md differs from its "
+            + "files; docs/capacity/README.md tells how it is made anew");
+    }
+
+    @Example
+    void everyNeedOfTheBudgetHasItsPlaceOnThePage() throws Exception {
+        String template = Files.readString(FOLDER.resolve("page.md"));
+        for (String part : Budget.read(FOLDER.resolve("budget.toml")).parts()) {
+            assertTrue(template.contains("{{part " + part + "}}"), "no table of: " + part);
+        }
+        for (String table : List.of("ratios", "largest", "missing", "runs", "latency")) {
+            assertTrue(template.contains("{{" + table + "}}"), "no " + table);
+        }
+    }
+
+    @Example
+    void constantsOfTheBudgetAreTheProgramsOwn() throws Exception {
+        for (Budget.Constant c : Budget.read(FOLDER.resolve("budget.toml")).constants) {
+            String source = Files.readString(Path.of(c.file()));
+            Matcher found = Pattern.compile("(?<![A-Z_])" + Pattern.quote(c.field())
+                + (c.field().matches("[A-Z_]+") ? " = ([0-9_.]+)" : "()")).matcher(source);
+            assertTrue(found.find(), c.file() + " has no " + c.field());
+            do {
+                String value = found.group(1).isEmpty() ? c.field().replaceAll(".*?([0-9_]{4,}).*", "$1")
+                    : found.group(1);
+                assertEquals(c.value(), Double.parseDouble(value.replace("_", "")), c.name());
+            } while (found.find());
+        }
+    }
+
+    @Example
+    void aChangedDigitOfAResultChangesThePage() throws Exception {
+        Path folder = copy(FIXTURE);
+        String before = CapacityPage.of(folder);
+        change(folder.resolve("proxy-400-1.json"), "\"rss_mb\": 90.0", "\"rss_mb\": 91.0");
+        assertNotEquals(before, CapacityPage.of(folder));
+    }
+
+    @Example
+    void aChangedBudgetChangesThePage() throws Exception {
+        Path folder = copy(FIXTURE);
+        String before = CapacityPage.of(folder);
+        change(folder.resolve("budget.toml"), "proxy_memory_mb = 128", "proxy_memory_mb = 129");
+        assertNotEquals(before, CapacityPage.of(folder));
+    }
+
+    @Example
+    void aFigureInTheProseIsAFault() throws Exception {
+        Path folder = copy(FIXTURE);
+        change(folder.resolve("page.md"), "Budgets:", "Budgets, of 17 machines:");
+        BadFile bad = assertThrows(BadFile.class, () -> CapacityPage.of(folder));
+        assertTrue(bad.getMessage().contains("page.md:3: a figure in the prose"), bad.getMessage());
+    }
+
+    @Example
+    void aPlaceThatNothingFillsIsAFault() throws Exception {
+        Path folder = copy(FIXTURE);
+        change(folder.resolve("page.md"), "{{operators.backends}}", "{{operators.backend}}");
+        BadFile bad = assertThrows(BadFile.class, () -> CapacityPage.of(folder));
+        assertTrue(bad.getMessage().contains("page.md:3: there is no operators.backend"), bad.getMessage());
+    }
+
+    /** Memory in the fixture is 50 MB and 0.1 for each entry: 350 at the operators' 3,000. */
+    @Example
+    void aSlopeIsWorkedOutToTheOperatorsSize() throws Exception {
+        String page = CapacityPage.of(copy(FIXTURE));
+        assertTrue(page.contains("| memory | linear, 4 sizes to 400; spread 0%, seeds 0%; 7.5 times beyond; "
+            + "power: "), page);
+        assertTrue(page.contains(" | 350 MB | 128 | 2.73 | `net.BackendActor` |"), page);
+        assertTrue(page.contains("| 2.73 | proxy: memory | 350 MB | 128 | `net.BackendActor` |"), page);
+    }
+
+    @Example
+    void theLargestNeedThatNothingCarriesIsNamed() throws Exception {
+        String page = CapacityPage.of(copy(FIXTURE));
+        assertTrue(page.contains("Largest: **quotas: lost**, 460 times its budget"), page);
+        assertTrue(page.indexOf("| 460 | quotas: lost") < page.indexOf("| 2.73 | proxy: memory"), page);
+    }
+
+    @Example
+    void whatRanOnALateMachineIsNamedAndInNoSlope() throws Exception {
+        Path folder = copy(FIXTURE);
+        String page = CapacityPage.of(folder);
+        // Its memory of 999 MB would have bent the line.
+        assertTrue(page.contains("| `proxy-400-2.json` | none | 812, 930 | 0123abc | no |"), page);
+        assertTrue(page.contains("Late: 1 of 5"), page);
+        change(folder.resolve("proxy-400-2.json"), "\"verdict\": \"none\"", "\"verdict\": \"pass\"");
+        assertFalse(CapacityPage.of(folder).contains("350 MB"));
+    }
+
+    @Example
+    void whatIsNotMeasuredSaysSo() throws Exception {
+        Path folder = copy(FIXTURE);
+        Files.delete(folder.resolve("proxy-300-1.json"));
+        String page = CapacityPage.of(folder);
+        assertTrue(page.contains("| memory | not measured: 3 of the 4 sizes that a slope needs | not measured "
+            + "| 128 | - | `net.BackendActor` |"), page);
+        assertTrue(page.contains("- proxy: memory (not measured: 3 of the 4 sizes that a slope needs)"), page);
+        assertTrue(page.contains("- tool: state (not measured)"), page);
+    }
+
+    @Example
+    void whatNeverCameIsSaid() throws Exception {
+        Path folder = copy(FIXTURE);
+        change(folder.resolve("proxy-400-1.json"), "\"first_200_ms\": 130.0", "\"first_200_ms\": -1");
+        String page = CapacityPage.of(folder);
+        assertTrue(page.contains("| `figures.first_200_ms` | 100 | 110 | 120 | never |"), page);
+        assertTrue(page.contains("3 of the 4 sizes that a slope needs; never came at 400"), page);
+    }
+
+    @Example
+    void theCommandWritesThePage() throws Exception {
+        Path folder = copy(FIXTURE);
+        Path page = folder.resolve("PAGE.md");
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        Capacity capacity = new Capacity(new PrintStream(said), new PrintStream(said));
+        assertEquals(0, capacity.page(folder, page));
+        assertEquals(CapacityPage.of(folder), Files.readString(page));
+        Files.writeString(folder.resolve("proxy-7-1.json"), "{\"kind\": \"proxy\"}");
+        assertEquals(2, capacity.page(folder, page));
+        assertTrue(said.toString(StandardCharsets.UTF_8).contains("proxy-7-1.json: size: expected a whole "
+            + "number, found none"), said.toString(StandardCharsets.UTF_8));
+        assertEquals(2, capacity.measure(folder, "proxy-none"));
+        assertEquals(2, capacity.measure(folder, "latency-4-1"));
+    }
+
+    @Example
+    void faultsOfAResultAreToldAtOnce() throws Exception {
+        assertEquals("kind: expected one of latency, members, proxy, scale, found \"\"", fault("{}"));
+        assertEquals("expected a JSON object", fault("[]"));
+        assertTrue(fault("{\"kind\":\"proxy\",").contains("Unexpected end"));
+        assertTrue(fault("{\"kind\":\"proxy\",\"kind\":\"proxy\"}").contains("Duplicate"));
+        String whole = Files.readString(FIXTURE.resolve("proxy-100-1.json"));
+        assertEquals("expected the name proxy-100-1.json", fault(whole));
+        String renamed = whole.replace("\"size\": 100", "\"size\": 5");
+        assertEquals("verdict: expected pass, none or fail, found \"good\"",
+            fault(renamed.replace("\"pass\"", "\"good\"")));
+        assertEquals("figures.rss_mb: expected a number from -1 (never), found -3.0",
+            fault(renamed.replace("60.0", "-3")));
+        assertEquals("commit: is not there", fault(renamed.replace("\"commit\"", "\"comet\"")));
+        assertEquals("", fault(renamed));
+    }
+
+    @Example
+    void faultsOfABudgetNameTheirLineAndKey() throws Exception {
+        assertBudget("backends = 3000", "", "operators.backends: expected a number, but the key is not there");
+        assertBudget("backends = 3000", "backends = 0", "operators.backends: expected");
+        assertBudget("budget = \"operators.proxy_memory_mb\"", "budget = \"operators.memory\"",
+            "need.0.budget: there is no figure operators.memory");
+        assertBudget("source = \"proxy:figures.rss_mb\"", "source = \"figures.rss_mb\"",
+            "need.0.source: expected KIND:PATH");
+        assertBudget("services = 460", "service = 460", "operators.service: unknown key; did you mean");
+    }
+
+    private static void assertBudget(String one, String other, String told) throws Exception {
+        Path folder = copy(FIXTURE);
+        change(folder.resolve("budget.toml"), one, other);
+        BadFile bad = assertThrows(BadFile.class, () -> Budget.read(folder.resolve("budget.toml")));
+        assertTrue(bad.getMessage().contains(told) && bad.getMessage().contains("budget.toml:"),
+            bad.getMessage());
+    }
+
+    /** What is said of a result under the name of another, without the place; empty where it is sound. */
+    private static String fault(String text) throws IOException {
+        Path file = Files.createTempDirectory("result").resolve("proxy-5-1.json");
+        Files.writeString(file, text);
+        try {
+            ResultFile.read(file);
+            return "";
+        } catch (BadFile e) {
+            assertTrue(e.getMessage().startsWith(file.toString()), e.getMessage());
+            return e.getMessage().substring(file.toString().length()).replaceFirst("^[:0-9]* ", "");
+        }
+    }
+
+    private static Path copy(Path from) throws IOException {
+        Path to = Files.createTempDirectory("capacity");
+        try (Stream<Path> files = Files.list(from)) {
+            for (Path file : files.toList()) {
+                Files.copy(file, to.resolve(file.getFileName()));
+            }
+        }
+        return to;
+    }
+
+    private static void change(Path file, String one, String other) throws IOException {
+        String text = Files.readString(file);
+        assertTrue(text.contains(one), file + " has no " + one);
+        Files.writeString(file, text.replace(one, other));
+    }
+}
