--- a/src/main/java/cottonlock/lab/scale/RealHost.java
+++ b/src/main/java/cottonlock/lab/scale/RealHost.java
@@ -25,6 +25,8 @@
     private static final int CALL = 2_000;
     private static final long BETWEEN = 100;
     private static final long LEAVE = 6_000;
+    /** Characters of its log, the last ones, that are told when it could not be started. */
+    private static final int LOG = 600;
 
     /** A change that is waited for: an id that is to be listed, or not to be. */
     private record Awaited(String id, boolean listed) {
@@ -46,6 +48,9 @@
     private final Map<Long, Long> takenAt = new ConcurrentHashMap<>();
     private volatile Process process;
     private volatile long taken;
+    /** The number of the file that it is to have, and whether the process that lives has served. */
+    private long wanted;
+    private boolean serves;
     private volatile boolean ended;
     private int starts;
 
@@ -76,7 +81,11 @@
     /** Starts it, and waits until it serves. */
     void start() throws IOException, InterruptedException {
         Path file = folder.resolve(name + ".json");
-        Files.writeString(file, configuration(0));
+        long read;
+        synchronized (this) {
+            read = wanted;
+            Files.writeString(file, configuration(read));
+        }
         ProcessBuilder builder = new ProcessBuilder(ServeCommand.of(operator != null, List.of()));
         builder.environment().put("EDGE_CONFIG", file.toString());
         builder.environment().remove("COTTONLOCK_OPERATOR");
@@ -89,21 +98,38 @@
             .toString());
         Path log = folder.resolve(name + ".log");
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        Process started;
         synchronized (this) {
             if (ended) {
                 return;
             }
-            process = builder.start();
+            started = builder.start();
+            process = started;
         }
         taken = 0;
         long until = System.nanoTime() + START * 1_000_000;
         while (!"ACK\n".equals(call("HEALTH"))) {
-            if (!lives() || System.nanoTime() > until) {
-                throw new IOException(name + (lives() ? " does not serve: " : " has ended: ")
-                    + Files.readString(log).strip());
+            if (process != started) {
+                // It has been ended on purpose before it served.
+                return;
+            }
+            if (!started.isAlive() || System.nanoTime() > until) {
+                String told = Files.readString(log).strip();
+                throw new IOException(name + (started.isAlive() ? " does not serve: " : " has ended: ")
+                    + told.substring(Math.max(0, told.length() - LOG)));
             }
             Thread.sleep(20);
         }
+        synchronized (this) {
+            if (process == started) {
+                serves = true;
+                files.keySet().removeIf(change -> change <= read
+                    && takenAt.putIfAbsent(change, System.nanoTime()) == null);
+                if (wanted > read) {
+                    hangUp();
+                }
+            }
+        }
     }
 
     private String configuration(long change) throws IOException {
@@ -151,10 +177,19 @@
             .min().orElse(-1);
     }
 
-    /** Writes its file anew and tells it by SIGHUP. */
-    void reload(long change) throws IOException {
+    /** Writes its file anew and tells it by SIGHUP: a process that does not serve yet, once it does. */
+    synchronized void reload(long change) throws IOException {
+        wanted = change;
         Files.writeString(folder.resolve(name + ".json"), configuration(change));
-        files.put(change, taken + files.size() + 1);
+        files.put(change, 0L);
+        if (serves && lives()) {
+            hangUp();
+        }
+    }
+
+    /** Before the program has a handler for it, SIGHUP ends a JVM: seen in a restart amid a change. */
+    private void hangUp() throws IOException {
+        files.replaceAll((change, count) -> taken + 1);
         new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start();
     }
 
@@ -181,7 +216,7 @@
                     long now = figures == null || !figures.contains("\"reconfig_ok\":") ? -1
                         : Long.parseLong(figures.replaceAll("(?s).*\"reconfig_ok\":([0-9]+).*", "$1"));
                     files.forEach((change, count) -> {
-                        if (now >= count) {
+                        if (count > 0 && now >= count) {
                             takenAt.put(change, System.nanoTime());
                             files.remove(change);
                             taken = now;
@@ -212,10 +247,16 @@
         }
     }
 
-    /** Ends it as SIGKILL does. */
-    void kill() throws InterruptedException {
+    private synchronized Process gone() {
         Process now = process;
         process = null;
+        serves = false;
+        return now;
+    }
+
+    /** Ends it as SIGKILL does. */
+    void kill() throws InterruptedException {
+        Process now = gone();
         if (now != null) {
             now.destroyForcibly().waitFor();
         }
@@ -223,8 +264,7 @@
 
     /** Ends it as SIGTERM does. */
     void term() throws InterruptedException {
-        Process now = process;
-        process = null;
+        Process now = gone();
         if (now != null) {
             now.destroy();
             if (!now.waitFor(LEAVE, TimeUnit.MILLISECONDS)) {
