--- a/src/main/java/cottonlock/lab/scale/WorkedOut.java
+++ b/src/main/java/cottonlock/lab/scale/WorkedOut.java
@@ -48,6 +48,7 @@
 
     private void units() {
         figures.put("one", 1.0);
+        figures.put("none", 0.0);
         figures.put("calls_proxy", g("operators.calls_s") / g("operators.backends"));
         figures.put("service_backends", g("operators.backends") / g("operators.services"));
         figures.put("in_force_ms", 1_000 * g("operators.in_force_s"));
@@ -59,6 +60,7 @@
         figures.put("discovery_beats_s", g("operators.backends") / g("assumed.beat_s"));
         figures.put("discovery_changes_s", changes * g("operators.backends") / DAY);
         figures.put("tells_day", g("operators.changes_day") * g("operators.backends"));
+        figures.put("in_force_tells_s", g("operators.backends") / g("operators.in_force_s"));
         figures.put("tells_s", w("tells_day") / DAY);
     }
 
