No attempt begins for a client that may have left unseen, and none tells time it lacks

Cause, each by a probe on loopback: a client that had sent more than 256 KiB behind its request was read no further, and a further attempt began 306 to 364 ms after its close (held open by the test, without a bound of its own). Of a request whose connection was ended from here just as it had been read nobody saw the client leave either. A request read by the read that the shutdown had woken was sent on, though its client takes it for unread. Between the look at who has left and the first byte an attempt could wait 500 ms for a buffer. A request behind another one had its time counted from when it was parsed: told 1038 to 1189 of 1200 ms after 400.

Ruled out: the line, both mailboxes, the dial, the settling and the write look at the claim, and held; reading on through a flood, as what lies between could be megabytes; a shorter look, as the thread reads all the time.

The change: who can't be seen any more gets no further attempt, its first goes out within 80 ms or not at all, and what waits in the line is refused at once. The claim is looked at in the module's mailbox and the backend's, before a connection is made, and at the first byte. What is read after the shutdown is not served. A request's time counts from the read that brought its last byte, and what is told from the write.

--- a/src/main/java/cottonlock/net/Admission.java
+++ b/src/main/java/cottonlock/net/Admission.java
@@ -87,10 +87,12 @@
         return new Asked(head, requestId, idempotencyKey, category, first, tenant, tenantName, wait);
     }
 
-    /** The request, now that all of it has come: from here on its time counts. */
-    ClientRequest request(Client client, Asked asked, Body body) throws BadMessage {
+    /** The request, whose last byte came so many nanoseconds ago: from then on its time counts. It may have
+     * waited behind another one, and would be given, and its backends told, time that its client has not. */
+    ClientRequest request(Client client, Asked asked, Body body, long age) throws BadMessage {
+        long spent = (age + 99_999) / 100_000;
         // Taken but unanswered when the program is killed, it would be lost.
-        long expiry = Math.min(clock.now() + asked.patience, leaving);
+        long expiry = Math.min(clock.now() - spent + asked.patience, leaving);
         ClientRequest request = new ClientRequest(client, asked, body, expiry, openIds);
         if (!openIds.add(asked.id)) {
             // Backends know a request by its id: the other one would get this one's answer, or none.
--- a/src/main/java/cottonlock/net/BackendActor.java
+++ b/src/main/java/cottonlock/net/BackendActor.java
@@ -236,6 +236,11 @@
     }
 
     private void send(ClientRequest.Attempt attempt) {
+        if (!attempt.mayBegin(clock.now())) {
+            // It waited in the mailbox: for a client that has left no connection is made or used.
+            attempt.settle(Outcome.NOT_SENT);
+            return;
+        }
         if (threadless) {
             attempt.settle(Outcome.NO_CONNECTION);
             return;
--- a/src/main/java/cottonlock/net/BackendConnection.java
+++ b/src/main/java/cottonlock/net/BackendConnection.java
@@ -165,14 +165,14 @@
                 // It waited in a mailbox or for a connection: meanwhile a drain may have been told.
                 return Outcome.NOT_SENT;
             }
-            long wait = Math.max(1, (attempt.req.expiry - clock.now()) / 10);
             String host = address.getHostString() + ":" + address.getPort();
-            watchdog.write(socket,
-                out -> writer.request(new Until(out, attempt.sendBy), attempt.req, host, wait));
+            watchdog.write(socket, out -> writer.request(new Until(out, attempt), attempt.req, host,
+                () -> Math.max(1, (attempt.req.expiry - clock.now()) / 10)));
             figures.attempted();
             return null;
         } catch (IOException e) {
-            return clock.now() >= attempt.sendBy ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
+            long now = clock.now();
+            return now >= attempt.sendBy || !attempt.mayBegin(now) ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
         } finally {
             attempt.req.release();
         }
@@ -180,18 +180,21 @@
 
     /** Fails before it writes anything too late: short of its last byte, a request never runs. */
     private final class Until extends FilterOutputStream {
-        private final long sendBy;
+        private final ClientRequest.Attempt attempt;
+        private boolean begun;
 
-        Until(OutputStream out, long sendBy) {
+        Until(OutputStream out, ClientRequest.Attempt attempt) {
             super(out);
-            this.sendBy = sendBy;
+            this.attempt = attempt;
         }
 
         @Override
         public void write(byte[] bytes, int from, int count) throws IOException {
-            if (clock.now() >= sendBy) {
-                throw new IOException("too late to be sent");
+            long now = clock.now();
+            if (now >= attempt.sendBy || !begun && !attempt.mayBegin(now)) {
+                throw new IOException("too late to be sent, or for nobody");
             }
+            begun = true;
             out.write(bytes, from, count);
         }
     }
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -47,6 +47,8 @@
     private boolean reading;
     private boolean closing;
     private boolean inputEnded;
+    /** When that was, by the monotonic clock. */
+    private long endedAt;
     private volatile boolean asked;
     private boolean worked;
     /** Whether the connection ends after the next answer; whether an answer has said that it was the last. */
@@ -102,6 +104,10 @@
     /** The request that the client has left behind, if it was the client who ended the connection. */
     private synchronized ClientRequest unanswered() {
         // Ended from here just as a request had come whole, it looks the same, but the answer is still owed.
+        if (req != null && inputEnded) {
+            // Nothing is read from here any more, so its leaving would not be seen.
+            module.unseen(req, true);
+        }
         while (req != null && inputEnded) {
             try {
                 wait();
@@ -148,8 +154,12 @@
         }
     }
 
-    /** Waits for the answer under way: whoever sends without end is read no further meanwhile. */
+    /** Waits for the answer under way: whoever sends without end is read no further meanwhile, so that nobody
+     * sees it leave. */
     private synchronized void awaitAnswer() throws IOException {
+        if (req != null) {
+            module.unseen(req, false);
+        }
         while (req != null) {
             try {
                 wait();
@@ -199,9 +209,13 @@
             answer(200, null, null, null, !keep);
             return keep;
         }
+        if (late(reader)) {
+            body.release();
+            return false;
+        }
         ClientRequest next;
         try {
-            next = admission.request(this, judged, body);
+            next = admission.request(this, judged, body, System.nanoTime() - reader.readAt());
         } catch (BadMessage e) {
             body.release();
             refuse(e, reader);
@@ -218,6 +232,12 @@
         return true;
     }
 
+    /** Whether what came last was read after the connection had been ended from here: its client takes it for
+     * unread and sends it again, so sent on it would be lost, or have its effect twice. */
+    private synchronized boolean late(HttpReader reader) {
+        return inputEnded && reader.readAt() - endedAt > 0;
+    }
+
     /** Ends the connection too: some send the same again at once, or hundreds of it in a row. */
     private void refuse(BadMessage e, HttpReader reader) throws IOException {
         log.warn("bad request", e.getMessage() + ", from " + socket.getInetAddress().getHostAddress());
@@ -346,6 +366,7 @@
     /** The thread sees the end of the stream and closes the socket, which is its own. */
     private void endReading() {
         synchronized (this) {
+            endedAt = inputEnded ? endedAt : System.nanoTime();
             inputEnded = true;
         }
         try {
--- a/src/main/java/cottonlock/net/ClientRequest.java
+++ b/src/main/java/cottonlock/net/ClientRequest.java
@@ -26,6 +26,9 @@
     final boolean knowsChunks;
     /** By the module's clock: its client waits no longer. Shorter where the proxy leaves before. */
     volatile long expiry;
+    /** By the module's clock: nothing of it begins to be sent on after that, for from then on nobody sees
+     * whether its client leaves. */
+    volatile long seenUntil = Long.MAX_VALUE;
     /** The ids of all requests that wait for their answer, its own among them. */
     private final Set<String> openIds;
     private final AtomicBoolean claimed = new AtomicBoolean();
@@ -38,6 +41,8 @@
     long number;
     final List<Attempt> attempts = new ArrayList<>(1);
     int out;
+    /** Whether its client may leave unseen; the module's thread alone. */
+    boolean unseen;
 
     ClientRequest(Client client, Admission.Asked asked, Body body, long expiry, Set<String> openIds)
         throws BadMessage {
@@ -102,6 +107,11 @@
             this.module = module;
         }
 
+        /** Whether its first byte may still be written: not after its client has left, or may have unseen. */
+        boolean mayBegin(long now) {
+            return !req.claimed() && now < req.seenUntil;
+        }
+
         /** Binds it to the connection it will go out on; false if it has been settled before that. */
         synchronized boolean attach(BackendConnection to) {
             connection = settled ? null : to;
--- a/src/main/java/cottonlock/net/HttpReader.java
+++ b/src/main/java/cottonlock/net/HttpReader.java
@@ -122,7 +122,7 @@
         socket.setSoTimeout(wait);
         int n = in.read(buffer, filled, Math.min(most, buffer.length - filled));
         filled += Math.max(0, n);
-        readAt = System.nanoTime();
+        readAt = n > 0 ? System.nanoTime() : readAt;
         if (pause > 0 && n > 0) {
             limit = Math.min(limit + n * eachByte, System.nanoTime() + pause);
         }
--- a/src/main/java/cottonlock/net/HttpWriter.java
+++ b/src/main/java/cottonlock/net/HttpWriter.java
@@ -4,6 +4,8 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /** Writes HTTP/1.1 messages, in one piece where they fit into one buffer. */
 final class HttpWriter {
@@ -16,8 +18,13 @@
         this.buffers = buffers;
     }
 
-    /** A request on its way to a backend, with how many milliseconds its balancer will wait. */
-    void request(OutputStream out, ClientRequest req, String host, long wait) throws IOException {
+    /** A request on its way to a backend, with how many milliseconds its balancer will wait: asked for at the
+     * last moment, for a buffer may have to be waited for before it. */
+    void request(OutputStream out, ClientRequest req, String host, LongSupplier wait) throws IOException {
+        send(out, () -> request(req, host, wait.getAsLong()), req.body);
+    }
+
+    private static StringBuilder request(ClientRequest req, String host, long wait) {
         StringBuilder head = new StringBuilder(256);
         head.append(req.method).append(' ').append(req.target).append(" HTTP/1.1\r\n");
         field(head, "Host", host);
@@ -30,7 +37,7 @@
         if (req.body.length() > 0 || !req.method.equals("GET")) {
             field(head, "Content-Length", Long.toString(req.body.length()));
         }
-        send(out, head, req.body);
+        return head;
     }
 
     /** An answer to a client; a body of null is an empty one. */
@@ -41,7 +48,7 @@
         field(head, name, value);
         field(head, "Content-Length", Long.toString(body == null ? 0 : body.length()));
         field(head, "Connection", close ? "close" : null);
-        send(out, head, body);
+        send(out, () -> head, body);
     }
 
     /** The head of a long answer that is passed on as it comes, and what of it is in hand; -1: length
@@ -55,7 +62,7 @@
         if (chunked && part.length() > 0) {
             head.append("\r\n").append(Long.toHexString(part.length()));
         }
-        send(out, head, part);
+        send(out, () -> head, part);
         if (chunked && part.length() > 0) {
             out.write(LINE_END);
         }
@@ -99,27 +106,36 @@
         }
     }
 
-    private void send(OutputStream out, StringBuilder head, Body body) throws IOException {
-        byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+    private void send(OutputStream out, Supplier<StringBuilder> head, Body body) throws IOException {
         if (body == null || body.length() == 0) {
-            out.write(bytes);
+            out.write(bytes(head));
             return;
         }
-        if (!body.spooled() && bytes.length + body.length() <= Buffers.SIZE) {
+        if (!body.spooled() && body.length() <= Buffers.SIZE) {
             byte[] whole = buffers.take();
             try {
-                System.arraycopy(bytes, 0, whole, 0, bytes.length);
-                body.copyTo(whole, bytes.length);
-                out.write(whole, 0, bytes.length + (int) body.length());
+                byte[] bytes = bytes(head);
+                if (bytes.length + body.length() <= Buffers.SIZE) {
+                    System.arraycopy(bytes, 0, whole, 0, bytes.length);
+                    body.copyTo(whole, bytes.length);
+                    out.write(whole, 0, bytes.length + (int) body.length());
+                } else {
+                    out.write(bytes);
+                    body.writeTo(out);
+                }
             } finally {
                 buffers.give(whole);
             }
             return;
         }
-        out.write(bytes);
+        out.write(bytes(head));
         body.writeTo(out);
     }
 
+    private static byte[] bytes(Supplier<StringBuilder> head) {
+        return head.get().append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     private static String reason(int status) {
         return switch (status) {
             case 200 -> "OK";
--- a/src/main/java/cottonlock/net/ModuleActor.java
+++ b/src/main/java/cottonlock/net/ModuleActor.java
@@ -30,6 +30,10 @@
     /** Tenths of a millisecond until a wake that failed is tried again: seldom enough to harm nobody. */
     private static final long AGAIN = 1_000;
 
+    /** Tenths of a millisecond after a client was last seen there in which an attempt may begin: within
+     * 100 ms of its leaving none is a fault, and the write takes some of them. */
+    private static final long SIGHT = 800;
+
     private final Mailbox mailbox;
     /** Writes the answers that the module gives of itself, for this thread waits for no client. */
     private final Mailbox clerk;
@@ -158,6 +162,10 @@
     /** A client's request has been read whole. */
     void arrive(ClientRequest req) {
         mailbox.put(() -> {
+            if (req.claimed()) {
+                // Its client left meanwhile: nothing is decided for it, dialled least of all.
+                return;
+            }
             req.number = ++lastNumber;
             // It may have been admitted just before the end was told, and come here just behind it.
             req.expiry = Math.min(req.expiry, latestEnd);
@@ -182,6 +190,22 @@
         });
     }
 
+    /** Nobody sees any more whether the client of a request leaves. What waits for room is refused, and no
+     * further attempt is made; the first may still go out, soon, or, where it was just about to, at all. */
+    void unseen(ClientRequest req, boolean first) {
+        req.seenUntil = first ? Long.MAX_VALUE : clock.now() + SIGHT;
+        mailbox.put(() -> {
+            req.unseen = true;
+            if (req.attempts.isEmpty()) {
+                answer(req.number, Reason.NO_ROOM, 503, null, null);
+                if (shadow != null) {
+                    shadow.left(clock.now(), req.number);
+                }
+                balancer.left(clock.now(), req.number);
+            }
+        });
+    }
+
     /** An attempt has been settled, by the thread that saw how it ended. */
     void settled(ClientRequest.Attempt attempt, Outcome outcome) {
         mailbox.put(() -> ended(attempt, outcome));
@@ -361,8 +385,9 @@
             shadow.decided(number, backend);
         }
         BackendActor actor = backends.get(backend);
-        if (bans.out(backend) && attempt.abandon()) {
-            // The yes to the operator went out before the module could hear of it.
+        if ((bans.out(backend) || req.unseen && attempt.number > 0) && attempt.abandon()) {
+            // The yes to the operator went out before the module could hear of it; and a client that nobody
+            // sees may have left.
             next.add(() -> ended(attempt, Outcome.NOT_SENT));
         } else if ((actor == null || !actor.attempt(attempt) || !begun(actor)) && attempt.abandon()) {
             next.add(() -> ended(attempt, Outcome.NO_CONNECTION));
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -303,6 +303,11 @@
         return listener;
     }
 
+    /** For tests alone. */
+    ModuleActor module() {
+        return module;
+    }
+
     /** How many buffers of the pool are free. */
     int freeBuffers() {
         return buffers.left();
--- /dev/null
+++ b/src/test/java/cottonlock/net/ClientsThatLeaveTest.java
@@ -0,0 +1,628 @@
+package cottonlock.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.admin.Figures;
+import cottonlock.setup.Assembly;
+import cottonlock.setup.Settings;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import net.jqwik.api.Example;
+
+/**
+ * Whoever closes its connection has gone, and nothing of its request begins to be sent on from then on,
+ * wherever it waits. Each place of docs/races.md, Clients that leave, is held open while the client goes.
+ */
+class ClientsThatLeaveTest extends ProxyFixture {
+    private static final String FAILED = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
+    /** More than is dropped of a flood before a client is read no further. */
+    private static final int FLOOD = 320 << 10;
+
+    /** Where the thread of a connection to a backend stands between two answers. */
+    private static final String RESTS = "NioSocketImpl.*HttpReader.awaitOne";
+
+    private final Log log = new Log(System.getLogger("test"));
+    private final Clock clock = new Clock();
+    private final Figures figures = new Figures();
+    private final Buffers buffers = new Buffers(16, 4);
+    private final Workers workers = new Workers();
+    private final Watchdog watchdog = new Watchdog();
+    /** Its thread is never started: what it is told stays in its mailbox. */
+    private final ModuleActor module = new ModuleActor(clock, entry -> null, figures, log);
+
+    private record Sent(ClientRequest request, ClientRequest.Attempt attempt) {
+    }
+
+    private Sent attempt(BackendActor actor) throws Exception {
+        Head head = new Head(new String[] {"POST", "/once", "HTTP/1.1"});
+        Body body = new Body(buffers, null);
+        body.add("body".getBytes(StandardCharsets.ISO_8859_1), 0, 4);
+        ClientRequest request = new ClientRequest(null,
+            new Admission.Asked(head, "id", null, 0, "once", 0, "acme", 0), body, clock.now() + 100_000,
+            ConcurrentHashMap.newKeySet());
+        ClientRequest.Attempt attempt = new ClientRequest.Attempt(request, 0, Long.MAX_VALUE, module);
+        assertTrue(actor == null || actor.attempt(attempt));
+        return new Sent(request, attempt);
+    }
+
+    private static InetSocketAddress address(StandIn at) {
+        return new InetSocketAddress("127.0.0.1", at.server.getLocalPort());
+    }
+
+    private BackendActor actor(StandIn backend, long settle) {
+        return new BackendActor(address(backend), new ConnectionPermits(4), new KeepAlive(), workers, 8_000,
+            60_000, settle, buffers, new HttpWriter(buffers), watchdog, clock, figures, log);
+    }
+
+    private BackendConnection connection(StandIn backend, Sent first) {
+        return new BackendConnection(actor(backend, 0), address(backend), 8_000, buffers,
+            new HttpWriter(buffers), watchdog, clock, figures, log, first.attempt);
+    }
+
+    private static boolean stands(String where) {
+        return Thread.getAllStackTraces().values().stream()
+            .anyMatch(trace -> List.of(trace).toString().matches("(?s).*" + where + ".*"));
+    }
+
+    private static boolean awaits(CountDownLatch latch) {
+        try {
+            return latch.await(8, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            return false;
+        }
+    }
+
+    /** A long wait without a second answer, and much time until it is due; the module's line, that of
+     * the first tier, holds work for long. */
+    private void startPatient(StandIn... backends) throws IOException {
+        String[] hosts = new String[backends.length];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = backends[i].host("b" + i);
+        }
+        proxy = new Proxy(config(settings(256, 1, "", hosts).replace("1500000", "20000000")
+            .replace("800000", "80000000").replace("\"Stage\":1", "\"Stage\":0")));
+        buffersAtFirst = (64 << 20) / 8 / Buffers.SIZE;
+    }
+
+    private static String patient(String category, String id) {
+        return request(category, id, "X-Timeout-Ms: 20000\r\n", category.equals("read") ? "" : "body");
+    }
+
+    private Client onlyClient() throws Exception {
+        eventually(() -> proxy.listener().clients().size() == 1, "the client is taken in");
+        return proxy.listener().clients().iterator().next();
+    }
+
+    /** All that is known so far has been worked off by the module. */
+    private void settle() {
+        proxy.module().settle();
+    }
+
+    private void leave(Socket socket, boolean reset, int others) throws Exception {
+        socket.setSoLinger(reset, 0);
+        socket.close();
+        eventually(() -> proxy.listener().clients().size() == others, "its leaving is noticed");
+        settle();
+    }
+
+    // Before an attempt
+
+    /** Eight requests fill the room of the only backend, which is four, and more; so many others, the last
+     * ones, wait in the line of the module. Its thread stands still by then, until {@code goOn}. */
+    private List<Socket> fill(int waiting, CountDownLatch goOn) throws Exception {
+        for (int i = 0; i < 6; i++) {
+            // Without answers before, nothing waits.
+            assertEquals(200, status(call(patient("read", "quick" + i))));
+        }
+        eventually(() -> proxy.listener().clients().isEmpty(), "they have gone");
+        CountDownLatch come = new CountDownLatch(1);
+        CountDownLatch decided = new CountDownLatch(1);
+        proxy.module().hang(() -> awaits(come));
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 8 + waiting; i++) {
+            Socket socket = connect();
+            send(socket, patient("read", "held" + i));
+            sockets.add(socket);
+            eventually(() -> proxy.listener().clients().size() == sockets.size()
+                && proxy.listener().clients().stream().allMatch(Client::owed), "taken in");
+        }
+        proxy.module().hang(() -> {
+            decided.countDown();
+            awaits(goOn);
+        });
+        come.countDown();
+        assertTrue(awaits(decided), "decided");
+        return sockets;
+    }
+
+    private static List<String> ids(StandIn backend) {
+        return backend.requests.stream().map(request -> field(request, "X-Request-ID", "")).toList();
+    }
+
+    private static boolean quick(List<String> request) {
+        return field(request, "X-Request-ID", "").startsWith("quick");
+    }
+
+    @Example
+    void inTheLineOfTheModule() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> quick(request) || awaits(answer) ? OK : CLOSE);
+        startPatient(backend);
+        CountDownLatch goOn = new CountDownLatch(1);
+        List<Socket> sockets = fill(12, goOn);
+        while (sockets.size() > 8) {
+            sockets.remove(sockets.size() - 1).close();
+        }
+        eventually(() -> proxy.listener().clients().size() == 8, "their leaving is noticed");
+        answer.countDown();
+        goOn.countDown();
+        for (Socket socket : sockets) {
+            assertEquals(200, status(receive(socket)));
+        }
+        for (int i = 0; i < 4; i++) {
+            assertEquals(200, status(call(patient("read", "quick-after" + i))), "they hold no room");
+        }
+        assertEquals(18, backend.requests.size(), "sent on though they had left: " + ids(backend));
+    }
+
+    /** Who sends so much is read no further until its answer, and might leave unseen. */
+    @Example
+    void inTheLineBehindAFlood() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> quick(request) || awaits(answer) ? OK : CLOSE);
+        startPatient(backend);
+        CountDownLatch goOn = new CountDownLatch(1);
+        List<Socket> sockets = fill(1, goOn);
+        flood(sockets.remove(8));
+        eventually(() -> stands("Client.awaitAnswer"), "it is read no further");
+        long since = clock.now();
+        eventually(() -> clock.now() - since > 1_000, "it may have left 0.1 s ago");
+        answer.countDown();
+        goOn.countDown();
+        for (Socket socket : sockets) {
+            assertEquals(200, status(receive(socket)));
+        }
+        eventually(() -> proxy.listener().clients().stream().noneMatch(Client::owed), "answered");
+        assertEquals(200, status(call(patient("read", "quick-after"))));
+        assertEquals(15, backend.requests.size(), "sent on though it might have left: " + ids(backend));
+    }
+
+    @Example
+    void inTheMailboxOfTheModule() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        startPatient(backend);
+        for (boolean reset : new boolean[] {false, true}) {
+            CountDownLatch goOn = new CountDownLatch(1);
+            proxy.module().hang(() -> awaits(goOn));
+            Socket socket = connect();
+            send(socket, patient("read", "gone"));
+            eventually(() -> onlyClient().owed(), "read whole");
+            socket.setSoLinger(reset, 0);
+            socket.close();
+            eventually(() -> proxy.listener().clients().isEmpty(), "its leaving is noticed");
+            goOn.countDown();
+            settle();
+        }
+        assertEquals(200, status(call(patient("read", "after"))));
+        assertEquals(1, backend.requests.size());
+        assertEquals(1, backend.sockets.size(), "no connection was made for those who had left");
+    }
+
+    @Example
+    void inTheMailboxOfItsBackend() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        BackendActor actor = actor(backend, 0);
+        Sent gone = attempt(actor);
+        Sent stays = attempt(actor);
+        assertTrue(gone.request.claim());
+        Thread thread = Sockets.start("backend", actor);
+        eventually(() -> gone.attempt.settled() && stays.attempt.settled(), "settled");
+        assertEquals(1, backend.requests.size());
+        assertEquals(1, backend.sockets.size(), "no connection was made for whoever had left");
+        actor.end();
+        thread.join(4_000);
+        assertTrue(stays.request.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
+    /** It is up, and what it needs to go on is held back until the client has left. */
+    @Example
+    void whileItsConnectionComesUp() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        for (boolean leaves : new boolean[] {true, false}) {
+            Sent sent = attempt(null);
+            List<byte[]> taken = new ArrayList<>();
+            while (buffers.left() > 0) {
+                taken.add(buffers.take());
+            }
+            Thread thread = Sockets.start("connection", connection(backend, sent));
+            eventually(() -> stands("Buffers.take.*BackendConnection.run"), "connected");
+            if (leaves) {
+                assertTrue(sent.request.claim());
+            }
+            taken.forEach(buffers::give);
+            eventually(sent.attempt::settled, "settled");
+            assertEquals(leaves ? 0 : 1, backend.requests.size());
+            backend.sockets.forEach(Sockets::close);
+            thread.join(4_000);
+            assertTrue(leaves || sent.request.claim());
+        }
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
+    /** A connection rests, and may yet bring a second answer. */
+    @Example
+    void whileAConnectionSettles() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        BackendActor actor = actor(backend, 8_000_000_000L);
+        Thread thread = Sockets.start("backend", actor);
+        Sent first = attempt(actor);
+        eventually(() -> first.attempt.settled() && stands(RESTS), "it rests");
+        Sent next = attempt(actor);
+        CountDownLatch looked = new CountDownLatch(1);
+        actor.then(looked::countDown);
+        assertTrue(awaits(looked), "the attempt has been looked at");
+        assertTrue(next.request.claim());
+        send(backend.sockets.get(0), FAILED);
+        eventually(next.attempt::settled, "settled, as nothing settles any more");
+        assertEquals(1, backend.requests.size());
+        assertEquals(1, backend.sockets.size(), "no connection was made for whoever had left");
+        actor.end();
+        thread.join(4_000);
+        assertTrue(first.request.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
+    /** Held between the decision to write and its first byte. */
+    @Example
+    void whileItsWriteWaitsForABuffer() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        for (boolean leaves : new boolean[] {true, false}) {
+            Sent first = attempt(null);
+            BackendConnection connection = connection(backend, first);
+            Thread thread = Sockets.start("connection", connection);
+            eventually(() -> first.attempt.settled() && stands(RESTS), "it rests");
+            int before = backend.requests.size();
+            Sent next = attempt(null);
+            assertTrue(next.attempt.attach(connection));
+            List<byte[]> taken = new ArrayList<>();
+            while (buffers.left() > 0) {
+                taken.add(buffers.take());
+            }
+            Thread writer = Sockets.start("writer", () -> connection.send(next.attempt));
+            eventually(() -> stands("Buffers.take.*HttpWriter.send"), "its write has begun");
+            if (leaves) {
+                assertTrue(next.request.claim());
+            }
+            taken.forEach(buffers::give);
+            writer.join(4_000);
+            eventually(next.attempt::settled, "settled");
+            assertEquals(before + (leaves ? 0 : 1), backend.requests.size());
+            backend.sockets.forEach(Sockets::close);
+            thread.join(4_000);
+            assertTrue(first.request.claim() && (leaves || next.request.claim()));
+        }
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
+    // Behind another request
+
+    @Example
+    void behindAnotherRequestOfItsOwn() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> {
+            goOn.await(8, TimeUnit.SECONDS);
+            return OK;
+        });
+        startPatient(backend);
+        for (boolean reset : new boolean[] {false, true}) {
+            int before = backend.requests.size();
+            Socket socket = connect();
+            send(socket, patient("once", "first" + reset) + patient("once", "second" + reset));
+            eventually(() -> backend.requests.size() == before + 1, "the first is out");
+            leave(socket, reset, 0);
+        }
+        goOn.countDown();
+        assertEquals(200, status(call(patient("read", "after"))));
+        assertEquals(3, backend.requests.size());
+    }
+
+    /** The first answer, a long one, is being passed on when it goes. */
+    @Example
+    void behindAnAnswerThatIsPassedOn() throws Exception {
+        CountDownLatch left = new CountDownLatch(1);
+        StandIn backend = new StandIn(request -> SILENT);
+        backend.play = request -> {
+            Socket socket = backend.sockets.get(0);
+            send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(80_000));
+            awaits(left);
+            return "x".repeat(20_000);
+        };
+        startPatient(backend);
+        Socket socket = connect();
+        send(socket, patient("once", "first") + patient("once", "second"));
+        assertEquals('H', socket.getInputStream().read());
+        socket.setSoLinger(true, 0);
+        socket.close();
+        eventually(() -> proxy.listener().clients().isEmpty(), "its leaving is noticed");
+        left.countDown();
+        settle();
+        backend.play = request -> OK;
+        assertEquals(200, status(call(patient("read", "after"))));
+        assertEquals(2, backend.requests.size());
+    }
+
+    // Before a further attempt
+
+    @Example
+    void beforeAFurtherAttempt() throws Exception {
+        for (String how : List.of("end", "reset", "half")) {
+            CountDownLatch goOn = new CountDownLatch(1);
+            StandIn one = new StandIn(request -> {
+                goOn.await(8, TimeUnit.SECONDS);
+                return NOT_RUN;
+            });
+            StandIn other = new StandIn(one.play);
+            startPatient(one, other);
+            Socket socket = connect();
+            send(socket, patient("once", how));
+            eventually(() -> one.requests.size() + other.requests.size() == 1, "the first is out");
+            if (how.equals("half")) {
+                // From here it can't be told from an end, and there is no answer that it could wait for.
+                socket.shutdownOutput();
+                eventually(() -> proxy.listener().clients().isEmpty(), "its leaving is noticed");
+            } else {
+                leave(socket, how.equals("reset"), 0);
+            }
+            goOn.countDown();
+            one.play = request -> OK;
+            other.play = request -> OK;
+            assertEquals(200, status(call(patient("once", "after"))));
+            assertEquals(2, one.requests.size() + other.requests.size(), how);
+            closesCleanly();
+        }
+    }
+
+    private Thread flood(Socket socket) {
+        return Sockets.start("flood", () -> {
+            try {
+                send(socket, "x".repeat(FLOOD));
+            } catch (IOException e) {
+                // It is read no further.
+            }
+        });
+    }
+
+    /** Who sends so much is read no further until its answer, and might leave unseen. */
+    @Example
+    void behindAFloodThereIsNoFurtherAttempt() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        StandIn one = new StandIn(request -> {
+            goOn.await(8, TimeUnit.SECONDS);
+            return NOT_RUN;
+        });
+        StandIn other = new StandIn(one.play);
+        startPatient(one, other);
+        Socket socket = connect();
+        send(socket, patient("once", "flood"));
+        eventually(() -> one.requests.size() + other.requests.size() == 1, "the first is out");
+        Client client = onlyClient();
+        flood(socket);
+        eventually(() -> stands("Client.awaitAnswer"), "it is read no further");
+        settle();
+        assertTrue(client.owed(), "its first attempt is waited for");
+        goOn.countDown();
+        eventually(() -> !client.owed(), "answered");
+        one.play = request -> OK;
+        other.play = request -> OK;
+        assertEquals(200, status(call(patient("once", "after"))));
+        assertEquals(2, one.requests.size() + other.requests.size());
+    }
+
+    /** The same before its first attempt is written, which waits for something else than the module. */
+    @Example
+    void behindAFloodTheFirstAttemptGoesOutSoonOrNotAtAll() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        BackendActor actor = actor(backend, 0);
+        Sent unseen = attempt(actor);
+        module.unseen(unseen.request, false);
+        long soon = unseen.request.seenUntil;
+        assertTrue(soon <= clock.now() + 1_000, "within 0.1 s of when it was last seen");
+        eventually(() -> clock.now() >= soon, "that is over");
+        Sent stays = attempt(actor);
+        Thread thread = Sockets.start("backend", actor);
+        eventually(() -> unseen.attempt.settled() && stays.attempt.settled(), "settled");
+        assertEquals(1, backend.requests.size());
+        actor.end();
+        thread.join(4_000);
+        assertTrue(unseen.request.claim() && stays.request.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
+    // As the connection is ended from here
+
+    /** Nothing is read from it any more, so nobody would see it leave. */
+    @Example
+    void whatWasReadJustBeforeItsConnectionWasEndedHasNoFurtherAttempt() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        StandIn one = new StandIn(request -> {
+            goOn.await(8, TimeUnit.SECONDS);
+            return NOT_RUN;
+        });
+        StandIn other = new StandIn(one.play);
+        startPatient(one, other);
+        Socket socket = connect();
+        // One that has just come up has time for its first request.
+        send(socket, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertEquals(200, status(receive(socket)));
+        Client client = onlyClient();
+        CountDownLatch read = new CountDownLatch(1);
+        CountDownLatch ended = new CountDownLatch(1);
+        client.afterRead = () -> {
+            read.countDown();
+            awaits(ended);
+        };
+        send(socket, patient("once", "read"));
+        assertTrue(awaits(read));
+        client.close();
+        assertTrue(client.ends());
+        ended.countDown();
+        eventually(() -> one.requests.size() + other.requests.size() == 1, "served all the same");
+        eventually(() -> stands("Client.unanswered"), "it is not read any more");
+        settle();
+        goOn.countDown();
+        String answer = receive(socket);
+        assertEquals(503, status(answer), answer);
+        assertEquals(1, one.requests.size() + other.requests.size());
+    }
+
+    /** Reads nothing before it has been ended from here, and a request then. */
+    private static final class LateSocket extends Socket {
+        private final CountDownLatch ended = new CountDownLatch(1);
+        private final Socket under;
+        private final byte[] late;
+
+        LateSocket(Socket under, String late) {
+            this.under = under;
+            this.late = late.getBytes(StandardCharsets.ISO_8859_1);
+        }
+
+        @Override
+        public InputStream getInputStream() {
+            AtomicBoolean given = new AtomicBoolean();
+            return new InputStream() {
+                @Override
+                public int read() {
+                    throw new UnsupportedOperationException();
+                }
+
+                @Override
+                public int read(byte[] into, int at, int most) throws IOException {
+                    awaits(ended);
+                    if (given.getAndSet(true)) {
+                        return -1;
+                    }
+                    System.arraycopy(late, 0, into, at, late.length);
+                    return late.length;
+                }
+            };
+        }
+
+        @Override
+        public OutputStream getOutputStream() throws IOException {
+            return under.getOutputStream();
+        }
+
+        @Override
+        public void shutdownInput() {
+            ended.countDown();
+        }
+
+        @Override
+        public void setSoTimeout(int millis) {
+            // It waits for as long as the test wants.
+        }
+
+        @Override
+        public void setTcpNoDelay(boolean on) {
+            // There is nothing to be held back.
+        }
+
+        @Override
+        public void close() throws IOException {
+            under.close();
+        }
+    }
+
+    /** Bytes come in the moment of the shutdown: their client takes them for unread and sends them again. */
+    @Example
+    void whatIsReadAfterItsConnectionWasEndedIsNotSentOn() throws Exception {
+        Settings settings = Config.read(config(settings(256, 1, ""))).settings();
+        Admission admission = new Admission(clock, new Rules(null, new Assembly(settings), settings));
+        Listener listener = new Listener(new InetSocketAddress("127.0.0.1", 0), false, 50,
+            (socket, from) -> new Client(new LateSocket(socket, request("once", "late", "", "body")), from,
+                module, admission, buffers, null, new HttpWriter(buffers), watchdog, figures, log), workers,
+            log);
+        Thread thread = Sockets.start("listener", listener);
+        try (Socket socket = new Socket("127.0.0.1", listener.port())) {
+            socket.setSoTimeout(8_000);
+            eventually(() -> listener.clients().size() == 1, "taken in");
+            Client client = listener.clients().iterator().next();
+            eventually(() -> stands("LateSocket.*Client.awaitRequest"), "it rests");
+            eventually(() -> {
+                client.close();
+                return client.ends();
+            }, "told to end");
+            assertEquals("", receive(socket));
+            assertFalse(client.worked(), "taken though its client sends it again");
+        } finally {
+            listener.close();
+            thread.join(4_000);
+        }
+        eventually(() -> listener.empty() && buffers.left() == 16, "all buffers are back");
+    }
+
+    // What an attempt tells of the time that is left
+
+    @Example
+    void timeSpentBehindAnotherRequestIsNotTold() throws Exception {
+        long[] from = new long[2];
+        long[] spent = new long[1];
+        StandIn backend = new StandIn(request -> {
+            if (field(request, "X-Request-ID", "").equals("first")) {
+                from[0] = System.nanoTime();
+                Thread.sleep(400);
+                spent[0] = (System.nanoTime() - from[0]) / 1_000_000;
+            }
+            return OK;
+        });
+        startPatient(backend);
+        Socket socket = connect();
+        send(socket, patient("once", "first") + patient("once", "second"));
+        assertEquals(200, status(receive(socket)));
+        assertEquals(200, status(receive(socket)));
+        long told = Long.parseLong(field(backend.requests.get(1), "X-Timeout-Ms", ""));
+        assertTrue(told <= 20_000 - spent[0], told + " told, and " + spent[0] + " spent");
+    }
+
+    @Example
+    void timeSpentOnAWaitForABufferIsNotTold() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        Sent first = attempt(null);
+        BackendConnection connection = connection(backend, first);
+        Thread thread = Sockets.start("connection", connection);
+        eventually(() -> first.attempt.settled() && stands(RESTS), "it rests");
+        Sent next = attempt(null);
+        assertTrue(next.attempt.attach(connection));
+        List<byte[]> taken = new ArrayList<>();
+        while (buffers.left() > 0) {
+            taken.add(buffers.take());
+        }
+        Thread writer = Sockets.start("writer", () -> connection.send(next.attempt));
+        eventually(() -> stands("Buffers.take.*HttpWriter.send"), "its write has begun");
+        long since = clock.now();
+        eventually(() -> clock.now() - since >= 1_000, "some time is spent");
+        long left = (next.request.expiry - clock.now()) / 10;
+        taken.forEach(buffers::give);
+        eventually(() -> backend.requests.size() == 2, "written");
+        long told = Long.parseLong(field(backend.requests.get(1), "X-Timeout-Ms", ""));
+        assertTrue(told <= left, told + " told, and " + left + " left");
+        backend.sockets.forEach(Sockets::close);
+        writer.join(4_000);
+        thread.join(4_000);
+        assertTrue(first.request.claim() && next.request.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+}
