Operators' calls have descriptors of their own, beside what is left for the list

Cause: of limits.sockets, 24 were left for the program itself. At rest it has 13 open (standard streams, Java's modules, the jar and six of its libraries, the marker of closed sockets, listener, list); operators may hold 12 more for five seconds each, and connections just accepted, the shared file with its lock and the configuration come on top for moments. With all clients', backends' and bodies' shares in use that is more than 24. Seen: a process of serve under ulimit -n 128, with 12 operators' connections, attempts that hang, long bodies and a crowd of idle clients: "the watch ended: java.net.SocketException: Too many open files" each time, for good, and classes that could not be loaded from a folder stayed away for the rest of the process. Ruled out: clients (their places hold, 60 of 60), attempts (their permits hold, 36 of 36), bodies (8 of 8). Change: where operators have an address, what they may hold is taken from the others' shares first. Without one nothing changes.

--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -16,7 +16,8 @@
 
 /** A load balancer on sockets: what an embedding program starts and closes. */
 public final class Proxy {
-    /** Descriptors for the program itself, discovery, peers and the listener: eight in use, measured. */
+    /** Descriptors for the program itself, its jars, discovery, peers and the listener: 13 at rest, measured,
+     * and for a moment a connection just accepted, files that processes share, the configuration. */
     private static final int OWN_SOCKETS = 24;
     /** Part of the others that backends have: clients hold a third of all at most for requests. */
     private static final double TO_BACKENDS = 0.375;
@@ -84,7 +85,9 @@
         log = new Log(System.getLogger("cottonlock"));
         Clock clock = new Clock();
         SplittableRandom random = new SplittableRandom(config.seed());
-        int sockets = Math.max(4, config.limit("sockets", 1024) - OWN_SOCKETS);
+        // Operators' calls hold theirs for seconds: taken from what is left for the list, they kept it away.
+        int own = OWN_SOCKETS + (shares ? Management.MOST : 0);
+        int sockets = Math.max(4, config.limit("sockets", 1024) - own);
         sockets -= sockets / FOR_BODIES;
         int toBackends = Math.max(2, (int) (sockets * TO_BACKENDS));
         int memoryMb = config.limit("memory_mb", 192);
