A SIGHUP that was ignored before the start is said at the start

Need: started under nohup, a proxy never takes in a new configuration, and nobody notices until one is needed. Java leaves a signal alone that was ignored before it started. Looked at: /proc/self/status (a file to read at each start) against the value that sun.misc.Signal.handle returns, which the start calls anyway: SIG_IGN where it was ignored, measured with and without trap '' HUP. The second costs nothing and loads no further class. Change: one warning once it serves.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Starts cottonlock; see README.md. */
 public final class Main {
@@ -45,6 +46,7 @@
         private static final long LONGEST_START = 3;
 
         private final CountDownLatch started = new CountDownLatch(1);
+        private final boolean deaf;
         private Proxy proxy;
 
         Signals() {
@@ -52,13 +54,23 @@
                 long toldAt = System.nanoTime();
                 with(p -> p.drain(toldAt));
             }));
-            Signal.handle(new Signal("HUP"), signal -> with(Proxy::reload));
+            // Ignored from before the start, as under nohup, it is left so by Java, which tells it here.
+            deaf = Signal.handle(new Signal("HUP"), signal -> with(Proxy::reload)) == SignalHandler.SIG_IGN;
+        }
+
+        /** Says once what nobody would notice before a new configuration is needed. */
+        private void warn() {
+            System.getLogger("cottonlock").log(System.Logger.Level.WARNING, "signals: SIGHUP was ignored"
+                + " before the start, as under nohup: a new configuration will never be taken in");
         }
 
         /** The proxy serves, or could not be started: null. */
         void started(Proxy served) {
             proxy = served;
             started.countDown();
+            if (deaf && served != null) {
+                warn();
+            }
         }
 
         private void with(Act act) {
