A cold backend's part is half of what warm ones finish, not of what they are sent

Cause: each balancer reckoned its part of a cold backend's budget from what it sent the warm ones. Where few warm ones are left, or some are dead, what is tried again and turned away counts as if it had been done, so the parts of all balancers add up to more than a cold one bears. Seen in a model of a fleet in virtual time (ColdFleet: 20, 30, 100 balancers, backends with queues, tries again), work sent in any window of the fall's time against N + 2 root N + 2.

Ruled out by the same model: uneven callers, traffic that moves at the join, proxies that start anew, a FleetSize of half or twice the true one, late lists and bursts of 1.5 alone: worst 0.15 to 0.5 with the former rule.

Change: what warm backends finished for this balancer counts, those with three failures in a row left out. Backends finish no more than they can do, so all parts together stay under half of the multiple whatever the mix.

ColdFleetTest fails with the former rule on two of six cases (1.23, 1.07).

--- a/src/main/java/cottonlock/decision/Backend.java
+++ b/src/main/java/cottonlock/decision/Backend.java
@@ -33,7 +33,8 @@
     /** Gaps between signs of life while something was out: their number and sum. */
     final Ring gapCount;
     final Ring gapSum;
-    final Ring sent;
+    /** What it finished in the time that the rule on cold backends counts over. */
+    final Ring finished;
     /** While cold: when it last got work, the part of the usual gap until the next, and of which start. */
     long spacedFrom;
     double spacing;
@@ -45,14 +46,14 @@
     private static final double NOW = 1.28;
     private static final double USUAL = 19.2;
 
-    Backend(Member member, long sentSpan, long due) {
+    Backend(Member member, long fallSpan, long due) {
         answers = new Ring(Math.round(NOW * due), 8);
         failures = new Ring(Math.round(NOW * due), 8);
         gapCount = new Ring(Math.round(USUAL * due), 10);
         gapSum = new Ring(Math.round(USUAL * due), 10);
         this.id = member.id();
         this.member = member;
-        this.sent = new Ring(sentSpan, 10);
+        this.finished = new Ring(fallSpan, 10);
     }
 
     /** The attempts out that an answer is still waited for. */
--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -690,7 +690,7 @@
         private final List<List<Backend>> lanes = new ArrayList<>();
         private final List<Backend> open = new ArrayList<>();
         private final List<Backend> ready = new ArrayList<>();
-        private double sentPerSize;
+        private double finishedPerSize;
         private long askAt = Long.MAX_VALUE;
         private int failedAsks;
         /** How long attempts have been out in the last seconds, added up at looks; how many were sent. */
@@ -789,7 +789,7 @@
                 outlet.askList();
             }
             double size = 0;
-            long sent = 0;
+            long finished = 0;
             for (Backend b : known.values()) {
                 for (Request req : b.held.values()) {
                     // What never comes back, or far too late, counts as long as a slow answer.
@@ -807,9 +807,9 @@
                 double pace = all / stays.mean(now, 2 + 2 * b.member.kind(), IMAGINED_STAYS, all);
                 // Squared, as much of a stay is often the tiers behind, which are alike for all.
                 b.pace = pace * pace;
-                if (cold.warmth(b.member, now) >= 1) {
+                if (cold.warmth(b.member, now) >= 1 && b.streak < 3) {
                     size += b.size();
-                    sent += b.sent.sum(now);
+                    finished += b.finished.sum(now);
                 }
             }
             if (ready.stream().anyMatch(b -> b.delisted && b.answers.sum(now) == 0)) {
@@ -817,7 +817,7 @@
                 layLanes();
             }
             keptAt = now;
-            sentPerSize = size > 0 ? sent / size : sentPerSize;
+            finishedPerSize = size > 0 ? finished / size : finishedPerSize;
         }
 
         /** Lays out the lanes: in order of the tenants, each takes the untaken backends of highest hash. */
@@ -938,9 +938,9 @@
                 b.spacedFrom = now;
                 b.spacing = random.nextDouble();
             }
-            // Half, for warm ones are at times sent more than they can do. All together may send it one until
-            // that is known. Spaced in time: one from each of hundreds at once pushed it over.
-            double part = cold.multiple() / 2 * warmth * sentPerSize * b.size();
+            // Half of what warm ones finish: they can't finish more than they can do, but are sent thrice that.
+            // All may send one until it is known. Spaced in time: one from each of hundreds pushed it over.
+            double part = cold.multiple() / 2 * warmth * finishedPerSize * b.size();
             return (now - b.spacedFrom) * Math.max(part, 1.0 / shape.balancers()) >= cold.fall() * b.spacing;
         }
 
@@ -1026,7 +1026,6 @@
             out.merge(req.tenant, 1, Integer::sum);
             b.out++;
             b.held.put(req.id, req);
-            b.sent.add(now, 1);
             sends.add(now, 1);
             b.spacedFrom = now;
             b.spacing = 0.5 + random.nextDouble();
@@ -1059,6 +1058,7 @@
                 times.add(now, 1 + req.category.number(), log(1 + now - attempt.sentAt));
                 (slow ? b.failures : b.answers).add(now, 1);
                 b.streak = 0;
+                b.finished.add(now, 1);
                 answered.add(now, 0, now - attempt.sentAt);
             } else if (!attempt.missed && outcome != Outcome.RECALLED && outcome != Outcome.NOT_SENT) {
                 b.failures.add(now, 1);
