--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -109,7 +109,8 @@
         Path kept = shares ? folder : null;
         succession = new Succession(new Shared(kept, name, "serving", log));
         module = new ModuleActor(clock, entry -> new BackendActor(entry.dial(), permits, keepAlive, workers,
-            connect, idle, BackendActor.SETTLE, buffers, writer, watchdog, clock, figures, log), figures, log);
+            connect, idle, BackendActor.SETTLE, buffers, writer, watchdog, clock, figures, log),
+            figures, log);
         bans = new Bans(new Shared(kept, name, "bans", log), clock, module::bansChanged);
         Directory directory = new Directory(log, settings.words("Zones"), settings.words("Flavors"));
         Directory.News known = config.known(directory);
