Scale run: real proxies start before hollow ones join

Need: a start of a process waits up to a minute where thousands join at once; the run would end there. The first list of hollow ones is timed from when they begin; real ones hold theirs by then. Not measured by itself.

--- a/src/main/java/cottonlock/lab/scale/ScaleRun.java
+++ b/src/main/java/cottonlock/lab/scale/ScaleRun.java
@@ -163,12 +163,7 @@
                 discovery(i), file.zoneNames(), own, file.seed + i));
         }
         buildHosts(operatorFile, seeds);
-        begun = System.nanoTime();
-        progress.accept("hollow proxies: " + hostOf.size() + " in " + hosts.size() + " processes");
-        for (Child host : hosts) {
-            host.tell("start");
-            host.flush();
-        }
+        // First, for a machine on which thousands join at once takes minutes to start a process.
         progress.accept("real proxies: " + real.size());
         List<Future<?>> starts = new ArrayList<>();
         for (RealHost host : real.values()) {
@@ -182,6 +177,12 @@
             thread.start();
         }
         await(starts);
+        begun = System.nanoTime();
+        progress.accept("hollow proxies: " + hostOf.size() + " in " + hosts.size() + " processes");
+        for (Child host : hosts) {
+            host.tell("start");
+            host.flush();
+        }
     }
 
     private static void await(List<Future<?>> futures) throws IOException, InterruptedException {
