--- a/src/main/java/cottonlock/lab/scale/Bounds.java
+++ b/src/main/java/cottonlock/lab/scale/Bounds.java
@@ -6,12 +6,14 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 
 /** What a run takes of the machine; one that would take too much is refused before anything starts. */
 final class Bounds {
     /** Megabytes beside its heap of a JVM of the lab's, and all of a process that serves, as measured. */
-    private static final double JVM = 50;
+    private static final double JVM = 80;
     private static final double SERVE = 75;
     /** Kilobytes of what a thread's stack and the kernel keep. */
     private static final double THREAD_KB = 40;
@@ -47,7 +49,7 @@
         processes = hosts + fleet.real() + file.control.machines() + 2;
         double held = fleet.size() * (ENTRY_KB + (file.membership == null ? 0 : MEMBER_KB)) / 1_024;
         hollowHeapMb = SPARE_MB + (int) (fleet.size() * READING_KB / 1_024) + (int) Math.ceil(Math.min(hollow, fleet.perJvm()) * held);
-        controlHeapMb = SPARE_MB + fleet.size() / 64;
+        controlHeapMb = SPARE_MB / 2 + fleet.size() / 64;
         memoryMb = hosts * (JVM + hollowHeapMb) + hollow * 2 * THREAD_KB / 1_024
             + fleet.real() * (SERVE + fleet.size() * ACTOR_KB / 1_024)
             + file.control.machines() * (JVM + controlHeapMb) + JVM;
@@ -60,6 +62,12 @@
             refuse("needs some " + Math.round(memoryMb) + " MB, and may have " + half
                 + " (half of the machine's, or bounds.memory_mb): a smaller fleet.size or fleet.real");
         }
+        long free = availableMb();
+        if (memoryMb > free) {
+            // Half of the machine's is the most; when others use it too, what they leave is less.
+            refuse("needs some " + Math.round(memoryMb) + " MB, and only " + free
+                + " are available now: a smaller fleet.size or fleet.real, or a machine with less to do");
+        }
         long descriptors = descriptors();
         long needed = OWN_DESCRIPTORS + Math.max(2L * fleet.perJvm(),
             2L * fleet.size() / file.control.machines() + fleet.size());
@@ -80,6 +88,20 @@
             : Long.MAX_VALUE;
     }
 
+    /** As the kernel reckons it, without pushing anybody out; without bound where it does not tell. */
+    private static long availableMb() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/meminfo"))) {
+                if (line.startsWith("MemAvailable:")) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", "")) >> 10;
+                }
+            }
+        } catch (IOException e) {
+            // Another system: half of the machine's is the bound.
+        }
+        return Long.MAX_VALUE;
+    }
+
     private static long descriptors() {
         return ManagementFactory.getOperatingSystemMXBean() instanceof
             com.sun.management.UnixOperatingSystemMXBean system ? system.getMaxFileDescriptorCount()
