Scale run: an event ends once every process has told what it counted in it

Cause: a process short of its core tells its last second late; whole lists and bytes of an event could then count for the next one, or for none at the end. Change: the run waits for that second of each process, as long as for a change at most.

--- a/src/main/java/cottonlock/lab/scale/ScaleRun.java
+++ b/src/main/java/cottonlock/lab/scale/ScaleRun.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -58,6 +59,8 @@
     private final Map<Integer, List<String>> keptBack = new TreeMap<>();
     private final ExecutorService starters = Executors.newFixedThreadPool(STARTERS);
     private final Consumer<String> progress;
+    /** The last second of which each process has told what it counted. */
+    private final Map<String, Long> toldUpTo = new ConcurrentHashMap<>();
     private Path folder;
     private Watcher watcher;
     private long version;
@@ -229,7 +232,10 @@
             if (ended) {
                 throw new IOException("ended early");
             }
-            return new Child(name, folder, heapMb, main, args, NEWS, this::news);
+            return new Child(name, folder, heapMb, main, args, NEWS, words -> {
+                news(words);
+                toldUpTo.put(name, Long.parseLong(words[1]));
+            });
         }
     }
 
@@ -466,12 +472,28 @@
         long until = System.nanoTime() + file.quiet;
         sleepUntil(until + SECOND - until % SECOND + BETWEEN * 1_000_000);
         event.to = System.nanoTime() / SECOND;
+        awaitTold(event.to - 1);
         progress.accept(String.format(java.util.Locale.ROOT,
             "  %s: %d changes, in force at half after %.0f ms, at 99%% after %.0f, at all after %.0f; %d missing",
             event.name, event.changes.size(), event.worstMs(0.5), event.worstMs(0.99), event.worstMs(1),
             event.missing()));
     }
 
+    /** A process that is short of its core tells late what it has counted. */
+    private void awaitTold(long second) throws InterruptedException {
+        List<Child> tellers = new ArrayList<>(hosts);
+        for (Child machine : control) {
+            if (machine != null) {
+                tellers.add(machine);
+            }
+        }
+        long until = System.nanoTime() + file.patience;
+        while (tellers.stream().anyMatch(c -> toldUpTo.getOrDefault(c.name, 0L) < second)
+            && System.nanoTime() < until) {
+            Thread.sleep(BETWEEN / 4);
+        }
+    }
+
     private void play(String name) throws IOException, InterruptedException {
         ScaleEvent event = begin(name);
         switch (name) {
