Membership: parts longer than an exchange holds are told whole in time

Cause: a view is compared in 32 parts at most, and the pages of a part began at its first name each time. The allowance holds two pages at once and an answer four at most, so that from some 500 members on the names behind the first 16 to 32 of a part were never told by an exchange, only by what rides on probes. `most`, 1,024 by default, kept a fleet of 3,000 from knowing itself; buffers and tables grow by need.

Change: where parts can't get finer, pages begin at any name and go round. `most` is 4,096 by default. The study writes its file after each figure, and tells how soon the rest sees a lost zone apart from the zone itself.

Ruled out, as trials: the same from parts of 8 or 16 names on.

--- a/src/main/java/cottonlock/lab/Lab.java
+++ b/src/main/java/cottonlock/lab/Lab.java
@@ -7,6 +7,7 @@
 import cottonlock.setup.MembershipRules;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -247,7 +248,7 @@
             return 0;
         } catch (BadFile e) {
             e.faults().forEach(err::println);
-        } catch (IOException e) {
+        } catch (IOException | UncheckedIOException e) {
             err.println(e.getMessage());
         }
         return UNUSABLE;
--- a/src/main/java/cottonlock/lab/MembersRegions.java
+++ b/src/main/java/cottonlock/lab/MembersRegions.java
@@ -7,6 +7,7 @@
 import cottonlock.setup.MembershipRules;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.nio.charset.StandardCharsets;
@@ -16,7 +17,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 
-/** Fleets over regions and zones in virtual time, for each size and seed: lines as they are played, and files. */
+/** Fleets over regions and zones in virtual time, for each size and seed: lines as played, and files. */
 final class MembersRegions implements RegionsStudy.Gauge {
     /** Readings of the processor's clock by which its own cost is found. */
     private static final int READINGS = 200_000;
@@ -58,19 +59,28 @@
         long from = System.nanoTime();
         RegionsStudy.Play play = new RegionsStudy.Play(seed, size, topology, quiet, apart,
             known > 0 ? Math.min(known, size) : size);
-        Map<String, Long> figures = RegionsStudy.of(play, rules, this, line -> {
-            out.printf("  %6d s  %s%n", (System.nanoTime() - from) / 1_000_000_000, line);
-            out.flush();
-        });
         if (folder != null) {
             Files.createDirectories(folder);
-            write(folder.resolve("members-" + size + "-" + seed + ".json"), play, command,
-                (System.nanoTime() - from) / 1_000_000_000, figures);
         }
+        String commit = commit();
+        RegionsStudy.of(play, rules, this, (name, figures) -> {
+            long seconds = (System.nanoTime() - from) / 1_000_000_000;
+            out.printf("  %6d s  %s=%d%n", seconds, name, figures.get(name));
+            out.flush();
+            // As it goes on: what a play that is cut off has measured is measured.
+            if (folder != null) {
+                try {
+                    write(folder.resolve("members-" + size + "-" + seed + ".json"), play, command, commit,
+                        seconds, figures);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        });
     }
 
-    private void write(Path file, RegionsStudy.Play play, String command, long seconds,
-                       Map<String, Long> figures) throws IOException {
+    private void write(Path file, RegionsStudy.Play play, String command, String commit,
+                       long seconds, Map<String, Long> figures) throws IOException {
         try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
             json.useDefaultPrettyPrinter();
             json.writeStartObject();
@@ -80,7 +90,7 @@
             json.writeNumberField("regions", topology.regions());
             json.writeNumberField("zones", topology.zones());
             json.writeStringField("command", command);
-            json.writeStringField("commit", commit());
+            json.writeStringField("commit", commit);
             json.writeNumberField("seconds_virtual", figures.get("seconds_virtual"));
             json.writeNumberField("seconds_real", seconds);
             json.writeStringField("datagrams_print", Long.toHexString(figures.get("datagrams_print")));
--- a/src/main/java/cottonlock/lab/world/Fleet.java
+++ b/src/main/java/cottonlock/lab/world/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.IntPredicate;
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
 
@@ -292,7 +293,7 @@
         readings = 0;
     }
 
-    /** Nanoseconds that the metered nodes have spent since the meter was set, and how many those nodes are. */
+    /** Nanoseconds that the metered nodes have spent since the meter was set, and how many these are. */
     public long spent() {
         return spent;
     }
@@ -377,6 +378,11 @@
 
     /** Whether all views are right, and so alike. */
     public boolean agree() {
+        return agree(i -> true);
+    }
+
+    /** Whether the views of these nodes are right. */
+    public boolean agree(IntPredicate whose) {
         // Per side: how many are there, and the digest of a view that was found right. Another view with the
         // same digest has the same members, and need not be compared one by one.
         Map<Integer, Integer> there = new HashMap<>();
@@ -386,7 +392,7 @@
         }
         for (int i = 0; i < nodes.size(); i++) {
             Node n = nodes.get((lastWrong + i) % nodes.size());
-            if (!n.up || n.paused) {
+            if (!n.up || n.paused || !whose.test(n.number)) {
                 continue;
             }
             int side = sides[n.number];
@@ -405,9 +411,14 @@
 
     /** Goes on until all views are right; returns the time it took, or -1 after {@code most}. */
     public long untilAgreed(long most) {
+        return untilAgreed(i -> true, most);
+    }
+
+    /** The same for the views of some. */
+    public long untilAgreed(IntPredicate whose, long most) {
         long from = world.now();
         while (world.now() - from <= most) {
-            if (agree()) {
+            if (agree(whose)) {
                 return world.now() - from;
             }
             world.until(world.now() + 500);
--- a/src/main/java/cottonlock/lab/world/RegionsStudy.java
+++ b/src/main/java/cottonlock/lab/world/RegionsStudy.java
@@ -7,7 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -55,10 +55,11 @@
     private final World world;
     private final Fleet fleet;
     private final Gauge gauge;
-    private final Consumer<String> told;
+    private final BiConsumer<String, Map<String, Long>> told;
     private final Map<String, Long> figures = new LinkedHashMap<>();
 
-    private RegionsStudy(Play play, MembershipRules rules, Gauge gauge, Consumer<String> told) {
+    private RegionsStudy(Play play, MembershipRules rules, Gauge gauge,
+                         BiConsumer<String, Map<String, Long>> told) {
         this.play = play;
         this.gauge = gauge;
         this.told = told;
@@ -69,11 +70,12 @@
     }
 
     /**
-     * Plays it; told each figure as soon as it is known.
+     * Plays it; all figures so far are told whenever there is one more.
      *
      * @return figures by name, in milliseconds, bytes and microseconds; -1 where it never was
      */
-    public static Map<String, Long> of(Play play, MembershipRules rules, Gauge gauge, Consumer<String> told) {
+    public static Map<String, Long> of(Play play, MembershipRules rules, Gauge gauge,
+                                       BiConsumer<String, Map<String, Long>> told) {
         return new RegionsStudy(play, rules, gauge, told).play();
     }
 
@@ -85,16 +87,16 @@
         zone();
         regions();
         restarts();
-        figure("bytes_s_worst", fleet.nodes.stream().mapToLong(n -> n.worstSecond).max().orElse(0));
-        figure("false_failed", fleet.wronged(0));
-        figure("seconds_virtual", world.now() / SECOND);
-        figure("datagrams_print", world.print());
         return figures;
     }
 
     private void figure(String name, long value) {
         figures.put(name, value);
-        told.accept(name + "=" + value);
+        figures.put("bytes_s_worst", fleet.nodes.stream().mapToLong(n -> n.worstSecond).max().orElse(0));
+        figures.put("false_failed", (long) fleet.wronged(0));
+        figures.put("seconds_virtual", world.now() / SECOND);
+        figures.put("datagrams_print", world.print());
+        told.accept(name, figures);
     }
 
     /** Milliseconds until all views are right, from a moment on. */
@@ -152,6 +154,8 @@
     private void zone() {
         fleet.sides(i -> play.topology().zone(i) == 0 ? 1 : 0);
         long from = world.now();
+        long found = fleet.untilAgreed(i -> play.topology().zone(i) != 0, MOST);
+        figure("zone_found_ms", found < 0 ? -1 : found / 10);
         agreed("zone_lost_ms", from);
         world.until(Math.max(world.now(), from + Math.max(60, play.apart() / 10) * SECOND));
         fleet.sides(i -> 0);
--- a/src/main/java/cottonlock/membership/Exchange.java
+++ b/src/main/java/cottonlock/membership/Exchange.java
@@ -5,6 +5,7 @@
 import cottonlock.setup.MembershipRules;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 
 /**
@@ -26,19 +27,22 @@
     private final Post post;
     private final long[] counts;
     private final Habits habits;
+    private final SplittableRandom random;
     private long at = Known.NEVER;
     private long last = Known.NEVER;
     /** Between two exchanges, in periods; and what the last one has brought. */
     private int rest = 1;
     private int brought;
 
-    Exchange(MembershipRules rules, Table table, Ring ring, Post post, long[] counts, Habits habits) {
+    Exchange(MembershipRules rules, Table table, Ring ring, Post post, long[] counts, Habits habits,
+             SplittableRandom random) {
         this.rules = rules;
         this.table = table;
         this.ring = ring;
         this.post = post;
         this.counts = counts;
         this.habits = habits;
+        this.random = random;
     }
 
     /** When it wants to be called. */
@@ -123,15 +127,20 @@
     /** Sends the words of one part of the names, in several pages if need be; returns how many it sent. */
     private int page(long now, Known to, int parts, int part, int most) {
         List<Word> words = table.words(parts, part);
-        String after = "";
-        int next = 0;
+        // Where parts can't get finer they grow beyond what the allowance holds at once, two pages: begun at
+        // the first name each time, the rest would never come.
+        boolean anywhere = parts == Codec.MOST_PARTS && words.size() > PART && habits.beginsAnywhere();
+        int first = anywhere ? random.nextInt(words.size()) : 0;
+        String after = first == 0 ? "" : words.get(first - 1).name();
+        int next = first;
+        int end = words.size();
         for (int sent = 0; sent < most;) {
             Message m = post.message(Kind.PAGE);
             m.parts = parts;
             m.part = part;
             m.after = after;
             Codec.Writer out = post.begin(m);
-            while (next < words.size() && out.word(words.get(next))) {
+            while (next < end && out.word(words.get(next))) {
                 after = words.get(next++).name();
             }
             if (next == words.size()) {
@@ -141,9 +150,15 @@
                 break;
             }
             sent++;
-            if (next == words.size()) {
+            if (next == end && (first == 0 || end == first)) {
                 return sent;
             }
+            if (next == end) {
+                // What lies before the place begun at.
+                next = 0;
+                end = first;
+                after = "";
+            }
         }
         return most;
     }
--- a/src/main/java/cottonlock/membership/Habits.java
+++ b/src/main/java/cottonlock/membership/Habits.java
@@ -47,6 +47,11 @@
         return true;
     }
 
+    /** Whether the pages of a long part of the names begin at any of them. */
+    boolean beginsAnywhere() {
+        return true;
+    }
+
     /** How often a change is told on. */
     int times(int usual) {
         return usual;
--- a/src/main/java/cottonlock/membership/Membership.java
+++ b/src/main/java/cottonlock/membership/Membership.java
@@ -113,7 +113,7 @@
         this.post = new Post(rules, table, outlet, counts, tag, habits);
         this.ring = new Ring(random);
         this.prober = new Prober(rules, table, ring, post, this::doubt, suspects, random);
-        this.exchange = new Exchange(rules, table, ring, post, counts, habits);
+        this.exchange = new Exchange(rules, table, ring, post, counts, habits, random);
     }
 
     /** It begins, or begins anew after another spoke for it; to be called again at the time returned. */
@@ -579,8 +579,8 @@
 
     /** Takes itself for one of them once its view is theirs, or for the first where nobody is. */
     private void join(long now) {
-        boolean agrees = table.alive() == 0 || table.all().stream()
-            .anyMatch(k -> k.word.state().lives() && k.heardAt >= startedAt && !k.differs());
+        boolean agrees = table.alive() == 0
+            || table.any(k -> k.word.state().lives() && k.heardAt >= startedAt && !k.differs());
         if (agrees || now - startedAt > 5 * rules.join()) {
             be(now, table.me().with(State.ALIVE, 0));
             outlet.changed(table.me().name(), State.ALIVE,
--- a/src/main/java/cottonlock/membership/Table.java
+++ b/src/main/java/cottonlock/membership/Table.java
@@ -2,17 +2,19 @@
 
 import cottonlock.decision.Decides;
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** The members that one process knows, itself among them, in the order of their names, and their digest. */
 @Decides
 final class Table {
     private final int most;
-    private final TreeMap<String, Known> others = new TreeMap<>();
+    private final List<Known> others = new ArrayList<>();
+    /** Whether they stand in the order of their names just now. */
+    private boolean sorted = true;
     /** The same by the hashes of their names. */
     private final Map<Integer, Known> byHash = new HashMap<>();
     /** Whether two names have ever had one hash: then all are looked through. */
@@ -60,15 +62,34 @@
 
     Known get(String name) {
         if (alike) {
-            return others.get(name);
+            for (Known k : others) {
+                if (k.word.name().equals(name)) {
+                    return k;
+                }
+            }
+            return null;
         }
         // A tree asks a dozen names for each word of each datagram, and none of them is near the processor.
         Known k = byHash.get(Word.hash(name));
         return k != null && k.word.name().equals(name) ? k : null;
     }
 
-    Collection<Known> all() {
-        return others.values();
+    List<Known> all() {
+        if (!sorted) {
+            others.sort(Comparator.comparing(k -> k.word.name()));
+            sorted = true;
+        }
+        return others;
+    }
+
+    /** Whether there is one like that, in whatever order. */
+    boolean any(Predicate<Known> wanted) {
+        for (Known k : others) {
+            if (wanted.test(k)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Where somebody may be found whom nobody here holds for alive. */
@@ -94,7 +115,7 @@
     }
 
     private Known firstHashed(int hash) {
-        for (Known k : others.values()) {
+        for (Known k : all()) {
             if (k.hash == hash) {
                 return k;
             }
@@ -105,7 +126,8 @@
     /** One that was not known; its word counts as soon as it is replaced. */
     Known add(Word w, long now) {
         Known k = new Known(w, now);
-        others.put(w.name(), k);
+        others.add(k);
+        sorted = false;
         alike |= byHash.put(k.hash, k) != null;
         List<Known> part = byPart.get(k.part(Codec.MOST_PARTS));
         part.add(place(part, w.name()), k);
@@ -153,7 +175,7 @@
     /** The one that has been dead for longest; null where all may live. */
     Known longestDead() {
         Known oldest = null;
-        for (Known k : others.values()) {
+        for (Known k : all()) {
             if (!k.word.state().lives() && (oldest == null || k.since < oldest.since)) {
                 oldest = k;
             }
@@ -172,7 +194,7 @@
         }
         part.remove(place(part, k.word.name()));
         byHash.remove(k.hash, k);
-        others.remove(k.word.name());
+        others.remove(k);
         k.gone = true;
     }
 
@@ -184,7 +206,7 @@
                 some[i % parts] += marks[i];
             }
         } else {
-            for (Known k : others.values()) {
+            for (Known k : others) {
                 some[k.part(parts)] += k.word.state().lives() ? (int) (k.mark >>> 32) : 0;
             }
         }
@@ -200,7 +222,7 @@
     List<Word> words(int parts, int part) {
         List<Word> words = new ArrayList<>();
         boolean mine = myPart(parts) == part;
-        for (Known k : parts == Codec.MOST_PARTS ? byPart.get(part) : others.values()) {
+        for (Known k : parts == Codec.MOST_PARTS ? byPart.get(part) : all()) {
             if (mine && k.word.name().compareTo(me.name()) > 0) {
                 words.add(me);
                 mine = false;
@@ -218,14 +240,10 @@
     /** Those of a part behind a name, up to another one; last null: to the end. */
     List<Known> between(int parts, int part, String after, String last) {
         List<Known> some = new ArrayList<>();
-        Collection<Known> behind = others.tailMap(after, false).values();
-        if (parts == Codec.MOST_PARTS) {
-            List<Known> whole = byPart.get(part);
-            int from = place(whole, after);
-            boolean there = from < whole.size() && whole.get(from).word.name().equals(after);
-            behind = whole.subList(there ? from + 1 : from, whole.size());
-        }
-        for (Known k : behind) {
+        List<Known> whole = parts == Codec.MOST_PARTS ? byPart.get(part) : all();
+        int from = place(whole, after);
+        boolean there = from < whole.size() && whole.get(from).word.name().equals(after);
+        for (Known k : whole.subList(there ? from + 1 : from, whole.size())) {
             if (last != null && k.word.name().compareTo(last) > 0) {
                 break;
             }
--- a/src/main/java/cottonlock/setup/MembershipRules.java
+++ b/src/main/java/cottonlock/setup/MembershipRules.java
@@ -25,5 +25,5 @@
 
     /** What holds where the operator's file says nothing else. */
     public static final MembershipRules USUAL = new MembershipRules(5_000, 1_500, 3, 3, 3, 3, 20_000, 2,
-        1_024, 6_000_000, 4_096, 3, 20_000, 2);
+        4_096, 6_000_000, 4_096, 3, 20_000, 2);
 }
