--- a/src/main/java/cottonlock/lab/scale/LatencyMeasure.java
+++ b/src/main/java/cottonlock/lab/scale/LatencyMeasure.java
@@ -28,8 +28,8 @@
         Map.of("direct", "none", "round", "relay", "lanes", "proxy");
     private static final int PLAYS = 3;
     private static final int LATE = 3;
-    private static final List<String> FIGURES = List.of("service", "lost", "twice", "drains", "cold",
-        "behind_ms");
+    private static final List<String> FIGURES = List.of("service", "deferred", "lost", "twice", "drains",
+        "cold", "behind_ms");
 
     private final int tiers;
     private final long seed;
