Which version of the settings holds, and which control machine is asked when

Need: a change of the settings in force at 3,000 proxies within 10 s, also while regions are split, control is lost, behind or overloaded. Rollout decides it, free of I/O and clocks; the lab's fleets play it in virtual time.

--- /dev/null
+++ b/src/main/java/cottonlock/lab/rollout/RolloutStudy.java
@@ -0,0 +1,252 @@
+package cottonlock.lab.rollout;
+
+import cottonlock.decision.Decides;
+import cottonlock.rollout.Habits;
+import cottonlock.rollout.Version;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** Plays what a change of the settings costs, and each hard case, in virtual time. */
+@Decides
+public final class RolloutStudy {
+    /** Control machines, regions and zones of each deployment. */
+    public static final int CONTROL = Deployment.CONTROL;
+    public static final int REGIONS = Deployment.REGIONS;
+    public static final int ZONES = Deployment.ZONES;
+    private static final long SECOND = Deployment.SECOND;
+    /** What is not in force by then counts as never. */
+    private static final long MOST = 60 * SECOND;
+    /** Changes between which the figures of quiet days are taken, and how far they are apart: 2,100 a day. */
+    private static final int CHANGES = 5;
+    private static final long APART = 41 * SECOND;
+    /** What an hour's stop costs does not hang on the size of the fleet around it. */
+    private static final int AROUND_A_STOP = 100;
+
+    private final int size;
+    private final long seed;
+    private final Habits habits;
+
+    /** Of a deployment of that size; habits are {@link Habits#USUAL} unless a test plays others. */
+    public RolloutStudy(int size, long seed, Habits habits) {
+        this.size = size;
+        this.seed = seed;
+        this.habits = habits;
+    }
+
+    /**
+     * What came of one case. Times are milliseconds, -1 where it never came so far.
+     *
+     * @param half    until the version was in force at half of those it is asked of
+     * @param most    at 99 of 100
+     * @param all     at all
+     * @param calls   the most calls of a second at one control machine
+     * @param bytes   the most bytes of a second of one proxy, sent and received
+     * @param back    how often a proxy held less than it had held before
+     * @param harmed  proxies at which a version came into force that can't be used
+     * @param differ  proxies that hold another version than most, at the end
+     * @param more    further figures of this case
+     */
+    public record Outcome(long half, long most, long all, int calls, long bytes, int back, int harmed,
+                          int differ, Map<String, Long> more) {
+    }
+
+    /** All hard cases, by name, in the order of docs/rollout.md. */
+    public Map<String, Supplier<Outcome>> cases() {
+        Map<String, Supplier<Outcome>> cases = new LinkedHashMap<>();
+        cases.put("region_split", this::regionSplit);
+        cases.put("crossing", this::crossing);
+        cases.put("stopped", this::stopped);
+        cases.put("flapping_zone", this::flappingZone);
+        cases.put("control_down", this::controlDown);
+        cases.put("behind", this::behind);
+        cases.put("half", this::half);
+        cases.put("poison", this::poison);
+        cases.put("restarts", this::restarts);
+        cases.put("overload", this::overload);
+        return cases;
+    }
+
+    private Deployment deployment() {
+        return new Deployment(size, seed, habits);
+    }
+
+    private static Version version(long number) {
+        return new Version(number, number * 0x9E3779B97F4A7C15L);
+    }
+
+    /** Changes on quiet days; with {@code mean}: bytes a second of one proxy. */
+    public Outcome quiet() {
+        Deployment d = deployment();
+        List<Long> times = new ArrayList<>();
+        long before = d.proxies.stream().mapToLong(ProxyModel::bytes).sum();
+        long from = d.world.now();
+        for (int i = 0; i < CHANGES; i++) {
+            long at = d.world.now();
+            d.publish(d.world.chance().nextInt(CONTROL), version(2 + i));
+            times.addAll(d.times(MOST, d.all()));
+            d.world.until(at + APART);
+        }
+        long bytes = d.proxies.stream().mapToLong(ProxyModel::bytes).sum() - before;
+        Collections.sort(times);
+        return outcome(d, times, Map.of("mean", bytes * SECOND / (d.world.now() - from) / size));
+    }
+
+    /** A change in the moment in which the regions lose each other; the other one has it after the heal. */
+    Outcome regionSplit() {
+        Deployment d = deployment();
+        d.links.split(true);
+        d.publish(0, version(2));
+        List<Long> times = d.times(MOST, d.inRegion(0));
+        d.world.until(d.world.now() + 10 * SECOND);
+        d.links.split(false);
+        d.expect(version(2));
+        List<Long> healed = d.times(MOST, d.all());
+        return outcome(d, times, Map.of("healed_ms_all", last(healed)));
+    }
+
+    /** Two changes get one number on two sides of a split; times count from the heal. */
+    Outcome crossing() {
+        Deployment d = deployment();
+        d.links.split(true);
+        d.world.until(d.world.now() + 5 * SECOND);
+        d.tell(0, new Version(2, 5));
+        d.tell(1, new Version(2, -3));
+        d.world.until(d.world.now() + 20 * SECOND);
+        long sides = d.proxies.stream().map(ProxyModel::inForce).distinct().count();
+        d.links.split(false);
+        d.expect(new Version(2, -3));
+        return outcome(d, d.times(MOST, d.all()), Map.of("versions_while_split", sides));
+    }
+
+    /** Five proxies stand still for an hour of changes; times count from when they go on. */
+    Outcome stopped() {
+        Deployment d = new Deployment(Math.min(size, AROUND_A_STOP), seed, habits);
+        List<Integer> five = d.all().subList(0, 5);
+        five.forEach(i -> d.proxies.get(i).pause(true));
+        int changes = (int) (3_600 * SECOND / APART);
+        for (int i = 0; i < changes; i++) {
+            d.publish(d.world.chance().nextInt(CONTROL), version(2 + i));
+            d.world.until(d.world.now() + APART);
+        }
+        d.expect(version(1 + changes));
+        five.forEach(i -> d.proxies.get(i).pause(false));
+        return outcome(d, d.times(MOST, five), Map.of("changes_missed", (long) changes));
+    }
+
+    /** A zone is cut off for most of each six seconds, for a minute, and a change comes in the middle. */
+    Outcome flappingZone() {
+        Deployment d = deployment();
+        int zone = 2;
+        long end = d.world.now() + 60 * SECOND;
+        d.links.flap(zone, 6 * SECOND, SECOND, end);
+        d.world.until(d.world.now() + 20 * SECOND);
+        d.publish(0, version(2));
+        List<Long> others = d.times(MOST, d.all().stream().filter(i -> d.proxies.get(i).zone != zone).toList());
+        List<Integer> inside = d.all().stream().filter(i -> d.proxies.get(i).zone == zone).toList();
+        long within = last(d.times(end - d.world.now(), inside));
+        d.world.until(end);
+        d.publish(0, version(3));
+        long after = last(d.times(MOST, d.all()));
+        return outcome(d, others, Map.of("inside_ms_all", within, "after_ms_all", after));
+    }
+
+    /** All of control is down for ten minutes and back at once, with a change; times count from then. */
+    Outcome controlDown() {
+        Deployment d = deployment();
+        d.control.forEach(c -> c.down(true));
+        d.world.until(d.world.now() + 600 * SECOND);
+        long kept = d.proxies.stream().filter(p -> p.inForce().equals(new Version(1, 1))).count();
+        long down = d.worstCalls();
+        d.control.forEach(c -> c.down(false));
+        d.publish(0, version(2));
+        List<Long> times = d.times(MOST, d.all());
+        return outcome(d, times, Map.of("kept", kept, "calls_s_while_down", down));
+    }
+
+    /** One control machine hears of nothing new any more. */
+    Outcome behind() {
+        Deployment d = deployment();
+        d.control.get(3).freeze(true);
+        d.publish(0, version(2));
+        List<Long> times = d.times(MOST, d.all());
+        d.world.until(d.world.now() + 20 * SECOND);
+        d.publish(0, version(3));
+        return outcome(d, times, Map.of("next_ms_all", last(d.times(MOST, d.all()))));
+    }
+
+    /** One control machine tells half of each version. */
+    Outcome half() {
+        Deployment d = deployment();
+        d.control.get(3).halve(true);
+        d.publish(0, version(2));
+        return outcome(d, d.times(MOST, d.all()), Map.of());
+    }
+
+    /** A version that can't be used is refused by all; a rollback follows, and its times count. */
+    Outcome poison() {
+        Deployment d = deployment();
+        d.poison.add(version(2));
+        int judged = d.proxies.stream().mapToInt(ProxyModel::judged).sum();
+        d.tell(0, version(2));
+        d.world.until(d.world.now() + 20 * SECOND);
+        long refused = d.proxies.stream().mapToLong(p -> p.figures().refused()).sum();
+        long kept = d.proxies.stream().filter(p -> p.inForce().equals(new Version(1, 1))).count();
+        judged = d.proxies.stream().mapToInt(ProxyModel::judged).sum() - judged;
+        d.publish(0, version(3));
+        return outcome(d, d.times(MOST, d.all()), Map.of("refused", refused, "kept", kept, "judged",
+            (long) judged));
+    }
+
+    /** 350 restarts within a minute, while control is lost for a part of it; a change comes in the middle. */
+    Outcome restarts() {
+        Deployment d = deployment();
+        long from = d.world.now();
+        for (int i = 0; i < 350; i++) {
+            int which = d.world.chance().nextInt(size);
+            d.world.at(from + i * 60 * SECOND / 350, () -> {
+                d.proxies.get(which).kill();
+                d.start(which);
+            });
+        }
+        d.world.until(from + 10 * SECOND);
+        d.control.forEach(c -> c.down(true));
+        d.world.until(from + 30 * SECOND);
+        d.control.forEach(c -> c.down(false));
+        d.publish(0, version(2));
+        List<Long> times = d.times(MOST, d.all());
+        d.world.until(from + 70 * SECOND);
+        return outcome(d, times, Map.of());
+    }
+
+    /** Control machines take four times as long over everything, and have just dropped all their watches. */
+    Outcome overload() {
+        Deployment d = deployment();
+        d.control.forEach(c -> c.slow(4));
+        d.control.forEach(ControlModel::drop);
+        d.publish(0, version(2));
+        return outcome(d, d.times(MOST, d.all()), Map.of());
+    }
+
+    private static long last(List<Long> sorted) {
+        // One that never came stands first.
+        return sorted.get(0) < 0 ? -1 : sorted.get(sorted.size() - 1) / 10;
+    }
+
+    private static Outcome outcome(Deployment d, List<Long> times, Map<String, Long> more) {
+        long never = times.stream().filter(t -> t < 0).count();
+        List<Long> sorted = new ArrayList<>(times.subList((int) never, times.size()));
+        sorted.addAll(Collections.nCopies((int) never, -10L));
+        Map<Version, Long> held = new LinkedHashMap<>();
+        d.proxies.forEach(p -> held.merge(p.inForce(), 1L, Long::sum));
+        long same = Collections.max(held.values());
+        return new Outcome(sorted.get(sorted.size() / 2) / 10, sorted.get((sorted.size() * 99 - 1) / 100) / 10,
+            sorted.get(sorted.size() - 1) / 10, d.worstCalls(), d.worstBytes(),
+            d.proxies.stream().mapToInt(ProxyModel::wentBack).sum(),
+            (int) d.proxies.stream().filter(ProxyModel::harmed).count(), (int) (d.proxies.size() - same),
+            new java.util.TreeMap<>(more));
+    }
+}
--- a/src/test/java/cottonlock/ArchitectureTest.java
+++ b/src/test/java/cottonlock/ArchitectureTest.java
@@ -48,6 +48,7 @@
             .layer("net").definedBy("cottonlock.net..").layer("config").definedBy("cottonlock.config")
             .layer("admin").definedBy("cottonlock.admin")
             .layer("membership").definedBy("cottonlock.membership")
+            .layer("rollout").definedBy("cottonlock.rollout")
             .layer("setup").definedBy("cottonlock.setup").layer("decision").definedBy("cottonlock.decision")
             .whereLayer("main").mayNotBeAccessedByAnyLayer()
             .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
@@ -57,8 +58,9 @@
             .whereLayer("admin").mayOnlyBeAccessedByLayers("net")
             .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "lab")
             .whereLayer("membership").mayOnlyBeAccessedByLayers("net", "lab")
+            .whereLayer("rollout").mayOnlyBeAccessedByLayers("net", "lab")
             .whereLayer("setup").mayOnlyBeAccessedByLayers("main", "bench", "net", "cli", "lab", "config",
-                "membership")
+                "membership", "rollout")
             .check(all);
         slices().matching("cottonlock.(*)..").should().beFreeOfCycles().check(all);
     }
@@ -66,7 +68,7 @@
     @Example
     void whatThePlatformStartsNeedsNoLibrary() {
         noClasses().that().resideInAnyPackage("cottonlock.net..", "cottonlock.admin",
-                "cottonlock.membership", "cottonlock.setup", "cottonlock.bench",
+                "cottonlock.membership", "cottonlock.rollout", "cottonlock.setup", "cottonlock.bench",
                 "cottonlock.decision").should().dependOnClassesThat().resideInAnyPackage("com..", "org..",
                 "picocli..")
             .because("serve and wirehost load no library").check(all);
