--- a/src/main/java/cottonlock/admin/Figures.java
+++ b/src/main/java/cottonlock/admin/Figures.java
@@ -88,7 +88,8 @@
 
     /** Further figures of a part that is there: fields of a JSON object, each behind a comma. */
     public void also(Supplier<String> fields) {
-        more = fields;
+        Supplier<String> before = more;
+        more = before == null ? fields : () -> before.get() + fields.get();
     }
 
     /** All of it as one line of JSON. */
--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -91,7 +91,7 @@
                 if (operator != null && !operator.toString().isEmpty()) {
                     OperatorFile file = OperatorFile.read(operator);
                     LogLines.install(file.logFormat(), file.logLevel());
-                    asked = new Operator(file.watched(), file.membership());
+                    asked = new Operator(file.watched(), file.membership(), file.rollout());
                 }
             } catch (BadFile e) {
                 return tell(spec, e);
--- a/src/main/java/cottonlock/config/OperatorFile.java
+++ b/src/main/java/cottonlock/config/OperatorFile.java
@@ -2,6 +2,7 @@
 
 import cottonlock.setup.MembershipPlan;
 import cottonlock.setup.MembershipRules;
+import cottonlock.setup.RolloutPlan;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -15,9 +16,15 @@
  * @param logLevel  the lowest level that is written: {@code info}, {@code warning} or {@code off}
  * @param watched   settings, by path, of a module whose decisions are only counted; empty: none is watched
  * @param membership how the proxies know one another; null: they don't
+ * @param rollout    where changes of the settings are learnt of; null: from the platform's file alone
  */
 public record OperatorFile(String logFormat, String logLevel, Map<String, String> watched,
-                           MembershipPlan membership) {
+                           MembershipPlan membership, RolloutPlan rollout) {
+    /** Without anybody to learn of changes from. */
+    public OperatorFile(String logFormat, String logLevel, Map<String, String> watched,
+                        MembershipPlan membership) {
+        this(logFormat, logLevel, watched, membership, null);
+    }
 
     /** The settings that a watch may change, as the file names them. */
     private static final Map<String, String> FEES =
@@ -29,7 +36,7 @@
         Fields log = top.table("log");
         OperatorFile read = new OperatorFile(log.word("format", "text", "text", "json"),
             log.word("level", "info", "info", "warning", "off"), watched(top.table("watch")),
-            membership(top.table("membership"), file));
+            membership(top.table("membership"), file), rollout(top.table("rollout")));
         top.end();
         return read;
     }
@@ -86,6 +93,36 @@
             f.whole("contact_periods", usual.contact(), 1, 100));
     }
 
+    /** Where changes are learnt of; null where the table does not ask for it. */
+    private static RolloutPlan rollout(Fields f) {
+        boolean enabled = f.flag("enabled", false);
+        String service = f.formed("service", "", "[A-Za-z0-9._-]{0,64}",
+            "up to 64 letters, digits, dots, dashes and underscores");
+        List<String> control = addresses(f, "control");
+        List<String> far = addresses(f, "far");
+        if (enabled && service.isEmpty()) {
+            f.fault("service", "expected a service whose settings these are");
+        }
+        if (enabled && control.isEmpty()) {
+            f.fault("control", "expected a control machine or more");
+        }
+        RolloutPlan plan = new RolloutPlan(service, control, far,
+            millis(f, "call_ms", RolloutPlan.CALL, 50, 2_000),
+            millis(f, "compare_ms", RolloutPlan.COMPARE, 1_000, 60_000),
+            millis(f, "retry_ms", RolloutPlan.RETRY, 500, 60_000));
+        return enabled ? plan : null;
+    }
+
+    private static List<String> addresses(Fields f, String key) {
+        List<String> all = f.texts(key, List.of());
+        for (String address : all) {
+            if (!Fields.isAddress(address)) {
+                f.fault(key, "expected " + Fields.ADDRESS_WORDS + ", found \"" + address + "\"");
+            }
+        }
+        return all;
+    }
+
     private static long millis(Fields f, String key, long tenths, int least, int most) {
         return 10L * f.whole(key, (int) (tenths / 10), least, most);
     }
--- a/src/main/java/cottonlock/lab/rollout/ControlModel.java
+++ b/src/main/java/cottonlock/lab/rollout/ControlModel.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 
 /**
- * A control machine in virtual time: it tells the highest version that it knows, to watches as it comes and to
- * each call. It does one thing after the other; a call for which too much waits is turned away. How long each
- * takes is assumed, not measured.
+ * A control machine in virtual time: it tells the highest version that it knows, to watches as it comes and
+ * to each call. It does one thing after the other; a call for which too much waits is turned away. How long
+ * each takes is assumed, not measured.
  */
 @Decides
 final class ControlModel {
--- a/src/main/java/cottonlock/lab/rollout/Deployment.java
+++ b/src/main/java/cottonlock/lab/rollout/Deployment.java
@@ -13,8 +13,8 @@
 import java.util.Set;
 
 /**
- * Proxies and control machines over zones and regions, in virtual time. Control machines tell one another what
- * is published: each at once, and each second one that is drawn, for what was missed.
+ * Proxies and control machines over zones and regions, in virtual time. Control machines tell one another
+ * what is published: each at once, and each second one that is drawn, for what was missed.
  */
 @Decides
 final class Deployment {
--- a/src/main/java/cottonlock/lab/rollout/Links.java
+++ b/src/main/java/cottonlock/lab/rollout/Links.java
@@ -49,11 +49,13 @@
 
     boolean cut(int from, int to) {
         boolean down = world.now() < flapsUntil && world.now() % period >= up;
-        return split && region(from) != region(to) || down && from != to && (from == flapping || to == flapping);
+        boolean apart = split && region(from) != region(to);
+        return apart || down && from != to && (from == flapping || to == flapping);
     }
 
     long delay(int from, int to) {
-        return SHORTEST[from == to ? 0 : region(from) == region(to) ? 1 : 2] + world.chance().nextLong(SPREAD);
+        long shortest = SHORTEST[from == to ? 0 : region(from) == region(to) ? 1 : 2];
+        return shortest + world.chance().nextLong(SPREAD);
     }
 
     /** Carries a message; {@code lost} is run where the connection is given up. */
--- a/src/main/java/cottonlock/lab/rollout/RolloutStudy.java
+++ b/src/main/java/cottonlock/lab/rollout/RolloutStudy.java
@@ -145,7 +145,8 @@
         d.links.flap(zone, 6 * SECOND, SECOND, end);
         d.world.until(d.world.now() + 20 * SECOND);
         d.publish(0, version(2));
-        List<Long> others = d.times(MOST, d.all().stream().filter(i -> d.proxies.get(i).zone != zone).toList());
+        List<Integer> outside = d.all().stream().filter(i -> d.proxies.get(i).zone != zone).toList();
+        List<Long> others = d.times(MOST, outside);
         List<Integer> inside = d.all().stream().filter(i -> d.proxies.get(i).zone == zone).toList();
         long within = last(d.times(end - d.world.now(), inside));
         d.world.until(end);
@@ -243,8 +244,9 @@
         Map<Version, Long> held = new LinkedHashMap<>();
         d.proxies.forEach(p -> held.merge(p.inForce(), 1L, Long::sum));
         long same = Collections.max(held.values());
-        return new Outcome(sorted.get(sorted.size() / 2) / 10, sorted.get((sorted.size() * 99 - 1) / 100) / 10,
-            sorted.get(sorted.size() - 1) / 10, d.worstCalls(), d.worstBytes(),
+        int n = sorted.size();
+        return new Outcome(sorted.get(n / 2) / 10, sorted.get((n * 99 - 1) / 100) / 10,
+            sorted.get(n - 1) / 10, d.worstCalls(), d.worstBytes(),
             d.proxies.stream().mapToInt(ProxyModel::wentBack).sum(),
             (int) d.proxies.stream().filter(ProxyModel::harmed).count(), (int) (d.proxies.size() - same),
             new java.util.TreeMap<>(more));
--- a/src/main/java/cottonlock/net/Config.java
+++ b/src/main/java/cottonlock/net/Config.java
@@ -46,15 +46,20 @@
         sameKeys("settings", before.root.get("settings"), root.get("settings"));
         seed();
         Settings settings = settings();
-        List<String> names = settings.each("Categories", "Name");
-        if (names.isEmpty() || names.contains("") || Set.copyOf(names).size() < names.size()) {
-            throw new Malformed("settings.Categories has no category, or one without a name of its own");
-        }
+        servable(settings);
         List<String> tenants = before.settings().each("Projects", "Name");
         if (!tenants.equals(settings.each("Projects", "Name"))) {
             // Lanes and quotas are laid out by their order: one moved would get another's.
             throw new Malformed("settings.Projects names other tenants, for which a new process is needed");
         }
+    }
+
+    /** Turns down settings that no work could be served by, whatever was in force before. */
+    static void servable(Settings settings) {
+        List<String> names = settings.each("Categories", "Name");
+        if (names.isEmpty() || names.contains("") || Set.copyOf(names).size() < names.size()) {
+            throw new Malformed("settings.Categories has no category, or one without a name of its own");
+        }
         for (int i = 0; i < names.size(); i++) {
             above(settings, "Categories." + i + ".DueTime");
             above(settings, "Categories." + i + ".Expiry");
@@ -107,6 +112,11 @@
         if (!(root.get("settings") instanceof Map<?, ?> map)) {
             throw new Malformed("no settings");
         }
+        return settings(map);
+    }
+
+    /** The settings of an object as JSON has it. */
+    static Settings settings(Map<?, ?> map) {
         Settings settings = new Settings();
         put(settings, "", map);
         return settings;
--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -63,6 +63,8 @@
     private final ListWatch watch;
     private final Workers workers = new Workers();
     private final Buffers buffers;
+    /** What learns of changes to the settings; null where nothing does. */
+    private RolloutActor rollout;
     /** The module that is only watched, or null. */
     private Shadow shadow;
 
@@ -138,6 +140,12 @@
         InetSocketAddress listen = config.address("listen");
         listener = new Listener(listen, shares, fromClients, (socket, from) -> new Client(socket, from,
             module, admission, buffers, spools, writer, watchdog, figures, log), workers, log);
+        if (operator.rollout() != null) {
+            rollout = new RolloutActor(operator.rollout(), settings, this::takeIn, new Shared(folder, name,
+                "configuration", log), clock, random.split(), log);
+            figures.also(rollout::figures);
+            rollout.begin();
+        }
         threads.add(Sockets.start("module", module));
         threads.add(Sockets.start("watchdog", watchdog));
         threads.add(Sockets.start("list", watch));
@@ -161,6 +169,9 @@
         if (members != null) {
             threads.add(Sockets.start("members", members.actor()));
         }
+        if (rollout != null) {
+            threads.add(Sockets.start("rollout", rollout));
+        }
         serves = true;
     }
 
@@ -205,26 +216,26 @@
 
     /**
      * Reads the configuration again: follows discovery to where it is now, and takes in work by the settings
-     * that it holds now. What it may not change stays as it is; a bad file changes nothing at all.
+     * that it holds now, unless control has told others. What it may not change stays as it is; a bad file
+     * changes nothing at all.
      */
     public synchronized void reload() {
         try {
             Config config = Config.read(configuration);
             config.mayFollow(inForce);
             Settings settings = config.settings();
-            Assembly assembly = new Assembly(settings);
-            // A file that could not start a proxy is not trusted with where discovery is either.
-            assembly.balancer(module, 0);
             InetSocketAddress discovery = config.address("discovery");
-            rules = new Rules(rules, assembly, settings);
+            // A file that could not start a proxy is not trusted with where discovery is either.
+            Assembly assembly = tried(settings);
+            boolean told = rollout != null && rollout.holds();
+            if (!told) {
+                takeIn(settings, assembly);
+            }
             inForce = config;
-            rules.names().forEach(figures::category);
-            // The module first: it must know a category before a request of it comes.
-            module.retune(rules.categories, settings.count("Limits.MaxHandOffs", 1));
-            admission.follow(rules);
             watch.move(discovery);
             figures.file(true);
-            log.info("configuration", "read again, discovery is at " + discovery);
+            log.info("configuration", "read again, discovery is at " + discovery
+                + (told ? "; the settings that control has told stay in force" : ""));
         } catch (RuntimeException e) {
             // A slip in a file must not end a proxy that serves.
             figures.file(false);
@@ -232,6 +243,27 @@
         }
     }
 
+    /** A module by these settings, to the side: whatever can't be built ends here. */
+    private Assembly tried(Settings settings) {
+        Assembly assembly = new Assembly(settings);
+        assembly.balancer(module, 0);
+        return assembly;
+    }
+
+    /** Takes in work by these settings from now on, or by the old ones where they can't be used. */
+    private synchronized void takeIn(Settings settings) {
+        takeIn(settings, tried(settings));
+    }
+
+    private void takeIn(Settings settings, Assembly assembly) {
+        int most = settings.count("Limits.MaxHandOffs", 1);
+        rules = new Rules(rules, assembly, settings);
+        rules.names().forEach(figures::category);
+        // The module first: it must know a category before a request of it comes.
+        module.retune(rules.categories, most);
+        admission.follow(rules);
+    }
+
     /**
      * Serves on for as long as what comes can still be answered, then answers what it has taken; returns when
      * all is answered. Clients whose front has nobody else for them would find nobody until the restart.
@@ -284,6 +316,9 @@
         }
         threads.forEach(Thread::interrupt);
         watch.close();
+        if (rollout != null) {
+            rollout.close();
+        }
         workers.close();
     }
 
--- /dev/null
+++ b/src/main/java/cottonlock/net/VersionLine.java
@@ -0,0 +1,158 @@
+package cottonlock.net;
+
+import cottonlock.rollout.Version;
+import cottonlock.setup.Malformed;
+import cottonlock.setup.Settings;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One version as a control machine tells it: {@code {"seq":43,"digest":"..","base":"..","settings":".."}}, or
+ * its number and digest alone. The verdict on its content hangs on its bytes and on the base, which all
+ * processes of a service share, so that all come to the same one.
+ */
+final class VersionLine {
+    /** What a process can follow: all other settings are the base that it was built on. */
+    private static final String CATEGORIES = "Categories.";
+    private static final String MOST = "Limits.MaxHandOffs";
+    /** A process's own: files of one service differ in them. */
+    private static final List<String> OWN = List.of("Me", "FleetSize");
+    private static final int DIGEST = 8;
+    private static final String HEX = "[0-9a-f]{16}";
+
+    final Version version;
+    private final String base;
+    /** Null where only the number and digest were told. */
+    final String content;
+
+    private VersionLine(Version version, String base, String content) {
+        this.version = version;
+        this.base = base;
+        this.content = content;
+    }
+
+    /**
+     * Reads a line.
+     *
+     * @throws Malformed for what is no whole version: the fault of who told it, not of the version
+     */
+    static VersionLine read(String line) {
+        Object value;
+        try {
+            value = Json.read(line);
+        } catch (IllegalArgumentException e) {
+            throw new Malformed("no version was told, but no JSON: " + e.getMessage());
+        }
+        if (!(value instanceof Map<?, ?> map)) {
+            throw new Malformed("no version was told, but no object");
+        }
+        String seq = String.valueOf(map.get("seq"));
+        if (!HttpReader.digits(seq) || Long.parseLong(seq) > Version.HIGHEST) {
+            throw new Malformed("the version's seq is no whole number of 2^53 at most: " + seq);
+        }
+        String digest = hex(map, "digest");
+        Version version = new Version(Long.parseLong(seq), Long.parseUnsignedLong(digest, 16));
+        if (!map.containsKey("settings")) {
+            return new VersionLine(version, null, null);
+        }
+        if (!(map.get("settings") instanceof String content)) {
+            throw new Malformed("version " + version + " has no settings");
+        }
+        if (digest(content) != version.digest()) {
+            throw new Malformed("version " + version + " came damaged: what was told has another digest");
+        }
+        return new VersionLine(version, hex(map, "base"), content);
+    }
+
+    private static String hex(Map<?, ?> map, String key) {
+        String value = String.valueOf(map.get(key));
+        if (!value.matches(HEX)) {
+            throw new Malformed("the version's " + key + " is not 16 hex digits: " + value);
+        }
+        return value;
+    }
+
+    /** The line again, as it is kept. */
+    static VersionLine of(Version version, String base, String content) {
+        return new VersionLine(version, base, content);
+    }
+
+    String base() {
+        return base;
+    }
+
+    /**
+     * Its settings, for a process of that base.
+     *
+     * @throws Malformed for what no process of the base can use
+     */
+    Settings judged(String ofProcess) {
+        Object value;
+        try {
+            value = Json.read(content);
+        } catch (IllegalArgumentException e) {
+            throw new Malformed("its settings are not JSON: " + e.getMessage());
+        }
+        if (!(value instanceof Map<?, ?> map)) {
+            throw new Malformed("its settings are no object");
+        }
+        for (String own : OWN) {
+            if (map.containsKey(own)) {
+                throw new Malformed("settings." + own + " is each process's own");
+            }
+        }
+        Settings settings = Config.settings(map);
+        Config.servable(settings);
+        for (int i = 0; i < settings.count(CATEGORIES + "count", 0); i++) {
+            // Left out, it would read as safe: what must not run twice would run twice.
+            told(settings, CATEGORIES + i + ".Repeat");
+            if (settings.text(CATEGORIES + i + ".Repeat", "").equals("keyed")) {
+                told(settings, CATEGORIES + i + ".KeyScope");
+                told(settings, CATEGORIES + i + ".RepeatWindow");
+            }
+        }
+        if (!base(settings).equals(base)) {
+            throw new Malformed("its settings are built on " + base(settings) + ", but it names " + base
+                + " as its base");
+        }
+        if (!base.equals(ofProcess)) {
+            throw new Malformed("it is built on other settings than this process (" + base + ", here "
+                + ofProcess + "), for which a new process is needed");
+        }
+        return settings;
+    }
+
+    private static void told(Settings settings, String path) {
+        if (settings.text(path, "").isEmpty()) {
+            throw new Malformed("the key settings." + path + " is missing");
+        }
+    }
+
+    /** What tells apart the settings that a process can't follow without being started anew. */
+    static String base(Settings settings) {
+        StringBuilder text = new StringBuilder();
+        settings.sorted().forEach((path, value) -> {
+            if (!path.startsWith(CATEGORIES) && !path.equals(MOST) && !OWN.contains(path)) {
+                text.append(path).append('=').append(value).append('\n');
+            }
+        });
+        return new Version(0, digest(text.toString())).hex();
+    }
+
+    /** The first eight bytes of the text's SHA-256, as UTF-8. */
+    static long digest(String text) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+            long digest = 0;
+            for (int i = 0; i < DIGEST; i++) {
+                digest = digest << 8 | hash[i] & 0xff;
+            }
+            return digest;
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/src/main/java/cottonlock/rollout/Rollout.java
+++ b/src/main/java/cottonlock/rollout/Rollout.java
@@ -9,8 +9,8 @@
 /**
  * Decides which version of the settings a proxy holds, and which control machine it calls when. Whoever
  * carries it keeps one watch, on the machine that {@link #watch} names, and tells what comes of it; between
- * lines, and at {@link #lookAt}, it asks {@link #leaves} and {@link #compare}. Times are tenths of a millisecond and never go back.
- * Not for several threads.
+ * lines, and at {@link #lookAt}, it asks {@link #leaves} and {@link #compare}. Times are tenths of a
+ * millisecond and never go back. Not for several threads.
  */
 @Decides
 public final class Rollout {
@@ -80,7 +80,7 @@
     /** Since when the watched machine has told of less than is known; -1: it has not. */
     private long aheadSince = -1;
     private long compareAt;
-    /** The machine that told of more than the watched one has, -1 none; what, and when the watch moves there. */
+    /** The machine that told of more than the watched one has, -1 none; what, and when the watch moves. */
     private int moveTo = -1;
     private Version moveFor;
     private long moveAt;
--- a/src/main/java/cottonlock/setup/Settings.java
+++ b/src/main/java/cottonlock/setup/Settings.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /** The settings of one instance, by path; what is not asked for is ignored. */
 public final class Settings {
@@ -25,6 +27,11 @@
         values.put(path, value);
     }
 
+    /** All of them, in the order of their paths. */
+    public SortedMap<String, String> sorted() {
+        return new TreeMap<>(values);
+    }
+
     public String text(String path, String otherwise) {
         return values.getOrDefault(path, otherwise);
     }
--- a/src/test/java/cottonlock/rollout/RolloutTest.java
+++ b/src/test/java/cottonlock/rollout/RolloutTest.java
@@ -34,7 +34,7 @@
         return new RolloutStudy(SIZE, SEED, habits).cases().get(name).get();
     }
 
-    /** What holds in each case; the most calls of a second at one control machine come from the plan's times. */
+    /** What holds in each case. */
     private static Outcome holds(String name, Habits habits, long bytes) {
         Outcome o = play(name, habits);
         assertTrue(o.all() >= 0 && o.all() <= IN_FORCE, name + " " + o);
@@ -132,7 +132,7 @@
     void allOfControlDownForTenMinutesAndBackAtOnce() {
         Outcome o = holds("control_down", Habits.USUAL, BYTES);
         assertEquals(SIZE, o.more().get("kept"), "the last good version is kept by all");
-        // One call in retry / 2 at most, drawn by chance over as long: three times the mean at one machine.
+        // One call in retry / 2 at most, drawn by chance over as long: three times the mean at a machine.
         assertTrue(o.calls() <= 3 * SIZE / RolloutStudy.CONTROL / 2, o.toString());
         assertTrue(late(play("control_down", new Habits() {
             @Override
@@ -199,7 +199,7 @@
     @Example
     void aChangeWhileControlIsOverloaded() {
         Outcome o = holds("overload", Habits.USUAL, BYTES);
-        // A call each 0.45 s at most by each proxy, spread over all near machines; half as much again by chance.
+        // A call each 0.45 s at most by each proxy, spread over near machines; half as much again by chance.
         double most = 1.5 * SIZE / 0.45 / RolloutStudy.CONTROL;
         assertTrue(o.calls() <= most, o.toString());
         Outcome off = play("overload", new Habits() {
@@ -208,7 +208,8 @@
                 return false;
             }
         });
-        assertTrue(off.calls() > most && off.bytes() > BYTES, "off: who is turned away calls at once: " + off);
+        assertTrue(off.calls() > most && off.bytes() > BYTES, "off: who is turned away calls at once: "
+            + off);
     }
 
     private static RolloutPlan plan(int near, int far) {
@@ -277,7 +278,7 @@
         }
     }
 
-    /** All but the last of 17 can't be reached: in one round the last one is called, within the worked-out time. */
+    /** All but the last of 17 can't be reached: a round calls each, within the worked-out time. */
     @Example
     void aRoundReachesEachMachine() {
         Rollout r = new Rollout(0, plan(8, 9), Version.NONE, new SplittableRandom(3));
@@ -292,6 +293,7 @@
         }
         assertTrue(now <= 20_000 + 17 * 6_500, "0.65 s each behind the first: " + now);
         long waited = r.watch(now).at() - now;
-        assertTrue(waited >= RolloutPlan.RETRY / 2 && waited <= RolloutPlan.RETRY, "then one by one: " + waited);
+        assertTrue(waited >= RolloutPlan.RETRY / 2 && waited <= RolloutPlan.RETRY, "then one by one: "
+            + waited);
     }
 }
