The operator's file asks for it; lab rollout plays and measures it

Every version has its own log line: one a second of a kind had swallowed a refusal 0.6 s after another (whatCannotBeUsedIsRefusedEverywhere failed on it, and passes since).

--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -267,6 +267,26 @@
             return new ScaleLab(System.out, System.err).run(file, seed, sets == null ? List.of() : sets, out);
         }
 
+        @Command(name = "rollout", mixinStandardHelpOptions = true,
+            description = "Plays how a change of the settings comes into force, in virtual time.",
+            footer = {"", "One seed gives the same figures on any machine.",
+            "Exit status: 0 played; 1 a change was not in force in time, or a version went back; "
+                + "2 an argument can't be used."})
+        int rollout(@Option(names = "--sizes", split = ",", defaultValue = "100,300,1000,3000",
+                    description = "Proxies; default ${DEFAULT-VALUE}.") List<Integer> sizes,
+                    @Option(names = "--seeds", split = ",", defaultValue = "1,2,3",
+                    description = "Default: ${DEFAULT-VALUE}.") List<Long> seeds,
+                    @Option(names = "--commit", defaultValue = "", paramLabel = "NAME",
+                    description = "Of what is played, for the files.") String commit,
+                    @Option(names = "--out", paramLabel = "DIR",
+                    description = "Where rollout-SIZE-SEED.json go.") Path out) {
+            if (sizes.stream().anyMatch(n -> n < 7 || n > 10_000)) {
+                spec.commandLine().getErr().println("cottonlock lab rollout: expected sizes of 7 to 10000");
+                return UNUSABLE;
+            }
+            return lab().rollout(sizes, seeds, commit, out);
+        }
+
         @Command(name = "sweep", mixinStandardHelpOptions = true,
             description = "Plays a scenario for each of several values of one setting.")
         int sweep(@Parameters(paramLabel = "SCENARIO") Path file,
--- a/src/main/java/cottonlock/lab/ControlMachine.java
+++ b/src/main/java/cottonlock/lab/ControlMachine.java
@@ -16,8 +16,8 @@
 import java.util.Map;
 
 /**
- * The stand-in of a control machine: it tells the versions of services' settings as docs/rollout.md has it. It
- * can be killed, lie behind, be overloaded, tell half a version and break off in the middle of a line.
+ * The stand-in of a control machine: it tells the versions of services' settings as docs/rollout.md has it.
+ * It can be killed, lie behind, be overloaded, tell half a version and break off in the middle of a line.
  */
 public final class ControlMachine implements AutoCloseable {
     private static final long BEAT = 2_000;
--- a/src/main/java/cottonlock/lab/Lab.java
+++ b/src/main/java/cottonlock/lab/Lab.java
@@ -37,6 +37,16 @@
         proxies.setLevel(java.util.logging.Level.OFF);
     }
 
+    /** Plays how changes of the settings come into force, and writes a file for each size and seed. */
+    public int rollout(List<Integer> sizes, List<Long> seeds, String commit, Path folder) {
+        try {
+            return new RolloutReport(out, commit, folder).play(sizes, seeds) ? 0 : 1;
+        } catch (IOException e) {
+            err.println(folder + ": " + e.getMessage());
+            return UNUSABLE;
+        }
+    }
+
     /**
      * Plays one scenario, and prints the verdict as the last line.
      *
--- a/src/main/java/cottonlock/net/Log.java
+++ b/src/main/java/cottonlock/net/Log.java
@@ -26,6 +26,11 @@
 
     /** For what must be told one by one, as far as anybody can read it. */
     void each(String kind, String text) {
+        each(System.Logger.Level.INFO, kind, text);
+    }
+
+    /** The same at a level. */
+    void each(System.Logger.Level level, String kind, String text) {
         long leftOut;
         synchronized (kinds) {
             long second = System.nanoTime() / GAP;
@@ -39,7 +44,7 @@
             told[0] = second;
             told[1] = 0;
         }
-        logger.log(System.Logger.Level.INFO, kind + ": " + text + left(leftOut));
+        logger.log(level, kind + ": " + text + left(leftOut));
     }
 
     private static String left(long out) {
--- a/src/main/java/cottonlock/net/RolloutActor.java
+++ b/src/main/java/cottonlock/net/RolloutActor.java
@@ -69,15 +69,15 @@
         Version last = Version.NONE;
         VersionLine line = keptLine();
         if (line != null && !line.base().equals(base)) {
-            log.info("version", line.version + " of an earlier process is built on other settings than the "
+            log.each("version", line.version + " of an earlier process is built on other settings than the "
                 + "file's, which are in force");
         } else if (line != null) {
             String fault = tried(line);
             if (fault == null) {
                 last = line.version;
-                log.info("version", last + " of an earlier process is in force");
+                log.each("version", last + " of an earlier process is in force");
             } else {
-                log.warn("version refused", line.version + " of an earlier process can't be used, the file's settings "
+                warn(line.version + " of an earlier process can't be used, the file's settings "
                     + "are in force: " + fault);
             }
         }
@@ -97,8 +97,8 @@
             + f.inForce().hex() + "\",\"configuration_known\":" + f.known().number()
             + ",\"configuration_behind_ms\":" + since(f.behind()) + ",\"configuration_control_lost_ms\":"
             + since(f.lost()) + ",\"configuration_ahead_ms\":" + since(f.ahead())
-            + ",\"configuration_refused_count\":" + f.refused() + ",\"configuration_calls_count\":" + f.calls()
-            + ",\"configuration_failed_count\":" + f.failed() + ",\"configuration_base\":\"" + base + '"';
+            + ",\"configuration_refused_count\":" + f.refused()
+            + ",\"configuration_calls_count\":" + f.calls() + ",\"configuration_failed_count\":" + f.failed() + ",\"configuration_base\":\"" + base + '"';
     }
 
     private long since(long at) {
@@ -242,15 +242,18 @@
         if (fault == null) {
             rollout.taken(line.version);
             keep(line);
-            log.info("version", line.version + " is in force, told by " + by);
+            log.each("version", line.version + " is in force, told by " + by);
         } else {
             rollout.refused(line.version, fault);
-            // A kind of its own: it must be told although another came into force within the same second.
-            log.warn("version refused", line.version + " is refused, " + (before.equals(Version.NONE)
+            warn(line.version + " is refused, " + (before.equals(Version.NONE)
                 ? "the file's settings stay" : before + " stays") + " in force: " + fault);
         }
     }
 
+    private void warn(String text) {
+        log.each(System.Logger.Level.WARNING, "version", text);
+    }
+
     /** Takes a version in; else why it can't be, and nothing of it is in force. */
     private String tried(VersionLine line) {
         try {
@@ -285,7 +288,7 @@
                 } catch (IllegalArgumentException e) {
                     // Told below, as what has another digest.
                 }
-                log.warn("version refused", "the one kept by an earlier process is damaged, and passed over");
+                warn("the one kept by an earlier process is damaged, and passed over");
             }
         }
         return null;
@@ -312,7 +315,8 @@
             for (String line : lines) {
                 String[] words = line.split(" ", 3);
                 if (line.startsWith("tries " + version + " ")) {
-                    ends[0] += HttpReader.digits(words[2]) ? (int) Math.min(ENDS, Long.parseLong(words[2])) : 0;
+                    ends[0] += HttpReader.digits(words[2]) ? (int) Math.min(ENDS, Long.parseLong(words[2]))
+                        : 0;
                 } else {
                     others.add(line);
                 }
--- a/src/test/java/cottonlock/cli/CliTest.java
+++ b/src/test/java/cottonlock/cli/CliTest.java
@@ -109,7 +109,8 @@
         String classes = Files.readString(loaded);
         assertTrue(classes.contains("cottonlock.net.Proxy "), "the log is there");
         for (String far : List.of("cottonlock.membership", "cottonlock.net.Members",
-                "cottonlock.setup.Membership",
+                "cottonlock.setup.Membership", "cottonlock.rollout", "cottonlock.net.Rollout",
+                "cottonlock.net.VersionLine", "cottonlock.setup.Rollout",
                 "javax.crypto", "cottonlock.config", "cottonlock.cli")) {
             assertFalse(classes.contains(far), far + " is loaded");
         }
@@ -134,6 +135,27 @@
         assertTrue(err.contains(key + " holds no key of 16 to 4096 bytes"), err);
     }
 
+    /** The same test, with changes learnt of: it would see the classes if they were loaded. */
+    @Example
+    void whereChangesAreLearntOfItsClassesAreLoaded() throws Exception {
+        Path folder = Files.createTempDirectory("cli");
+        Path operator = Files.writeString(folder.resolve("o.toml"), "[rollout]\nenabled = true\n"
+            + "service = \"s\"\ncontrol = [\"127.0.0.1:1\"]\n");
+        Path config = Files.writeString(folder.resolve("config.json"), CONFIG);
+        Path loaded = folder.resolve("loaded");
+        Process serve = process(Map.of("EDGE_CONFIG", config.toString()),
+            List.of("-Xlog:class+load:file=" + loaded), "serve", "--operator", operator.toString()).start();
+        try (java.io.BufferedReader lines = serve.errorReader()) {
+            String line = lines.readLine();
+            while (!line.contains("control: the watch at /127.0.0.1:1 ended: Connection refused")) {
+                line = lines.readLine();
+            }
+        } finally {
+            serve.destroyForcibly().waitFor();
+        }
+        assertTrue(Files.readString(loaded).contains("cottonlock.rollout.Rollout "), "the log is there");
+    }
+
     @Example
     void serveWithAnOperatorsFileWritesItsLogAsItSays() throws Exception {
         Path file = Files.createTempFile("operator", ".toml");
--- a/src/test/java/cottonlock/config/ConfigTest.java
+++ b/src/test/java/cottonlock/config/ConfigTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cottonlock.setup.RolloutPlan;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -50,6 +51,20 @@
                 "F:3: log.levle: unknown key; did you mean level?",
                 "F:4: lgo: unknown key; did you mean log?"),
             faults(".toml", "[log]\nformat = \"xml\"\nlevle = \"info\"\n[lgo]\n", OperatorFile::read));
+        assertEquals(List.of("F:3: rollout.service: expected up to 64 letters, digits, dots, dashes and "
+                + "underscores, found \"a b\"",
+                "F:4: rollout.control: expected an address of digits with a port, such as 127.0.0.1:5000, "
+                + "found \"there\"",
+                "F:5: rollout.call_ms: expected a number from 50 to 2000, found 10"),
+            faults(".toml", "[rollout]\nenabled = true\nservice = \"a b\"\ncontrol = [\"there\"]\n"
+                + "call_ms = 10\n", OperatorFile::read));
+        assertEquals(List.of("F:1: rollout.service: expected a service whose settings these are",
+                "F:1: rollout.control: expected a control machine or more"),
+            faults(".toml", "[rollout]\nenabled = true\n", OperatorFile::read));
+        Path rollout = Files.writeString(Files.createTempFile("rollout", ".toml"),
+            "[rollout]\nenabled = true\nservice = \"s\"\ncontrol = [\"127.0.0.1:1\"]\n");
+        assertEquals(new RolloutPlan("s", List.of("127.0.0.1:1"), List.of(), RolloutPlan.CALL,
+            RolloutPlan.COMPARE, RolloutPlan.RETRY), OperatorFile.read(rollout).rollout());
         assertEquals(1, faults(".toml", "[log\n", OperatorFile::read).size());
         BadFile missing = assertThrows(BadFile.class, () -> OperatorFile.read(Path.of("no/such.toml")));
         assertEquals(List.of("no/such.toml: there is no such file"), missing.faults());
--- a/src/test/java/cottonlock/net/RolloutProcessesTest.java
+++ b/src/test/java/cottonlock/net/RolloutProcessesTest.java
@@ -181,7 +181,7 @@
         first.start(backend, true);
         assertEquals("2", first.figure("configuration_version"), "kept by the process before");
         assertEquals(200, first.status("thrice"));
-        inTime(() -> !instances.get(1).figure("configuration_control_lost_ms").equals("-1"), "told to a pager");
+        inTime(() -> !instances.get(1).figure("configuration_control_lost_ms").equals("-1"), "a pager sees it");
         assertEquals(200, instances.get(1).status("thrice"), "in force as long as it takes");
         Instance second = instances.get(1);
         second.process.destroyForcibly().waitFor();
@@ -226,7 +226,7 @@
             assertEquals("2", i.figure("configuration_known"));
             assertEquals(200, i.status("twice"));
             assertEquals(404, i.status("thrice"));
-            assertEquals(1, i.lines("version refused: 2."), Files.readString(i.errors));
+            assertEquals(1, i.lines("WARNING version: 2."), Files.readString(i.errors));
             assertEquals(1, i.lines(" is refused, 1."), "one line: " + Files.readString(i.errors));
         }
         // The rollback: a new number with the older content.
@@ -309,12 +309,13 @@
         startHere(folder, machine);
         String poison = named("poison");
         Path kept = folder.resolve("cottonlock-p-127.0.0.1_0.configuration");
-        Files.writeString(kept, "cottonlock configuration 1\ntries 1." + ControlMachine.digest(poison) + " 3\n");
+        Files.writeString(kept, "cottonlock configuration 1\ntries 1." + ControlMachine.digest(poison)
+            + " 3\n");
         machine.publish("s", 1, base, poison);
         inTime(() -> Files.readString(kept).contains(" 4"), "marked again");
         assertEquals(404, status(call(request("poison", "1", "", "body"))));
         machine.publish("s", 2, base, named("twice"));
-        inTime(() -> status(call(request("twice", "n" + System.nanoTime(), "", "body"))) == 200, "the next one");
+        inTime(() -> status(call(request("twice", "n" + System.nanoTime(), "", "body"))) == 200, "the next");
         inTime(() -> Files.readString(kept).contains("version 2 "), "kept");
         assertTrue(!Files.readString(kept).contains("tries"), Files.readString(kept));
     }
--- a/src/test/java/cottonlock/net/VersionLineTest.java
+++ b/src/test/java/cottonlock/net/VersionLineTest.java
@@ -75,7 +75,8 @@
             assertTrue(fault.getMessage().contains(one[1]), fault.getMessage());
         }
         String others = SETTINGS.replace("\"z\"", "\"z\",\"y\"");
-        VersionLine onOthers = VersionLine.read(line(43, ControlMachine.digest(others), base(others), others));
+        VersionLine onOthers = VersionLine.read(line(43, ControlMachine.digest(others), base(others),
+            others));
         Malformed fault = assertThrows(Malformed.class, () -> onOthers.judged(base(SETTINGS)));
         assertTrue(fault.getMessage().contains("for which a new process is needed"), fault.getMessage());
         assertEquals(1, onOthers.judged(base(others)).count("Categories.count", 0));
@@ -84,8 +85,8 @@
     @Example
     void theBaseIsAllThatAProcessCannotFollow() {
         assertEquals(base(SETTINGS), base(SETTINGS.replace("\"read\"", "\"look\"").replace(":3", ":5")));
-        assertEquals(base(SETTINGS), base(SETTINGS.replace("\"Limits\"", "\"Me\":3,\"FleetSize\":9,\"Limits\"")),
-            "a process's own are none of it");
+        assertEquals(base(SETTINGS),
+            base(SETTINGS.replace("\"Limits\"", "\"Me\":3,\"FleetSize\":9,\"Limits\"")), "a process's own are none of it");
         assertTrue(!base(SETTINGS).equals(base(SETTINGS.replace("MaxHandOffs", "MaxHandOff"))));
     }
 }
