--- a/src/main/java/cottonlock/lab/scale/Calls.java
+++ b/src/main/java/cottonlock/lab/scale/Calls.java
@@ -199,6 +199,10 @@
         }
     }
 
+    long served() {
+        return served.get();
+    }
+
     /** Writes what came of the calls since the last reset; of backends, all that were ever used. */
     void write(JsonGenerator json) throws IOException {
         json.writeNumberField("served", served.get());
--- a/src/main/java/cottonlock/lab/scale/CapacityPage.java
+++ b/src/main/java/cottonlock/lab/scale/CapacityPage.java
@@ -11,11 +11,14 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Makes docs/CAPACITY.md of a folder: the prose of {@code page.md}, in which {@code {{NAME}}} stands for a
@@ -25,6 +28,8 @@
  */
 final class CapacityPage {
     private static final String MISSING = "not measured";
+    /** What a folder of an earlier state's results begins with. */
+    private static final String BEFORE = "before-";
     /** A ratio to a budget of nothing. */
     private static final String UNBOUND = "without bound";
     private static final Pattern PLACE = Pattern.compile("\\{\\{([^{}]*)}}");
@@ -42,8 +47,8 @@
     private final Path folder;
     private final Budget budget;
     private final List<ResultFile> results;
-    /** Results of an earlier state of the program, which are shown and enter no slope. */
-    private final List<ResultFile> before;
+    /** Results of earlier states of the program, by what changed since; they are shown and in no slope. */
+    private final Map<String, List<ResultFile>> before = new TreeMap<>();
     private final WorkedOut worked;
     private final List<Row> rows = new ArrayList<>();
 
@@ -51,8 +56,9 @@
         this.folder = folder;
         budget = Budget.read(folder.resolve("budget.toml"));
         results = ResultFile.all(folder);
-        Path earlier = folder.resolve("before");
-        before = Files.isDirectory(earlier) ? ResultFile.all(earlier) : List.of();
+        for (Path earlier : earlier(folder)) {
+            before.put(earlier.getFileName().toString().substring(BEFORE.length()), ResultFile.all(earlier));
+        }
         Slope list = slope("proxy", "figures.list_bytes");
         worked = new WorkedOut(budget.given,
             list == null ? Double.NaN : list.at(budget.given.get("operators.backends")));
@@ -61,6 +67,14 @@
         }
     }
 
+    private static List<Path> earlier(Path folder) throws BadFile {
+        try (Stream<Path> there = Files.list(folder)) {
+            return there.filter(f -> f.getFileName().toString().startsWith(BEFORE)).sorted().toList();
+        } catch (IOException e) {
+            throw new BadFile(List.of(folder + ": cannot be read: " + e.getMessage()));
+        }
+    }
+
     /** The page; faults of any file are told at once. */
     static String of(Path folder) throws BadFile, IOException {
         return new CapacityPage(folder).page();
@@ -110,8 +124,9 @@
         if (name.startsWith("measured ")) {
             return measured(results, name.substring("measured ".length()));
         }
-        if (name.startsWith("before ")) {
-            return measured(before, name.substring("before ".length()));
+        String[] words = name.split(" ");
+        if (words.length == 3 && words[0].equals("before") && before.containsKey(words[1])) {
+            return measured(before.get(words[1]), words[2]);
         }
         if (name.startsWith("without verdict ")) {
             String kind = name.substring("without verdict ".length());
@@ -219,14 +234,14 @@
         StringBuilder table = new StringBuilder("| result | verdict | machine late, 99.9% and worst, ms "
             + "| commit | in the slopes |\n| --- | --- | --- | --- | --- |");
         List<ResultFile> all = new ArrayList<>(results);
-        all.addAll(before);
+        before.values().forEach(all::addAll);
         for (ResultFile r : all) {
             double late = r.number("machine.late_ms_p999");
             table.append("\n| `").append(r.name).append("` | ").append(r.verdict()).append(" | ")
                 .append(Double.isNaN(late) ? "virtual time" : shown(late) + ", "
                     + shown(r.number("machine.late_ms_worst"))).append(" | ").append(r.text("commit"))
                 .append(" | ")
-                .append(before.contains(r) ? "no: before" : r.counts() ? "yes" : "no").append(" |");
+                .append(!results.contains(r) ? "no: before" : r.counts() ? "yes" : "no").append(" |");
         }
         return results.isEmpty() ? MISSING : table.toString();
     }
--- a/src/main/java/cottonlock/lab/scale/ProxyMeasure.java
+++ b/src/main/java/cottonlock/lab/scale/ProxyMeasure.java
@@ -91,7 +91,7 @@
             double busy = (ticks(process) - ticks) / TICKS / ((System.nanoTime() - from) / 1e9);
             calls.close();
             lateness.close();
-            String verdict = lateness.usual() > LATE_LIMIT ? "none" : "pass";
+            String verdict = lateness.usual() > LATE_LIMIT ? "none" : calls.served() == 0 ? "fail" : "pass";
             try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(result))) {
                 json.useDefaultPrettyPrinter();
                 json.writeStartObject();
--- a/src/main/java/cottonlock/lab/scale/ResultFile.java
+++ b/src/main/java/cottonlock/lab/scale/ResultFile.java
@@ -165,9 +165,12 @@
         return texts.getOrDefault("verdict", "pass");
     }
 
-    /** Whether figures may be taken from it: what ran on a late machine shows nothing. */
+    /**
+     * Whether figures may be taken from it: what ran on a late machine shows nothing, and a process that
+     * served nothing has no cost of serving. A fleet that broke a bound has its figures all the same.
+     */
     boolean counts() {
-        return !verdict().equals("none");
+        return !verdict().equals("none") && !(kind().equals("proxy") && verdict().equals("fail"));
     }
 
     String text(String path) {
