--- a/src/main/java/cottonlock/decision/Balancer.java
+++ b/src/main/java/cottonlock/decision/Balancer.java
@@ -938,7 +938,7 @@
                 b.spacedFrom = now;
                 b.spacing = random.nextDouble();
             }
-            // Half of what warm ones finish: they finish no more than they can do, but may be sent thrice that.
+            // Half of what warm ones finish: no more than they can do, while they may be sent thrice that.
             // All may send one until it is known. Spaced in time: one from each of hundreds pushed it over.
             double part = cold.multiple() / 2 * warmth * finishedPerSize * b.size();
             return (now - b.spacedFrom) * Math.max(part, 1.0 / shape.balancers()) >= cold.fall() * b.spacing;
