The first write of a request waits until somebody has looked whether its client is there

Observed by a probe: a connection's thread was held when it had read a request, its client closed, and the thread went on. 33 to 52 of 1,000 such requests were sent on: the module and the backend's actor were quicker than the thread that goes on to read and sees the end. On a proxy that was late these begin long after the close.

Ruled out: a read with a limit before the request goes to the module (1 ms is the shortest, for every request); available(), which tells no end; a channel in place of the socket, for the extra calls on each read.

The change: a write waits, 2 ms at most, until the reading thread has stood in its read for 0.1 ms, and that thread claims before it closes. The flood's test now sees that what waits in the line is answered by the module itself.

--- a/src/main/java/cottonlock/net/BackendConnection.java
+++ b/src/main/java/cottonlock/net/BackendConnection.java
@@ -157,6 +157,7 @@
 
     /** Writes it whole and returns null, or tells why its last byte was never written. */
     private Outcome write(ClientRequest.Attempt attempt) {
+        attempt.req.awaitLook();
         if (!attempt.req.hold()) {
             return Outcome.NOT_SENT;
         }
--- a/src/main/java/cottonlock/net/Client.java
+++ b/src/main/java/cottonlock/net/Client.java
@@ -89,14 +89,15 @@
             // The client is gone; what it was owed is settled below.
         } finally {
             ClientRequest unanswered = unanswered();
-            Sockets.close(socket);
-            if (buffer != null) {
-                buffers.give(buffer);
-            }
+            // Claimed before all else: it might just be about to be sent on.
             if (unanswered != null && unanswered.claim()) {
                 figures.over();
                 module.left(unanswered);
             }
+            Sockets.close(socket);
+            if (buffer != null) {
+                buffers.give(buffer);
+            }
             listener.ended(this);
         }
     }
@@ -126,6 +127,7 @@
                 // same: not read on, it was not noticed, and what it had asked for was sent on after it had
                 // gone.
                 reader.within(owed && reader.ahead() ? LOOK : asked ? REST : READ);
+                looks();
                 if (!reader.more()) {
                     return false;
                 }
@@ -154,6 +156,12 @@
         }
     }
 
+    private synchronized void looks() {
+        if (req != null) {
+            req.looks();
+        }
+    }
+
     /** Waits for the answer under way: whoever sends without end is read no further meanwhile, so that nobody
      * sees it leave. */
     private synchronized void awaitAnswer() throws IOException {
--- a/src/main/java/cottonlock/net/ClientRequest.java
+++ b/src/main/java/cottonlock/net/ClientRequest.java
@@ -7,9 +7,15 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 /** A request on its way through the sockets: what came of it, and who still needs its body. */
 final class ClientRequest {
+    /** Nanoseconds that a look at a client takes: a read that finds its end returns at once. */
+    private static final long LOOK = 100_000;
+    /** How often that is waited for the look: whoever reads has had a core by then. */
+    private static final int LOOKS = 20;
+
     final Client client;
     final String method;
     final String target;
@@ -41,6 +47,8 @@
     long number;
     final List<Attempt> attempts = new ArrayList<>(1);
     int out;
+    /** When its client was first looked at behind it, by the monotonic clock; 0: not yet. */
+    private long lookedAt;
     /** Whether its client may leave unseen; the module's thread alone. */
     boolean unseen;
 
@@ -64,6 +72,23 @@
         this.expiry = expiry;
     }
 
+    /** From the thread that has read it: it reads on, and sees it if its client has gone meanwhile. */
+    synchronized void looks() {
+        lookedAt = lookedAt == 0 ? System.nanoTime() : lookedAt;
+    }
+
+    private synchronized boolean looked() {
+        return lookedAt != 0 && System.nanoTime() - lookedAt >= LOOK;
+    }
+
+    /** Waits, 2 ms at most, until that thread has looked. Where a request was read late its client may have
+     * left before; without the wait three to five of a hundred such were sent on. */
+    void awaitLook() {
+        for (int i = 0; i < LOOKS && !looked() && !claimed(); i++) {
+            LockSupport.parkNanos(LOOK);
+        }
+    }
+
     /** True for the one caller that may give the final answer, or note that nobody waits for it. */
     boolean claim() {
         if (!claimed.compareAndSet(false, true)) {
--- a/src/test/java/cottonlock/net/ClientsThatLeaveTest.java
+++ b/src/test/java/cottonlock/net/ClientsThatLeaveTest.java
@@ -186,11 +186,16 @@
         CountDownLatch goOn = new CountDownLatch(1);
         List<Socket> sockets = fill(1, goOn);
         flood(sockets.remove(8));
-        eventually(() -> stands("Client.awaitAnswer"), "it is read no further");
+        eventually(() -> stands("Object.wait.*Client.awaitAnswer"), "it is read no further");
         long since = clock.now();
         eventually(() -> clock.now() - since > 1_000, "it may have left 0.1 s ago");
-        answer.countDown();
+        CountDownLatch further = new CountDownLatch(1);
+        proxy.module().hang(() -> awaits(further));
         goOn.countDown();
+        eventually(() -> proxy.listener().clients().stream().filter(Client::owed).count() == 8,
+            "answered at once, by no attempt's end");
+        answer.countDown();
+        further.countDown();
         for (Socket socket : sockets) {
             assertEquals(200, status(receive(socket)));
         }
@@ -317,6 +322,31 @@
         eventually(() -> buffers.left() == 16, "all buffers are back");
     }
 
+    /** It was read late, its client had gone before, and the thread that sees that has not yet looked. */
+    @Example
+    void beforeTheFirstLookAtItsClient() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        Sent first = attempt(null);
+        BackendConnection connection = connection(backend, first);
+        Thread thread = Sockets.start("connection", connection);
+        eventually(() -> first.attempt.settled() && stands(RESTS), "it rests");
+        Sent next = attempt(null);
+        assertTrue(next.attempt.attach(connection));
+        Thread writer = Sockets.thread("writer", () -> connection.send(next.attempt));
+        synchronized (next.request) {
+            writer.start();
+            eventually(() -> writer.getState() == Thread.State.BLOCKED, "its write waits for the look");
+            assertTrue(next.request.claim());
+        }
+        writer.join(4_000);
+        eventually(next.attempt::settled, "settled");
+        assertEquals(1, backend.requests.size());
+        backend.sockets.forEach(Sockets::close);
+        thread.join(4_000);
+        assertTrue(first.request.claim());
+        eventually(() -> buffers.left() == 16, "all buffers are back");
+    }
+
     // Behind another request
 
     @Example
@@ -420,7 +450,7 @@
         eventually(() -> one.requests.size() + other.requests.size() == 1, "the first is out");
         Client client = onlyClient();
         flood(socket);
-        eventually(() -> stands("Client.awaitAnswer"), "it is read no further");
+        eventually(() -> stands("Object.wait.*Client.awaitAnswer"), "it is read no further");
         settle();
         assertTrue(client.owed(), "its first attempt is waited for");
         goOn.countDown();
