--- a/src/main/java/cottonlock/lab/scale/Budget.java
+++ b/src/main/java/cottonlock/lab/scale/Budget.java
@@ -39,11 +39,12 @@
      * @param part    the role, event or mechanism
      * @param source  where the figure comes from: KIND:PATH or worked:NAME; "none:" where nothing tells it
      * @param at      the size that a slope is worked out to, by name
+     * @param slope   whether a slope over sizes says something of it; else it is shown by size alone
      * @param budget  what it may be, by name; empty where nothing is said
      * @param carried the class that carries it; "nothing" and why where none does
      */
-    record Need(String part, String figure, String source, String at, String unit, String budget,
-                String carried) {
+    record Need(String part, String figure, String source, String at, boolean slope, String unit,
+                String budget, String carried) {
         boolean uncarried() {
             return carried.startsWith("nothing");
         }
@@ -90,7 +91,7 @@
             String at = f.formed("at", SIZE, KEY, "a name such as operators.backends");
             budget.needs.add(new Need(f.text("part", null), f.text("figure", null),
                 f.formed("source", null, SOURCE, "KIND:PATH, worked:NAME or none:"), at,
-                f.text("unit", ""), key, f.text("carried", null)));
+                f.flag("slope", true), f.text("unit", ""), key, f.text("carried", null)));
             for (String name : List.of(key, at)) {
                 if (!name.isEmpty() && !name.startsWith("worked.") && !budget.given.containsKey(name)) {
                     f.fault(name.equals(key) ? "budget" : "at", "there is no figure " + name);
--- a/src/main/java/cottonlock/lab/scale/CapacityPage.java
+++ b/src/main/java/cottonlock/lab/scale/CapacityPage.java
@@ -143,9 +143,18 @@
         };
     }
 
+    /** Whether a figure of calls is of a process that fell behind them: it shows no cost of that rate. */
+    private boolean behind(ResultFile r, String path) {
+        return path.startsWith("calls.") && !(r.number("calls.served") > 0
+            && r.number("calls.p50_ms") <= budget.given.get("assumed.due_ms"));
+    }
+
+    private boolean usable(ResultFile r, String kind, String path) {
+        return r.kind().equals(kind) && r.counts() && !Double.isNaN(r.number(path)) && !behind(r, path);
+    }
+
     private Slope slope(String kind, String path) {
-        List<Slope.Point> points = results.stream()
-            .filter(r -> r.kind().equals(kind) && r.counts() && !Double.isNaN(r.number(path)))
+        List<Slope.Point> points = results.stream().filter(r -> usable(r, kind, path))
             .map(r -> new Slope.Point(r.size(), r.number(path))).toList();
         return Slope.fit(points, kind.equals("latency") ? LEAST_TIERS : Slope.LEAST);
     }
@@ -164,20 +173,28 @@
             double value = named("worked." + need.path());
             return new Row(need, value, Double.isNaN(value) ? MISSING : "worked out", allowed);
         }
+        if (!need.slope()) {
+            return new Row(need, Double.NaN, "by size, below", allowed);
+        }
         double size = named(need.at());
         Slope slope = slope(need.kind(), need.path());
         String never = results.stream().filter(r -> r.kind().equals(need.kind()) && r.never(need.path()))
             .map(r -> exact(r.size())).distinct().collect(Collectors.joining(", "));
-        String note = never.isEmpty() ? "" : "; never came at " + never;
+        String late = results.stream().filter(r -> r.kind().equals(need.kind()) && r.counts()
+            && !Double.isNaN(r.number(need.path())) && behind(r, need.path())).map(r -> exact(r.size()))
+            .distinct().collect(Collectors.joining(", "));
+        String note = (never.isEmpty() ? "" : "; never came at " + never)
+            + (late.isEmpty() ? "" : "; fell behind at " + late);
         if (slope == null) {
-            long sizes = results.stream().filter(r -> r.kind().equals(need.kind()) && r.counts()
-                && !Double.isNaN(r.number(need.path()))).map(ResultFile::size).distinct().count();
+            long sizes = results.stream().filter(r -> usable(r, need.kind(), need.path()))
+                .map(ResultFile::size).distinct().count();
             int least = need.kind().equals("latency") ? LEAST_TIERS : Slope.LEAST;
             return new Row(need, Double.NaN, MISSING + (sizes == 0 ? "" : ": " + sizes + " of the " + least
                 + " sizes that a slope needs") + note, allowed);
         }
         String how = slope.law() + ", " + slope.sizes() + " sizes to " + exact(slope.largest())
-            + "; spread " + percent(slope.spread()) + ", seeds " + percent(slope.seeds())
+            + "; spread " + percent(slope.spread()) + ", "
+            + (Double.isNaN(slope.seeds()) ? "one seed" : "seeds " + percent(slope.seeds()))
             + (slope.beyond(size) > 1 ? "; " + shown(slope.beyond(size)) + " times beyond" : "")
             + (slope.other() == null ? "" : "; " + slope.other().law() + ": "
             + shown(slope.other().at(size))) + note;
@@ -190,7 +207,7 @@
         for (Row row : rows) {
             if (row.need.part().equals(name)) {
                 table.append("\n| ").append(row.need.figure()).append(" | ").append(row.how).append(" | ")
-                    .append(withUnit(row.value, row.need.unit())).append(" | ")
+                    .append(row.need.slope() ? withUnit(row.value, row.need.unit()) : "-").append(" | ")
                     .append(Double.isNaN(row.budget) ? "-" : exact(row.budget)).append(" | ")
                     .append(Double.isNaN(row.ratio()) ? "-" : shown(row.ratio())).append(" | ")
                     .append(row.need.carried()).append(" |");
@@ -225,7 +242,7 @@
     }
 
     private String missing() {
-        return rows.stream().filter(r -> Double.isNaN(r.value))
+        return rows.stream().filter(r -> Double.isNaN(r.value) && r.need.slope())
             .map(r -> "- " + r.need.part() + ": " + r.need.figure() + " (" + r.how + ")")
             .collect(Collectors.joining("\n"));
     }
--- a/src/main/java/cottonlock/lab/scale/Slope.java
+++ b/src/main/java/cottonlock/lab/scale/Slope.java
@@ -14,7 +14,8 @@
  * @param base     of the line: its value at size 0; of the power law: its value at size 1
  * @param rise     of the line: its rise for each one of size; of the power law: the exponent
  * @param spread   root mean square of the points' distances from it, as a part of their mean
- * @param seeds    the greatest distance of two seeds of one size, as a part of that size's mean
+ * @param seeds    the greatest distance of two seeds of one size, as a part of that size's mean; NaN where no
+ *                 size has two
  * @param other    what the other law would say, for the same sizes; null where no power law can be had
  * @param sizes    how many sizes it rests on
  * @param largest  of the sizes
@@ -36,12 +37,16 @@
         if (bySize.size() < Math.max(2, least)) {
             return null;
         }
-        double seeds = 0;
+        double seeds = Double.NaN;
         for (List<Double> values : bySize.values()) {
+            if (values.size() < 2) {
+                continue;
+            }
             double mean = values.stream().mapToDouble(v -> v).average().orElse(0);
             double high = values.stream().mapToDouble(v -> v).max().orElse(0);
             double low = values.stream().mapToDouble(v -> v).min().orElse(0);
-            seeds = Math.max(seeds, high == low ? 0 : (high - low) / Math.max(1e-12, Math.abs(mean)));
+            double apart = high == low ? 0 : (high - low) / Math.max(1e-12, Math.abs(mean));
+            seeds = Double.isNaN(seeds) ? apart : Math.max(seeds, apart);
         }
         double largest = bySize.keySet().stream().mapToDouble(s -> s).max().orElse(0);
         double[] line = line(points);
--- a/src/test/java/cottonlock/lab/scale/CapacityPageTest.java
+++ b/src/test/java/cottonlock/lab/scale/CapacityPageTest.java
@@ -94,7 +94,7 @@
     @Example
     void aSlopeIsWorkedOutToTheOperatorsSize() throws Exception {
         String page = CapacityPage.of(copy(FIXTURE));
-        assertTrue(page.contains("| memory | linear, 4 sizes to 400; spread 0%, seeds 0%; 7.5 times beyond; "
+        assertTrue(page.contains("| memory | linear, 4 sizes to 400; spread 0%, one seed; 7.5 times beyond; "
             + "power: "), page);
         assertTrue(page.contains(" | 350 MB | 128 | 2.73 | `net.BackendActor` |"), page);
         assertTrue(page.contains("| 2.73 | proxy: memory | 350 MB | 128 | `net.BackendActor` |"), page);
@@ -131,7 +131,7 @@
         assertTrue(page.contains("| `proxy-400-2.json` | pass | 812, 930 | 0123abc | no: before |"), page);
         assertTrue(page.contains("350 MB"), page);
         assertTrue(page.endsWith("| `figures.rss_mb` | 999 |\n| `figures.first_200_ms` | 500 |\n"
-            + "| runs | 1 |\n"), page);
+            + "| `calls.cpu_share` | 0.5 |\n| runs | 1 |\n"), page);
     }
 
     @Example
@@ -160,6 +160,29 @@
         assertTrue(page.contains("- tool: state (not measured)"), page);
     }
 
+    /** The calls' processor time in the fixture is 0.1 and 0.001 for each entry. */
+    @Example
+    void whatAProcessCostThatFellBehindItsCallsIsInNoSlope() throws Exception {
+        Path folder = copy(FIXTURE);
+        assertTrue(CapacityPage.of(folder).contains(" | 3.1 of a core | - | - | `net.Proxy` |"));
+        change(folder.resolve("proxy-400-1.json"), "\"p50_ms\": 2.5", "\"p50_ms\": 4960");
+        String page = CapacityPage.of(folder);
+        assertTrue(page.contains("| calls | not measured: 3 of the 4 sizes that a slope needs; "
+            + "fell behind at 400 |"), page);
+        assertTrue(page.contains("350 MB"), page);
+    }
+
+    @Example
+    void whatHasNoSlopeIsShownBySizeAlone() throws Exception {
+        Path folder = copy(FIXTURE);
+        change(folder.resolve("budget.toml"), "source = \"proxy:figures.rss_mb\"",
+            "source = \"proxy:figures.rss_mb\"\nslope = false");
+        String page = CapacityPage.of(folder);
+        assertTrue(page.contains("| memory | by size, below | - | 128 | - | `net.BackendActor` |"), page);
+        assertTrue(page.contains("| `figures.rss_mb` | 60 | 70 | 80 | 90 |"), page);
+        assertFalse(page.contains("- proxy: memory"), page);
+    }
+
     @Example
     void whatNeverCameIsSaid() throws Exception {
         Path folder = copy(FIXTURE);
--- a/src/test/java/cottonlock/lab/scale/SlopeTest.java
+++ b/src/test/java/cottonlock/lab/scale/SlopeTest.java
@@ -26,6 +26,7 @@
         Slope slope = Slope.fit(SIZES.stream().map(s -> new Point(s, base + rise * s)).toList(), 4);
         assertEquals(base + rise * 3_000, slope.at(3_000), NEAR * (base + rise * 3_000));
         assertEquals(0, slope.spread(), NEAR);
+        assertTrue(Double.isNaN(slope.seeds()), "no size has two seeds");
         assertEquals(3, slope.beyond(3_000));
         assertEquals(1, slope.beyond(500));
     }
