--- a/src/main/java/cottonlock/cli/Cli.java
+++ b/src/main/java/cottonlock/cli/Cli.java
@@ -158,8 +158,8 @@
 
         @Override
         public Integer call() {
-            spec.commandLine().getErr().println("cottonlock lab: expected run, compare, members, scale or sweep; --help "
-                + "tells more");
+            spec.commandLine().getErr().println("cottonlock lab: expected run, compare, members, scale or "
+                + "sweep; --help tells more");
             return UNUSABLE;
         }
 
@@ -235,8 +235,8 @@
                     @Option(names = "--known", defaultValue = "0", paramLabel = "N", description =
                     "With zones: addresses that each member is told; 0: all.") int known) {
             if (zones != 1 || regions != 1) {
-                if (regions < 1 || zones < 2 || regions > zones || zones > 64 || quiet < 1 || apart < 1 || known < 0
-                    || sizes.stream().anyMatch(n -> n < zones || n > 4_096)) {
+                if (regions < 1 || zones < 2 || regions > zones || zones > 64 || quiet < 1 || apart < 1
+                    || known < 0 || sizes.stream().anyMatch(n -> n < zones || n > 4_096)) {
                     spec.commandLine().getErr().println("cottonlock lab members: expected 2 to 64 zones, no "
                         + "more regions than zones, sizes from the zones to 4096, and one second or more");
                     return UNUSABLE;
--- a/src/main/java/cottonlock/lab/RolloutReport.java
+++ b/src/main/java/cottonlock/lab/RolloutReport.java
@@ -33,8 +33,8 @@
     /** Plays all; whether each case kept to what is promised. */
     boolean play(List<Integer> sizes, List<Long> seeds) throws IOException {
         boolean kept = true;
-        out.println(" size  seed  case            in force, ms: half   99%    all  calls/s  bytes/s  back  harmed"
-            + "  differ");
+        out.println(" size  seed  case            in force, ms: half   99%    all  calls/s  bytes/s  back"
+            + "  harmed  differ");
         for (int size : sizes) {
             for (long seed : seeds) {
                 RolloutStudy study = new RolloutStudy(size, seed, Habits.USUAL);
@@ -54,8 +54,9 @@
     }
 
     private boolean tell(int size, long seed, String name, Outcome o) {
-        out.printf(Locale.ROOT, "%5d  %4d  %-15s  %16d %5d %6d  %7d  %7d  %4d  %6d  %6d  %s%n", size, seed, name,
-            o.half(), o.most(), o.all(), o.calls(), o.bytes(), o.back(), o.harmed(), o.differ(), o.more());
+        out.printf(Locale.ROOT, "%5d  %4d  %-15s  %16d %5d %6d  %7d  %7d  %4d  %6d  %6d  %s%n", size, seed,
+            name, o.half(), o.most(), o.all(), o.calls(), o.bytes(), o.back(), o.harmed(), o.differ(),
+            o.more());
         return o.all() >= 0 && o.all() <= PROMISED && o.back() + o.harmed() + o.differ() == 0;
     }
 
--- a/src/main/java/cottonlock/lab/scale/Bounds.java
+++ b/src/main/java/cottonlock/lab/scale/Bounds.java
@@ -48,7 +48,8 @@
         hosts = (hollow + fleet.perJvm() - 1) / fleet.perJvm();
         processes = hosts + fleet.real() + file.control.machines() + 2;
         double held = fleet.size() * (ENTRY_KB + (file.membership == null ? 0 : MEMBER_KB)) / 1_024;
-        hollowHeapMb = SPARE_MB + (int) (fleet.size() * READING_KB / 1_024) + (int) Math.ceil(Math.min(hollow, fleet.perJvm()) * held);
+        hollowHeapMb = SPARE_MB + (int) (fleet.size() * READING_KB / 1_024)
+            + (int) Math.ceil(Math.min(hollow, fleet.perJvm()) * held);
         controlHeapMb = SPARE_MB / 2 + fleet.size() / 64;
         memoryMb = hosts * (JVM + hollowHeapMb) + hollow * 2 * THREAD_KB / 1_024
             + fleet.real() * (SERVE + fleet.size() * ACTOR_KB / 1_024)
--- a/src/main/java/cottonlock/lab/scale/RealHost.java
+++ b/src/main/java/cottonlock/lab/scale/RealHost.java
@@ -204,7 +204,7 @@
             while (!ended) {
                 Thread.sleep(BETWEEN);
                 for (Map.Entry<Long, Awaited> one : awaited.entrySet()) {
-                    // Takes back what nobody has taken out: it changes nothing, and tells whether it is listed.
+                    // Takes back what nobody has taken out: changes nothing, and tells whether it is listed.
                     String answer = lives() ? call("ONLINE " + one.getValue().id) : null;
                     if (answer != null && answer.equals("ACK\n") == one.getValue().listed) {
                         heldAt.put(one.getKey(), System.nanoTime());
--- a/src/main/java/cottonlock/lab/scale/Samples.java
+++ b/src/main/java/cottonlock/lab/scale/Samples.java
@@ -9,7 +9,9 @@
  */
 final class Samples {
     /** What is counted; all but the worst are sums over the role. */
-    enum What { BYTES_IN, BYTES_OUT, MESSAGES_IN, MESSAGES_OUT, WORST_OUT, CPU, RESIDENT_MB, CALLS, WHOLE_LISTS }
+    enum What {
+        BYTES_IN, BYTES_OUT, MESSAGES_IN, MESSAGES_OUT, WORST_OUT, CPU, RESIDENT_MB, CALLS, WHOLE_LISTS
+    }
 
     private final Map<String, TreeMap<Long, double[]>> roles = new TreeMap<>();
 
--- a/src/main/java/cottonlock/lab/scale/ScaleFile.java
+++ b/src/main/java/cottonlock/lab/scale/ScaleFile.java
@@ -24,7 +24,7 @@
     record Fleet(int size, int real, int perJvm, int regions, int zones, int racks, int services) {
     }
 
-    /** The machines of control: calls a second of each; time until another takes over a dead one's address. */
+    /** The machines of control: calls a second of each; time until another takes a dead one's address. */
     record Control(int machines, double calls, long takeover) {
     }
 
--- a/src/main/java/cottonlock/lab/scale/ScaleReport.java
+++ b/src/main/java/cottonlock/lab/scale/ScaleReport.java
@@ -114,7 +114,8 @@
             + "views=%.3f late_ms=%.1f", verdict.name().toLowerCase(Locale.ROOT), file.fleet.size(),
             file.fleet.real(), run.count(ScaleRun.HOLLOW), file.seed, inForce, missing,
             mean(ScaleRun.HOLLOW, What.CPU), resident(ScaleRun.HOLLOW), mean(ScaleRun.HOLLOW, What.BYTES_IN),
-            mean(ScaleRun.HOLLOW, What.BYTES_OUT), run.samples().worst(ScaleRun.CONTROL, from, to, What.CALLS),
+            mean(ScaleRun.HOLLOW, What.BYTES_OUT),
+            run.samples().worst(ScaleRun.CONTROL, from, to, What.CALLS),
             run.viewsShare, lateMs);
     }
 
@@ -201,7 +202,8 @@
         if (role.equals(ScaleRun.CONTROL)) {
             figures.put("calls_s_worst", run.samples().worst(role, from, to, What.CALLS));
         } else if (role.equals(ScaleRun.HOLLOW) && file.membership != null) {
-            figures.put("datagram_bytes_out_s_worst_one", run.samples().worst(role, from, to, What.WORST_OUT));
+            figures.put("datagram_bytes_out_s_worst_one",
+                run.samples().worst(role, from, to, What.WORST_OUT));
         }
         return figures;
     }
@@ -265,8 +267,8 @@
         page.append("<table><tr><th>event</th><th class=\"n\">changes</th><th class=\"n\">at half, ms</th>"
             + "<th class=\"n\">at 99%</th><th class=\"n\">at all</th><th class=\"n\">missing</th></tr>\n");
         for (ScaleEvent e : run.events()) {
-            page.append(String.format(Locale.ROOT, "<tr><td>%s</td><td class=\"n\">%d</td><td class=\"n\">%.0f"
-                + "</td><td class=\"n\">%.0f</td><td class=\"n\">%.0f</td><td class=\"n\">%d</td></tr>\n",
+            page.append(String.format(Locale.ROOT, "<tr><td>%s</td><td class=\"n\">%d</td><td class=\"n\">"
+                + "%.0f</td><td class=\"n\">%.0f</td><td class=\"n\">%.0f</td><td class=\"n\">%d</td></tr>\n",
                 e.name, e.changes.size(), e.worstMs(0.5), e.worstMs(0.99), e.worstMs(1), e.missing()));
         }
         page.append("</table>\n");
--- a/src/main/java/cottonlock/lab/scale/ScaleRun.java
+++ b/src/main/java/cottonlock/lab/scale/ScaleRun.java
@@ -433,7 +433,8 @@
                 Thread.sleep(10 * BETWEEN);
             } while (viewsShare < 1 && System.nanoTime() < until);
             viewsSettled = viewsShare >= 1 ? (System.nanoTime() - begun) / 1e9 : -1;
-            progress.accept(String.format(java.util.Locale.ROOT, "  views hold %.3f of the fleet", viewsShare));
+            progress.accept(String.format(java.util.Locale.ROOT, "  views hold %.3f of the fleet",
+                viewsShare));
         }
         finish(start);
     }
@@ -474,7 +475,8 @@
         event.to = System.nanoTime() / SECOND;
         awaitTold(event.to - 1);
         progress.accept(String.format(java.util.Locale.ROOT,
-            "  %s: %d changes, in force at half after %.0f ms, at 99%% after %.0f, at all after %.0f; %d missing",
+            "  %s: %d changes, in force at half after %.0f ms, at 99%% after %.0f, at all after %.0f; "
+                + "%d missing",
             event.name, event.changes.size(), event.worstMs(0.5), event.worstMs(0.99), event.worstMs(1),
             event.missing()));
     }
--- a/src/main/java/cottonlock/lab/scale/Topology.java
+++ b/src/main/java/cottonlock/lab/scale/Topology.java
@@ -94,7 +94,7 @@
         return secondByte < FIRST_ZONE ? -1 : secondByte - FIRST_ZONE;
     }
 
-    /** Where a machine of control is asked by proxies of a role; an address each, so as to tell them apart. */
+    /** Where a machine of control is asked by proxies of a role; an address each, to tell them apart. */
     String controlIp(int machine, boolean byReal) {
         return "127." + CONTROL + "." + machine + "." + (byReal ? 2 : 1);
     }
--- a/src/main/java/cottonlock/net/RolloutActor.java
+++ b/src/main/java/cottonlock/net/RolloutActor.java
@@ -98,7 +98,8 @@
             + ",\"configuration_behind_ms\":" + since(f.behind()) + ",\"configuration_control_lost_ms\":"
             + since(f.lost()) + ",\"configuration_ahead_ms\":" + since(f.ahead())
             + ",\"configuration_refused_count\":" + f.refused()
-            + ",\"configuration_calls_count\":" + f.calls() + ",\"configuration_failed_count\":" + f.failed() + ",\"configuration_base\":\"" + base + '"';
+            + ",\"configuration_calls_count\":" + f.calls() + ",\"configuration_failed_count\":" + f.failed()
+            + ",\"configuration_base\":\"" + base + '"';
     }
 
     private long since(long at) {
--- a/src/test/java/cottonlock/lab/scale/ScaleTest.java
+++ b/src/test/java/cottonlock/lab/scale/ScaleTest.java
@@ -193,7 +193,8 @@
                 process.onExit().get(10, TimeUnit.SECONDS);
             }
             String json = Files.readString(folder.resolve("scale-63-1.json"));
-            assertTrue(json.contains("\"interrupted\" : true") && json.contains("\"verdict\" : \"none\""), json);
+            assertTrue(json.contains("\"interrupted\" : true") && json.contains("\"verdict\" : \"none\""),
+                json);
         } finally {
             run.destroyForcibly();
         }
--- a/src/test/java/cottonlock/membership/TableTest.java
+++ b/src/test/java/cottonlock/membership/TableTest.java
@@ -107,7 +107,7 @@
         assertArrayEquals(marks, table.marks(parts), parts + " parts");
     }
 
-    /** Names with one hash are rare by chance, and can be made on purpose: they are told apart all the same. */
+    /** Names with one hash are rare by chance, and can be made on purpose: they are told apart. */
     @Example
     void namesOfOneHashAreToldApart() {
         String[] alike = alike();
--- a/src/test/java/cottonlock/net/RolloutProcessesTest.java
+++ b/src/test/java/cottonlock/net/RolloutProcessesTest.java
@@ -181,7 +181,8 @@
         first.start(backend, true);
         assertEquals("2", first.figure("configuration_version"), "kept by the process before");
         assertEquals(200, first.status("thrice"));
-        inTime(() -> !instances.get(1).figure("configuration_control_lost_ms").equals("-1"), "a pager sees it");
+        inTime(() -> !instances.get(1).figure("configuration_control_lost_ms").equals("-1"),
+            "a pager sees it");
         assertEquals(200, instances.get(1).status("thrice"), "in force as long as it takes");
         Instance second = instances.get(1);
         second.process.destroyForcibly().waitFor();
--- a/src/test/java/cottonlock/net/VersionLineTest.java
+++ b/src/test/java/cottonlock/net/VersionLineTest.java
@@ -86,7 +86,8 @@
     void theBaseIsAllThatAProcessCannotFollow() {
         assertEquals(base(SETTINGS), base(SETTINGS.replace("\"read\"", "\"look\"").replace(":3", ":5")));
         assertEquals(base(SETTINGS),
-            base(SETTINGS.replace("\"Limits\"", "\"Me\":3,\"FleetSize\":9,\"Limits\"")), "a process's own are none of it");
+            base(SETTINGS.replace("\"Limits\"", "\"Me\":3,\"FleetSize\":9,\"Limits\"")),
+            "a process's own are none of it");
         assertTrue(!base(SETTINGS).equals(base(SETTINGS.replace("MaxHandOffs", "MaxHandOff"))));
     }
 }
