A held actor of a test ends with its proxy, also where the test has failed

Seen as a defence was taken out: inTheLineBehindAFlood failed, and its proxy was waited for without end, as the test had swallowed the interrupt of the module's thread that it held. It is passed on now.

--- a/src/test/java/cottonlock/net/ClientsThatLeaveTest.java
+++ b/src/test/java/cottonlock/net/ClientsThatLeaveTest.java
@@ -80,6 +80,8 @@
         try {
             return latch.await(8, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
+            // An actor that is held here must end with its proxy, also when the test has failed.
+            Thread.currentThread().interrupt();
             return false;
         }
     }
