--- a/src/main/java/cottonlock/lab/scale/ResultFile.java
+++ b/src/main/java/cottonlock/lab/scale/ResultFile.java
@@ -31,6 +31,7 @@
     private static final Map<String, List<String>> NEEDED = Map.of(
         "scale", List.of("command", "commit", "verdict", "machine.late_ms_p999"),
         "members", List.of("command", "commit", "seconds_virtual"),
+        "rollout", List.of("command", "commit"),
         "latency", List.of("command", "commit", "verdict", "machine.late_ms_p999"),
         "proxy", List.of("command", "commit", "verdict", "machine.late_ms_p999"));
     private static final List<String> VERDICTS = List.of("pass", "none", "fail");
