--- a/src/main/java/cottonlock/lab/scale/Budget.java
+++ b/src/main/java/cottonlock/lab/scale/Budget.java
@@ -25,7 +25,8 @@
         "fall_multiple", "fall_s", "beat_s", "streak", "list_changes");
     private static final double MOST = 1e15;
     private static final double LEAST = 1e-9;
-    private static final String SOURCE = "(scale|members|proxy|latency):[a-z0-9_.]+|worked:[a-z0-9_]+|none:";
+    private static final String SOURCE = "(scale|members|rollout|proxy|latency):[a-z0-9_.]+"
+        + "|worked:[a-z0-9_]+|none:";
     private static final String KEY = "(operators|assumed|constant|worked)\\.[a-z0-9_]+";
     private static final String SIZE = "operators.backends";
 
--- a/src/main/java/cottonlock/lab/scale/WorkedOut.java
+++ b/src/main/java/cottonlock/lab/scale/WorkedOut.java
@@ -94,7 +94,7 @@
         figures.put("quota_got", quota / w("quota_lost"));
     }
 
-    /** Balancer.Fleet.warmEnough: half of what pushes a cold one over, parted by what each sends. */
+    /** Balancer.Fleet.warmEnough: half of what pushes a cold one over, parted by what each gets finished. */
     private void cold() {
         double sent = g("operators.calls_s") / g("operators.backends") * g("assumed.fall_s");
         double mine = sent / g("operators.backends");
--- a/src/test/java/cottonlock/lab/scale/CapacityPageTest.java
+++ b/src/test/java/cottonlock/lab/scale/CapacityPageTest.java
@@ -210,7 +210,8 @@
 
     @Example
     void faultsOfAResultAreToldAtOnce() throws Exception {
-        assertEquals("kind: expected one of latency, members, proxy, rollout, scale, found \"\"", fault("{}"));
+        assertEquals("kind: expected one of latency, members, proxy, rollout, scale, found \"\"",
+            fault("{}"));
         assertEquals("expected a JSON object", fault("[]"));
         assertTrue(fault("{\"kind\":\"proxy\",").contains("Unexpected end"));
         assertTrue(fault("{\"kind\":\"proxy\",\"kind\":\"proxy\"}").contains("Duplicate"));
