Scale run's test names its own bound on members, not the default

It was never about the default: a fleet must fit the bound that is set. The same check is made with a bound of 50 for 63 proxies.

Measured: ScaleTest's checks of files and bounds pass.

--- a/src/test/java/cottonlock/lab/scale/ScaleTest.java
+++ b/src/test/java/cottonlock/lab/scale/ScaleTest.java
@@ -160,7 +160,7 @@
         assertTrue(ScaleLab.isScaleFile(SHORT));
         assertFalse(ScaleLab.isScaleFile(Path.of("scenarios", "quickstart.toml")));
         for (String[] fault : new String[][] {{"fleet.siez=3", "fleet.siez: unknown key; did you mean size?"},
-            {"fleet.size=2000", "membership.most: expected fleet.size (2000) or more, found 1024"},
+            {"membership.most=50", "membership.most: expected fleet.size (63) or more, found 50"},
             {"events=[\"flood\"]", "events: expected some of ordinary, rack"},
             {"control.machines=1", "control.machines: expected one for each region at least, found 1"},
             {"fleet.real=40", "fleet.real: expected no more than the proxies of one region, found 40"}}) {
