A stand-in of tests writes half an answer on the connection that asked for it

Seen: ProxyTest.whatNeverRanIsFinishedElsewhereAndWhatBrokeIsNot failed in a whole run, and in each of three loops at the unchanged too (after 23, 25 and 37 tries): a 200 among the answers.

Cause: its backends wrote the half answer to the connection accepted last, not to the one that had asked. With two of them, half an answer and the next half made 9 bytes on the other connection, a whole answer of the length told.

Change: a stand-in can write something and then end its connection; the test asks for that. What it asserts is as before, and stricter: each answer is broken where its request went.

--- a/src/test/java/cottonlock/net/ProxyFixture.java
+++ b/src/test/java/cottonlock/net/ProxyFixture.java
@@ -24,6 +24,8 @@
         "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
     /** Closes the connection in place of an answer. */
     static final String CLOSE = "";
+    /** Behind what is to be written before that. */
+    static final String THEN_CLOSE = "\0";
     /** Never answers. */
     static final String SILENT = "silent";
 
@@ -81,6 +83,13 @@
                     if (answer.equals(CLOSE)) {
                         return;
                     }
+                    if (answer.endsWith(THEN_CLOSE)) {
+                        // On the connection that asked: written to another one, half an answer and the next
+                        // half would make a whole one there.
+                        String before = answer.substring(0, answer.length() - THEN_CLOSE.length());
+                        socket.getOutputStream().write(before.getBytes(StandardCharsets.ISO_8859_1));
+                        return;
+                    }
                     if (!answer.equals(SILENT)) {
                         socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
                     }
--- a/src/test/java/cottonlock/net/ProxyTest.java
+++ b/src/test/java/cottonlock/net/ProxyTest.java
@@ -325,14 +325,8 @@
             assertEquals(200, status(call(request("once", "r" + i, "", ""))));
         }
         odd.requests.clear();
-        odd.play = request -> {
-            odd.sockets.get(odd.sockets.size() - 1).getOutputStream().write(half.getBytes());
-            return CLOSE;
-        };
-        good.play = request -> {
-            good.sockets.get(good.sockets.size() - 1).getOutputStream().write(half.getBytes());
-            return CLOSE;
-        };
+        odd.play = request -> half + THEN_CLOSE;
+        good.play = request -> half + THEN_CLOSE;
         Set<Integer> statuses = new java.util.TreeSet<>();
         for (int i = 0; i < 6; i++) {
             statuses.add(status(call(request("once", "o" + i, "", ""))));
