SIGHUP just behind a version taken in no longer puts the file's settings in its place

Seen: RolloutProcessesTest.whatControlToldStaysInForceOverTheFile failed once in a whole run (200 by the file's class where 404 is right).

Cause: Proxy.reload asked the rollout's figures whether a version is in force; these are told after the taking in has let go of the proxy's lock, so a SIGHUP in between took the file's settings, and the version then passed for being in force. Ruled out: the test's own waits, as a request of the version's class had been served before.

Change: that settings were told is noted under the lock that takes them in. No test forces the moment itself: the one that failed passes when the two come in time.

Measured: RolloutProcessesTest and VersionLineTest pass, once.

--- a/src/main/java/cottonlock/net/Proxy.java
+++ b/src/main/java/cottonlock/net/Proxy.java
@@ -65,6 +65,8 @@
     private final Buffers buffers;
     /** What learns of changes to the settings; null where nothing does. */
     private RolloutActor rollout;
+    /** Whether settings that control has told are in force, not the file's. */
+    private boolean told;
     /** The module that is only watched, or null. */
     private Shadow shadow;
 
@@ -227,7 +229,6 @@
             InetSocketAddress discovery = config.address("discovery");
             // A file that could not start a proxy is not trusted with where discovery is either.
             Assembly assembly = tried(settings);
-            boolean told = rollout != null && rollout.holds();
             if (!told) {
                 takeIn(settings, assembly);
             }
@@ -253,6 +254,8 @@
     /** Takes in work by these settings from now on, or by the old ones where they can't be used. */
     private synchronized void takeIn(Settings settings) {
         takeIn(settings, tried(settings));
+        // Under the same lock: a SIGHUP just behind it would put the file's settings in their place.
+        told = true;
     }
 
     private void takeIn(Settings settings, Assembly assembly) {
--- a/src/main/java/cottonlock/net/RolloutActor.java
+++ b/src/main/java/cottonlock/net/RolloutActor.java
@@ -85,11 +85,6 @@
         figures = rollout.figures();
     }
 
-    /** Whether settings that control has told are in force, not the file's. */
-    boolean holds() {
-        return !figures.inForce().equals(Version.NONE);
-    }
-
     /** For the figures: fields of a JSON object, each behind a comma. */
     String figures() {
         Rollout.Figures f = figures;
