Closing a listener or a peer socket returns only when its address is free

What callers saw: a proxy closed and started again at its address was refused with "Address already in use".

Cause: close() of a socket returns while another thread still waits on it in the kernel, and the address stays taken until that thread has come back. Nothing waited for it: not MembershipService, PeerMessenger, ManagementServer or ClientListener.

Change: RunCompletion lets each of the four wait in close() until its run() has returned. MembershipService closes its socket itself, as waiting for a thread in an open socket would take up to a timer's period. ClientListener tells connections to end only after its thread has returned, so none that was just accepted is missed; ManagementServer closes those that wait for a command, and no longer pauses 20 ms after its own close.

--- a/src/main/java/cottonlock/admin/ManagementServer.java
+++ b/src/main/java/cottonlock/admin/ManagementServer.java
@@ -1,5 +1,6 @@
 package cottonlock.admin;
 
+import cottonlock.concurrent.RunCompletion;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -30,6 +31,7 @@
 
     private final ManagementOperations operations;
     private final ServerSocket server = new ServerSocket();
+    private final RunCompletion completion = new RunCompletion();
 
     /**
      * Connections whose command has not arrived completely, the oldest first. Also the lock that
@@ -61,11 +63,24 @@
     /** Accepts connections on the caller's thread until {@link #close} is called. */
     @Override
     public void run() {
+        if (!completion.begin()) {
+            return;
+        }
+        try {
+            acceptAll();
+        } finally {
+            completion.end();
+        }
+    }
+
+    private void acceptAll() {
         while (!server.isClosed()) {
             try {
                 startConnection(server.accept());
             } catch (IOException | OutOfMemoryError e) {
-                pauseAccepting();
+                if (!server.isClosed()) {
+                    pauseAccepting();
+                }
             }
         }
     }
@@ -194,14 +209,22 @@
         }
     }
 
-    /** Accepts no more connections; commands under way are answered. */
+    /**
+     * Closes the listener, and the connections whose command has not arrived completely; commands
+     * under way are answered. When this returns, {@link #run} has returned and the address is free.
+     */
     @Override
     public void close() {
+        completion.close();
         try {
             server.close();
         } catch (IOException e) {
             // Its descriptor is released all the same.
         }
+        completion.awaitEnd();
+        synchronized (awaitingCommand) {
+            awaitingCommand.forEach(ManagementServer::closeQuietly);
+        }
     }
 
     /** Returns the port that it listens on. */
--- a/src/main/java/cottonlock/lab/scale/HollowHost.java
+++ b/src/main/java/cottonlock/lab/scale/HollowHost.java
@@ -53,7 +53,6 @@
         private final long[] times = new long[KEPT];
         private int told;
         private DiscoveryClient part;
-        private DatagramSocket socket;
         private MembershipService members;
 
         Proxy(String name, InetSocketAddress address, InetSocketAddress discovery) {
@@ -66,7 +65,7 @@
             part = new DiscoveryClient(discovery, zones, random.split(), this);
             part.start();
             if (rules != null) {
-                socket = new CountedSocket(address, cuts, traffic, real, realOnes);
+                DatagramSocket socket = new CountedSocket(address, cuts, traffic, real, realOnes);
                 MembershipConfig plan = new MembershipConfig("", "", seeds, "", "", rules);
                 members =
                         new MembershipService(
@@ -97,7 +96,6 @@
             part = null;
             if (members != null) {
                 members.close();
-                socket.close();
                 members = null;
             }
         }
--- a/src/main/java/cottonlock/membership/MembershipService.java
+++ b/src/main/java/cottonlock/membership/MembershipService.java
@@ -1,5 +1,6 @@
 package cottonlock.membership;
 
+import cottonlock.concurrent.RunCompletion;
 import cottonlock.core.Ticks;
 import cottonlock.setup.MembershipConfig;
 import java.io.IOException;
@@ -56,6 +57,8 @@
     /** Written by any thread. */
     private volatile boolean closed;
 
+    private final RunCompletion completion = new RunCompletion();
+
     /** Owner thread only: whether the socket had no datagram since the timer last fired. */
     private boolean inputDrained;
 
@@ -68,7 +71,7 @@
     /**
      * Creates a service that joins the others when it is run.
      *
-     * @param socket stays the caller's, who closes it after {@link #close}
+     * @param socket closed by {@link #close}
      * @param self this process
      * @throws IOException for a key file that can't be read
      * @throws IllegalArgumentException for a name that can't be a member's
@@ -113,11 +116,21 @@
     /** Takes part until {@link #close} is called or the thread is interrupted at the start. */
     @Override
     public void run() {
+        if (!completion.begin()) {
+            return;
+        }
         try {
-            Thread.sleep(host.replaced() == null ? 0 : TAKEOVER_DELAY_MILLIS);
+            if (!completion.awaitClose(host.replaced() == null ? 0 : TAKEOVER_DELAY_MILLIS)) {
+                takePart();
+            }
         } catch (InterruptedException e) {
-            return;
+            // The process is ending before it has joined.
+        } finally {
+            completion.end();
         }
+    }
+
+    private void takePart() {
         start();
         DatagramPacket packet = new DatagramPacket(new byte[BUFFER_BYTES], BUFFER_BYTES);
         while (!closed) {
@@ -239,10 +252,16 @@
         return MembershipReport.metricsJson(view());
     }
 
-    /** Ends at once, without an announcement. The socket stays open. */
+    /**
+     * Ends at once, without an announcement, and closes the socket. When it returns, {@link #run}
+     * has returned and the socket's address is free.
+     */
     @Override
     public void close() {
         closed = true;
+        completion.close();
         actions.close();
+        socket.close();
+        completion.awaitEnd();
     }
 }
--- a/src/main/java/cottonlock/membership/SocketMembershipActions.java
+++ b/src/main/java/cottonlock/membership/SocketMembershipActions.java
@@ -77,7 +77,7 @@
                         + reason);
     }
 
-    /** Failures to send are no longer logged. The socket stays open: it belongs to the caller. */
+    /** Failures to send are no longer logged. The socket stays open: its owner closes it. */
     @Override
     public void close() {
         closed = true;
--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -1,5 +1,6 @@
 package cottonlock.proxy;
 
+import cottonlock.concurrent.RunCompletion;
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
 import java.io.IOException;
@@ -44,6 +45,7 @@
     private final RateLimitedLog log;
     private volatile boolean leaving;
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
+    private final RunCompletion completion = new RunCompletion();
 
     /** Shares: another process of this proxy may listen there too. */
     ClientListener(
@@ -74,6 +76,17 @@
 
     @Override
     public void run() {
+        if (!completion.begin()) {
+            return;
+        }
+        try {
+            acceptAll();
+        } finally {
+            completion.end();
+        }
+    }
+
+    private void acceptAll() {
         while (!server.isClosed()) {
             try {
                 if (leaving) {
@@ -180,9 +193,15 @@
         return server.isClosed() && clients.isEmpty();
     }
 
-    /** Takes in no more, at once, and ends each connection after the answer that it waits for. */
+    /**
+     * Takes in no more, at once, and ends each connection after the answer that it waits for. When
+     * this returns, {@link #run} has returned, the address is free, and each connection that was
+     * accepted is among those that have been told to end.
+     */
     void close() {
+        completion.close();
         Sockets.close(server);
+        completion.awaitEnd();
         endResting();
     }
 
--- a/src/main/java/cottonlock/proxy/MembershipAdapter.java
+++ b/src/main/java/cottonlock/proxy/MembershipAdapter.java
@@ -185,10 +185,13 @@
         return sharesPeerSocket;
     }
 
+    /**
+     * Ends membership and closes its socket, also one that it shares; the address is free when this
+     * returns.
+     */
     @Override
     public void close() {
         service.close();
-        closeOwnSocket();
     }
 
     private void closeOwnSocket() {
--- a/src/main/java/cottonlock/proxy/control/PeerMessenger.java
+++ b/src/main/java/cottonlock/proxy/control/PeerMessenger.java
@@ -1,5 +1,6 @@
 package cottonlock.proxy.control;
 
+import cottonlock.concurrent.RunCompletion;
 import cottonlock.proxy.io.RateLimitedLog;
 import java.io.IOException;
 import java.net.DatagramPacket;
@@ -27,6 +28,7 @@
     private final InetSocketAddress broadcastAddress;
     private final Consumer<byte[]> receiver;
     private final RateLimitedLog log;
+    private final RunCompletion completion = new RunCompletion();
 
     /**
      * A messenger on an open socket.
@@ -83,9 +85,17 @@
 
     @Override
     public void run() {
-        if (socket == null) {
+        if (socket == null || !completion.begin()) {
             return;
         }
+        try {
+            receiveAll();
+        } finally {
+            completion.end();
+        }
+    }
+
+    private void receiveAll() {
         // One byte more than the limit shows that a datagram is too long.
         int capacity = MAX_DATAGRAM_BYTES + 1;
         DatagramPacket packet = new DatagramPacket(new byte[capacity], capacity);
@@ -111,10 +121,15 @@
         }
     }
 
-    /** Closes the socket and so ends the thread. */
+    /**
+     * Closes the socket. When this returns, {@link #run} has returned, the address is free, and the
+     * receiver is called no more.
+     */
     public void close() {
+        completion.close();
         if (socket != null) {
             socket.close();
         }
+        completion.awaitEnd();
     }
 }
