A watch that is closed while it opens a stream does not read on

What callers saw: a DiscoveryClient that was closed could keep its thread and connection and go on to apply lists, as long as discovery kept the stream alive; in the lab a killed simulated proxy went on beside its successor.

Cause: close() closes the stream that is open at that moment. Between the choice to watch and the next stream it closed the old one; an interrupt ends no read of a socket. RolloutActor had the same gap, and did not close the connection of a comparison at all (by reading, not forced).

Change: both look at a closed flag after they have published a new stream; DiscoveryClient.close() joins its thread (Sockets.join, 5 s at most).

Evidence: ThreadsAfterCloseTest closes 500 clients at random moments beside eight busy threads.

--- a/src/main/java/cottonlock/proxy/control/RolloutActor.java
+++ b/src/main/java/cottonlock/proxy/control/RolloutActor.java
@@ -59,6 +59,9 @@
     /** The open watch, if any: set by the actor's thread, closed by any. */
     private volatile HttpLineStream watch;
 
+    /** The open comparison, if any: set by the actor's thread, closed by any. */
+    private volatile HttpLineStream comparison;
+
     private volatile boolean closed;
 
     /**
@@ -173,6 +176,9 @@
         long deadlineTicks = clock.now() + timeoutTicks;
         try (HttpLineStream lines = new HttpLineStream(watchBuffer)) {
             watch = lines;
+            if (closed) {
+                throw new IOException("closed before it was open");
+            }
             String target =
                     "/catalog/configuration?stream=1&service="
                             + config.serviceName()
@@ -256,6 +262,10 @@
     private void compareWith(int serverIndex) {
         InetSocketAddress server = servers.get(serverIndex);
         try (HttpLineStream lines = new HttpLineStream(comparisonBuffer)) {
+            comparison = lines;
+            if (closed) {
+                throw new IOException("closed before it was open");
+            }
             open(
                     lines,
                     server,
@@ -290,12 +300,19 @@
         }
     }
 
-    /** Ends a read that the thread may be in; it has been interrupted before. */
+    /**
+     * Ends the actor, and a read that the thread may be in; the caller has interrupted the thread
+     * before. {@link #run} returns soon.
+     */
     public void close() {
         closed = true;
-        HttpLineStream open = watch;
-        if (open != null) {
-            open.close();
+        closeIfOpen(watch);
+        closeIfOpen(comparison);
+    }
+
+    private static void closeIfOpen(HttpLineStream stream) {
+        if (stream != null) {
+            stream.close();
         }
     }
 }
--- a/src/main/java/cottonlock/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/cottonlock/proxy/discovery/DiscoveryClient.java
@@ -65,11 +65,15 @@
         thread = Sockets.start("list", watch);
     }
 
-    /** Ends as a killed process does: the socket is closed, and nothing more is sent. */
+    /**
+     * Ends as a killed process does: the socket is closed, and nothing more is sent. When this
+     * returns, the thread has ended, and the listener is called no more.
+     */
     @Override
     public void close() {
         thread.interrupt();
         watch.close();
+        Sockets.join(List.of(thread));
     }
 
     @Override
--- a/src/main/java/cottonlock/proxy/discovery/EndpointListWatch.java
+++ b/src/main/java/cottonlock/proxy/discovery/EndpointListWatch.java
@@ -68,6 +68,9 @@
     /** The open watch, if any: set by the watch's thread, closed by any. */
     private volatile HttpLineStream stream;
 
+    /** Set by any thread. */
+    private volatile boolean closed;
+
     /** A watch that begins when its thread is started. */
     public EndpointListWatch(
             InetSocketAddress address,
@@ -102,14 +105,14 @@
     public void run() {
         long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
         try {
-            while (true) {
+            while (!closed) {
                 if (options.onlyWhenRequested()) {
                     requests.acquire();
                 }
                 InetSocketAddress watched = address;
                 long receivedBefore = receivedCount;
                 watchUntilFailure(watched);
-                if (Thread.interrupted()) {
+                if (closed || Thread.interrupted()) {
                     return;
                 }
                 requests.drainPermits();
@@ -153,8 +156,8 @@
         byte[] buffer = buffers.take();
         try (HttpLineStream lines = new HttpLineStream(buffer)) {
             stream = lines;
-            if (hasMovedFrom(server)) {
-                // The move came too early to close this stream.
+            if (closed || hasMovedFrom(server)) {
+                // The close or the move came too early to close this stream.
                 return;
             }
             lines.connect(server, CONNECT_TIMEOUT_MILLIS);
@@ -198,13 +201,21 @@
     public void move(InetSocketAddress newAddress) {
         if (!newAddress.equals(address)) {
             address = newAddress;
-            close();
+            closeStream();
             requests.release();
         }
     }
 
-    /** Ends a read that the thread may be in; it has been interrupted before. */
+    /**
+     * Ends the watch for good, and a read that the thread may be in; the caller has interrupted the
+     * thread before. No other one is opened; {@link #run} returns soon.
+     */
     public void close() {
+        closed = true;
+        closeStream();
+    }
+
+    private void closeStream() {
         HttpLineStream open = stream;
         if (open != null) {
             open.close();
--- a/src/main/java/cottonlock/proxy/io/Sockets.java
+++ b/src/main/java/cottonlock/proxy/io/Sockets.java
@@ -3,6 +3,9 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
 /** Helpers for sockets and for the threads that serve them. */
@@ -10,6 +13,9 @@
     /** Stack size in bytes; pages that are not touched take no memory. */
     private static final long STACK_BYTES = 192 << 10;
 
+    /** Far longer than threads need to return from their sockets, also on a busy machine. */
+    private static final long MAX_JOIN_MILLIS = 5_000;
+
     private static final Pattern NUMERIC_HOST = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+\\]");
 
     private Sockets() {}
@@ -28,6 +34,42 @@
         return thread;
     }
 
+    /**
+     * Waits until these threads have ended, 5 s at most for all; the calling thread is passed over.
+     * An interrupt does not end the wait; it is kept for the caller.
+     *
+     * @return those that have not ended
+     */
+    public static List<Thread> join(List<Thread> threads) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_JOIN_MILLIS);
+        List<Thread> left = new ArrayList<>(threads);
+        left.remove(Thread.currentThread());
+        boolean interrupted = Thread.interrupted();
+        for (Thread thread : left) {
+            interrupted |= joinUntil(thread, deadlineNanos);
+        }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        left.removeIf(thread -> !thread.isAlive());
+        return left;
+    }
+
+    /** Returns whether this thread has been interrupted meanwhile. */
+    private static boolean joinUntil(Thread thread, long deadlineNanos) {
+        boolean interrupted = false;
+        long leftNanos = deadlineNanos - System.nanoTime();
+        while (thread.isAlive() && leftNanos > 0) {
+            try {
+                TimeUnit.NANOSECONDS.timedJoin(thread, leftNanos);
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+            leftNanos = deadlineNanos - System.nanoTime();
+        }
+        return interrupted;
+    }
+
     /** Closes quietly: a failure to close leaves nothing to be done. */
     public static void close(Closeable closeable) {
         try {
--- /dev/null
+++ b/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
@@ -0,0 +1,109 @@
+package cottonlock.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import cottonlock.proxy.discovery.DiscoveryClient;
+import cottonlock.proxy.io.Sockets;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+import net.jqwik.api.Example;
+
+/** Guards against threads and sockets that are still there when {@code close} has returned. */
+class ThreadsAfterCloseTest extends ProxyFixture {
+    private static final int DISCOVERY_ROUNDS = 500;
+    private static final int BUSY_THREADS = 8;
+
+    private static final Set<String> PROXY_THREADS =
+            Set.of(
+                    "module",
+                    "clerk",
+                    "starter",
+                    "watchdog",
+                    "list",
+                    "peers",
+                    "listener",
+                    "management",
+                    "bans",
+                    "backend",
+                    "connection");
+
+    private final SplittableRandom random = new SplittableRandom(1);
+
+    private static List<String> proxyThreads() {
+        return Thread.getAllStackTraces().keySet().stream()
+                .filter(Thread::isAlive)
+                .map(Thread::getName)
+                .filter(PROXY_THREADS::contains)
+                .sorted()
+                .collect(Collectors.toList());
+    }
+
+    private static void besideBusyThreads(Check test) throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        try {
+            for (int i = 0; i < BUSY_THREADS; i++) {
+                Sockets.start("busy", () -> spinUntil(over));
+            }
+            test.holds();
+        } finally {
+            over.set(true);
+        }
+    }
+
+    private static void spinUntil(AtomicBoolean over) {
+        while (!over.get()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** A discovery that answers each watch with an empty list and then says nothing more. */
+    private StandIn discovery() throws IOException {
+        String list = list(1, true) + "\n";
+        return new StandIn(
+                request ->
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(list.length())
+                                + "\r\n"
+                                + list
+                                + "\r\n");
+    }
+
+    /** A watch that was closed just before it opened its stream read on for as long as it lived. */
+    @Example
+    void aClosedDiscoveryClientHasNoThread() throws Exception {
+        StandIn discovery = discovery();
+        InetSocketAddress address =
+                new InetSocketAddress("127.0.0.1", discovery.server.getLocalPort());
+        besideBusyThreads(
+                () -> {
+                    for (int i = 0; i < DISCOVERY_ROUNDS; i++) {
+                        DiscoveryClient client =
+                                new DiscoveryClient(
+                                        address, List.of("z"), random.split(), new Ignored());
+                        client.start();
+                        LockSupport.parkNanos(random.nextLong(600_000));
+                        client.close();
+                        assertEquals(List.of(), proxyThreads(), "round " + i);
+                    }
+                    return true;
+                });
+    }
+
+    private static final class Ignored implements DiscoveryClient.Listener {
+        @Override
+        public void listApplied(long version, boolean complete, int size) {
+            // Only threads matter here.
+        }
+
+        @Override
+        public void watchLost() {
+            // Only threads matter here.
+        }
+    }
+}
