Proxy.close() returns when its threads have ended and each connection is closed

What callers saw: a program that closes a proxy and starts another had both at work for a while; what the old one had just accepted was served by nobody.

Cause: close() interrupted the threads and returned.

Change: Proxy.close() joins its threads; the load balancer's thread joins clerk, starter and all backends, retired ones too; ConnectionThreads.close() waits for the connections. Threads that answer a management command are not waited for, and the Javadoc says so.

Evidence: ThreadsAfterCloseTest, 40 proxies in turn at the same three addresses with requests in flight beside eight busy threads.

--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -13,6 +13,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.Optional;
 import java.util.Set;
 
 /** A backend's actor: the one owner of the connections to it, kept ones first. */
@@ -64,6 +65,9 @@
      */
     private volatile boolean begun;
 
+    /** Set by the thread that started it; null before. */
+    private volatile Thread thread;
+
     /**
      * Whether no thread could be had: what waits is settled by the one that should have started it.
      */
@@ -123,7 +127,9 @@
     /** Starts its thread; never on the module's, which would wait for it. */
     void begin() {
         try {
-            Sockets.start("backend", this);
+            Thread started = Sockets.thread("backend", this);
+            started.start();
+            thread = started;
         } catch (OutOfMemoryError e) {
             // No thread can be had: these attempts fail, the next one tries again, the proxy must
             // not end.
@@ -135,6 +141,17 @@
         }
     }
 
+    /** Its thread, once it has been started. */
+    Optional<Thread> thread() {
+        return Optional.ofNullable(thread);
+    }
+
+    /** From the module's thread, after {@link #leave}: whether no thread runs it any more. */
+    boolean isOver() {
+        Thread started = thread;
+        return !begun || (started != null && !started.isAlive());
+    }
+
     @Override
     public void run() {
         begun = true;
--- a/src/main/java/cottonlock/proxy/ConnectionThreads.java
+++ b/src/main/java/cottonlock/proxy/ConnectionThreads.java
@@ -17,6 +17,9 @@
      */
     private static final long STAY = 3_000;
 
+    /** Far longer than a thread needs to return from a closed socket, also on a busy machine. */
+    private static final long MAX_CLOSE_SECONDS = 5;
+
     private final ThreadPoolExecutor threads =
             new ThreadPoolExecutor(
                     0,
@@ -31,8 +34,16 @@
         threads.execute(connection);
     }
 
-    /** The proxy closes: threads end with their connections, and those that wait at once. */
+    /**
+     * Ends all threads and waits for their end, 5 s at most; the sockets of their connections have
+     * been closed before. An interrupt ends the wait; it is kept for the caller.
+     */
     void close() {
-        threads.shutdown();
+        threads.shutdownNow();
+        try {
+            threads.awaitTermination(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -79,6 +79,10 @@
     private ManualEjections bans;
     private final Map<Long, ClientRequest> requests = new HashMap<>();
     private final Map<String, BackendActor> backends = new TreeMap<>();
+
+    /** Backends that have gone from the list; some still have attempts in flight. */
+    private final List<BackendActor> retired = new ArrayList<>();
+
     private final PriorityQueue<ClientRequest> expiries =
             new PriorityQueue<>(Comparator.comparingLong((ClientRequest req) -> req.expiry));
     private LoadBalancer balancer;
@@ -151,10 +155,25 @@
                 mailbox.guard(this::due);
             }
         } catch (InterruptedException e) {
-            backends.values().forEach(BackendActor::end);
             writing.interrupt();
             starting.interrupt();
+            endBackends(List.of(writing, starting));
+        }
+    }
+
+    /**
+     * Returns when the threads of all backends have ended; the starter's before, as it adds some.
+     */
+    private void endBackends(List<Thread> helpers) {
+        List<BackendActor> all = new ArrayList<>(retired);
+        all.addAll(backends.values());
+        all.forEach(BackendActor::end);
+        Sockets.join(helpers);
+        List<Thread> threads = new ArrayList<>();
+        for (BackendActor backend : all) {
+            backend.thread().ifPresent(threads::add);
         }
+        Sockets.join(threads);
     }
 
     private long untilDue() {
@@ -348,6 +367,8 @@
                     BackendActor actor = balancer.mayUse(id) ? null : backends.remove(id);
                     if (actor != null) {
                         actor.leave();
+                        retired.removeIf(BackendActor::isOver);
+                        retired.add(actor);
                     }
                     return !balancer.mayUse(id);
                 });
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -434,7 +434,12 @@
         }
     }
 
-    /** Ends it at once. */
+    /**
+     * Ends it at once: connections are closed without the answers that they wait for. When this
+     * returns, its addresses are free, no thread of it is left but those that answer a management
+     * command just now, and every connection that was accepted has been closed. May be called by
+     * any thread, and more than once.
+     */
     public void close() {
         serves = false;
         if (management != null) {
@@ -451,7 +456,11 @@
         if (rollout != null) {
             rollout.close();
         }
+        List<Thread> left = Sockets.join(threads);
         workers.close();
+        for (Thread thread : left) {
+            log.warn("close", "the thread " + thread.getName() + " has not ended");
+        }
     }
 
     /** The port that it listens on. */
--- a/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
+++ b/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
@@ -6,6 +6,9 @@
 import cottonlock.proxy.io.Sockets;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -17,6 +20,8 @@
 /** Guards against threads and sockets that are still there when {@code close} has returned. */
 class ThreadsAfterCloseTest extends ProxyFixture {
     private static final int DISCOVERY_ROUNDS = 500;
+    private static final int PROXY_ROUNDS = 40;
+    private static final int CLIENTS = 4;
     private static final int BUSY_THREADS = 8;
 
     private static final Set<String> PROXY_THREADS =
@@ -106,4 +111,54 @@
             // Only threads matter here.
         }
     }
+
+    /**
+     * The same addresses each time, requests in flight, one of them at a backend that the list has
+     * dropped meanwhile: a second proxy started just behind the first was refused, and threads of
+     * the first were left.
+     */
+    @Example
+    void aClosedProxyHasNoThreadAndFreesItsAddresses() throws Exception {
+        StandIn discovery = discovery();
+        StandIn listed = new StandIn(ThreadsAfterCloseTest::answerLate);
+        String addresses =
+                "\"mgmt\":\"127.61.1.1:%d\",\"peer_listen\":\"127.61.1.1:%d\","
+                        + "\"peers\":[\"127.61.1.1:9\"],\"peers_all\":\"127.61.1.1:9\",";
+        String more = String.format(addresses, freePort(), freePort());
+        String text =
+                settings(256, discovery.server.getLocalPort(), more, listed.host("b0"))
+                        .replace("127.0.0.1:0", "127.61.1.1:" + freePort());
+        Path file = config(text);
+        besideBusyThreads(
+                () -> {
+                    for (int i = 0; i < PROXY_ROUNDS; i++) {
+                        Proxy started = new Proxy(file);
+                        for (int client = 0; client < CLIENTS; client++) {
+                            sendAndLeaveOpen(started.port(), i + "-" + client);
+                        }
+                        Thread.sleep(random.nextLong(60));
+                        started.close();
+                        assertEquals(List.of(), proxyThreads(), "round " + i);
+                    }
+                    return true;
+                });
+    }
+
+    private static String answerLate(List<String> request) throws InterruptedException {
+        Thread.sleep(400);
+        return OK;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket reserved = new ServerSocket()) {
+            reserved.bind(new InetSocketAddress("127.61.1.1", 0));
+            return reserved.getLocalPort();
+        }
+    }
+
+    private void sendAndLeaveOpen(int port, String id) throws IOException {
+        Socket socket = new Socket("127.61.1.1", port);
+        open.add(socket);
+        send(socket, request("read", id, "", ""));
+    }
 }
