SIGHUP is handled from the first line of the program on

What callers saw: a configuration manager that restarts a proxy and sends SIGHUP at once stopped it for good (exit status 129); docs/races.md said that the signal was held.

Cause: Java's own reaction to SIGHUP is to exit, and ProcessSignals was created only after the first classes had been loaded and two lambdas linked: by the JVM's log of loaded classes 4 to 8 ms after Main.

Change: Main creates it first, before any other class of the program, and SIGHUP's handler is installed before the shutdown hook, without a lambda: 2 ms after Main is loaded.

Evidence: ProcessSignalsTest signals each 12 ms from exec on and each 0.5 ms after Main is loaded; a process that dies must not have loaded anything of the program but Main and ProcessSignals before the signal.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -2,9 +2,9 @@
 
 import cottonlock.cli.Cli;
 import cottonlock.proxy.Proxy;
-import cottonlock.setup.InvalidSettingsException;
 import cottonlock.setup.OperatorConfig;
 import cottonlock.simulator.WireHost;
+import java.io.FileNotFoundException;
 import java.io.IOException;
 import java.nio.file.Path;
 
@@ -25,14 +25,22 @@
      * @param args the command and its options
      */
     public static void main(String[] args) {
+        // Before anything else is loaded: until then a signal ends the process.
+        ProcessSignals signals =
+                args.length > 0 && args[0].equals("serve") ? new ProcessSignals() : null;
         String command = args.length == 1 ? args[0] : "";
         if (command.equals("serve") && System.getenv("COTTONLOCK_OPERATOR") == null) {
-            System.exit(serve(OperatorConfig.NONE));
+            System.exit(serve(OperatorConfig.NONE, signals));
         }
         if (command.equals("wirehost")) {
             System.exit(wireHost());
         }
-        System.exit(Cli.run(args, Main::serve, Main::wireHost));
+        System.exit(Cli.run(args, operator -> serve(operator, installed(signals)), Main::wireHost));
+    }
+
+    /** An argument file may hide the command until the command line's library has read it. */
+    private static ProcessSignals installed(ProcessSignals signals) {
+        return signals == null ? new ProcessSignals() : signals;
     }
 
     private static int wireHost() {
@@ -44,14 +52,14 @@
         }
     }
 
-    private static int serve(OperatorConfig operator) {
+    private static int serve(OperatorConfig operator, ProcessSignals signals) {
         try {
             String configuration = System.getenv("EDGE_CONFIG");
             if (configuration == null) {
-                throw new InvalidSettingsException("EDGE_CONFIG names no file");
+                throw new FileNotFoundException("EDGE_CONFIG names no file");
             }
             System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
-            start(Path.of(configuration), operator).join();
+            start(Path.of(configuration), operator, signals).join();
             return EXIT_DONE;
         } catch (IOException | RuntimeException e) {
             System.err.println("cottonlock: " + e.getMessage());
@@ -61,9 +69,8 @@
         }
     }
 
-    private static Proxy start(Path configuration, OperatorConfig operator)
+    private static Proxy start(Path configuration, OperatorConfig operator, ProcessSignals signals)
             throws IOException, InterruptedException {
-        ProcessSignals signals = new ProcessSignals();
         String folder = System.getenv("TMPDIR");
         Proxy proxy = null;
         try {
--- a/src/main/java/cottonlock/ProcessSignals.java
+++ b/src/main/java/cottonlock/ProcessSignals.java
@@ -8,9 +8,10 @@
  * Maps the process's signals to the proxy's life cycle: SIGTERM drains it, SIGHUP reloads its
  * configuration.
  *
- * <p>Created before the proxy starts, since Java's own reaction to either signal would end the
- * process. A signal that arrives during the start waits for {@link #started(Proxy)} on the signal's
- * or the shutdown hook's thread.
+ * <p>Created before any other class of the program is loaded, since Java's own reaction to either
+ * signal ends the process. A signal that arrives during the start waits for {@link #started(Proxy)}
+ * on the signal's or the shutdown hook's thread. Signals that come before the JVM has started the
+ * program can't be held: docs/operators.md says what to wait for.
  *
  * <p>Java has no public interface for signals: this is the only class that uses {@code sun.misc}.
  */
@@ -24,15 +25,23 @@
     /** Written once, by the starting thread, before {@link #started} opens; null if none serves. */
     private Proxy proxy;
 
-    /** Installs the handler of SIGHUP and the shutdown hook. */
+    /** Installs the handler of SIGHUP, then the shutdown hook. */
     ProcessSignals() {
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drain));
         // Java leaves a signal alone that the parent process ignores, as nohup does with SIGHUP,
         // and returns SIG_IGN here.
         hangUpIgnored =
-                sun.misc.Signal.handle(
-                                new sun.misc.Signal("HUP"), signal -> whenStarted(Proxy::reload))
+                sun.misc.Signal.handle(new sun.misc.Signal("HUP"), new HangUpHandler())
                         == sun.misc.SignalHandler.SIG_IGN;
+        Runtime.getRuntime().addShutdownHook(new Thread(this::drain));
+    }
+
+    /** A class, as a lambda would take milliseconds to link before the handler is installed. */
+    private final class HangUpHandler implements sun.misc.SignalHandler {
+        /** Runs on a thread of its own for each signal. */
+        @Override
+        public void handle(sun.misc.Signal signal) {
+            reload();
+        }
     }
 
     /**
@@ -48,31 +57,32 @@
         }
     }
 
-    private void drain() {
-        long signalledAtNanos = System.nanoTime();
-        whenStarted(running -> running.drain(signalledAtNanos));
-    }
-
-    private static void warnOfIgnoredHangUp() {
-        System.getLogger("cottonlock")
-                .log(
-                        System.Logger.Level.WARNING,
-                        "signals: SIGHUP was ignored before the start, as under nohup: a new"
-                                + " configuration will never be taken in");
+    private void reload() {
+        try {
+            if (started.await(MAX_START_SECONDS, TimeUnit.SECONDS) && proxy != null) {
+                proxy.reload();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
-    private void whenStarted(ProxyAction action) {
+    private void drain() {
+        long signalledAtNanos = System.nanoTime();
         try {
             if (started.await(MAX_START_SECONDS, TimeUnit.SECONDS) && proxy != null) {
-                action.apply(proxy);
+                proxy.drain(signalledAtNanos);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    /** What a signal does to the running proxy. */
-    private interface ProxyAction {
-        void apply(Proxy proxy) throws InterruptedException;
+    private static void warnOfIgnoredHangUp() {
+        System.getLogger("cottonlock")
+                .log(
+                        System.Logger.Level.WARNING,
+                        "signals: SIGHUP was ignored before the start, as under nohup: a new"
+                                + " configuration will never be taken in");
     }
 }
--- /dev/null
+++ b/src/test/java/cottonlock/ProcessSignalsTest.java
@@ -0,0 +1,180 @@
+package cottonlock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import net.jqwik.api.Example;
+
+/** Guards against a SIGHUP soon after the start that ends the process for good. */
+class ProcessSignalsTest {
+    /** The exit status of a JVM that SIGHUP has ended, by itself or by Java's handler. */
+    private static final int ENDED_BY_HANG_UP = 129;
+
+    /** All that may be loaded by when the handler is in place. */
+    private static final Set<String> LOADED_BEFORE_HANDLER =
+            Set.of("Main", "ProcessSignals", "ProcessSignals$HangUpHandler");
+
+    private static final Pattern LOADED_CLASS = Pattern.compile("(?m) cottonlock\\.(\\S+) source");
+    private static final long MAX_START_SECONDS = 30;
+
+    private static final String CONFIGURATION =
+            "{\"listen\":\"127.0.0.1:%d\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":"
+                    + "{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":{\"Categories\":["
+                    + "{\"Name\":\"c\",\"DueTime\":1000000,\"Expiry\":2000000}],\"Projects\":["
+                    + "{\"Name\":\"t\",\"Share\":1.0,\"QuotaRps\":1000}],\"Zones\":[\"z\"],"
+                    + "\"Flavors\":[\"k\"],\"MembershipMode\":\"subscribe\",\"Limits\":{"
+                    + "\"MaxHandOffs\":2,\"ConnIdle\":60000000,\"ConnectTimeout\":200000},"
+                    + "\"Obligations\":{\"AskWithin\":4000000}}}";
+
+    private final Path folder = temporaryFolder();
+
+    private static Path temporaryFolder() {
+        try {
+            return Files.createTempDirectory("signals");
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** One process that was sent SIGHUP during its start. */
+    private final class Start implements AutoCloseable {
+        private final File output = Files.createTempFile(folder, "output", ".log").toFile();
+        private final Path classes = folder.resolve(output.getName() + ".classes");
+        private final Process process;
+        private Set<String> loadedAtSignal;
+
+        Start() throws IOException {
+            Path configuration = folder.resolve(output.getName() + ".json");
+            Files.writeString(configuration, String.format(CONFIGURATION, freePort()));
+            ProcessBuilder builder =
+                    new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                            "-XX:+UseSerialGC",
+                            "-XX:TieredStopAtLevel=1",
+                            "-Xlog:class+load:file=" + classes,
+                            "-cp",
+                            "target/classes",
+                            "cottonlock.Main",
+                            "serve");
+            builder.environment().put("EDGE_CONFIG", configuration.toString());
+            builder.environment().remove("COTTONLOCK_OPERATOR");
+            process = builder.redirectErrorStream(true).redirectOutput(output).start();
+        }
+
+        private static int freePort() throws IOException {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            }
+        }
+
+        void awaitLoaded(String className) throws Exception {
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_START_SECONDS);
+            while (!loadedClasses().contains(className)) {
+                assertTrue(System.nanoTime() < deadlineNanos, "not loaded: " + className);
+                Thread.sleep(0, 200_000);
+            }
+        }
+
+        Set<String> loadedClasses() throws IOException {
+            Set<String> loaded = new TreeSet<>();
+            if (Files.exists(classes)) {
+                Matcher line = LOADED_CLASS.matcher(Files.readString(classes));
+                while (line.find()) {
+                    loaded.add(line.group(1));
+                }
+            }
+            return loaded;
+        }
+
+        void hangUp() throws Exception {
+            loadedAtSignal = loadedClasses();
+            new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+        }
+
+        /** Waits until the process has ended or has reloaded; returns whether it has reloaded. */
+        boolean reloads() throws Exception {
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_START_SECONDS);
+            while (System.nanoTime() < deadlineNanos) {
+                if (Files.readString(output.toPath()).contains("configuration: read again")) {
+                    return true;
+                }
+                if (process.waitFor(5, TimeUnit.MILLISECONDS)) {
+                    assertEquals(
+                            ENDED_BY_HANG_UP,
+                            process.exitValue(),
+                            Files.readString(output.toPath()));
+                    return false;
+                }
+            }
+            throw new AssertionError("the signal was lost: " + Files.readString(output.toPath()));
+        }
+
+        /** It was ended by the signal: then the program had not begun when that was sent. */
+        void assertHadNotBegun() {
+            Set<String> loaded = new TreeSet<>(loadedAtSignal);
+            loaded.removeAll(LOADED_BEFORE_HANDLER);
+            assertEquals(Set.of(), loaded, "loaded before the SIGHUP that ended the process");
+        }
+
+        @Override
+        public void close() {
+            process.destroyForcibly();
+        }
+    }
+
+    @Example
+    void hangUpAtAnyMomentOfTheStartIsHeldOnceTheProgramHasBegun() throws Exception {
+        for (int afterMillis = 0; afterMillis <= 300; afterMillis += 12) {
+            try (Start start = new Start()) {
+                Thread.sleep(afterMillis);
+                start.hangUp();
+                if (!start.reloads()) {
+                    start.assertHadNotBegun();
+                }
+            }
+        }
+    }
+
+    @Example
+    void hangUpJustAfterTheProgramHasBegunIsHeld() throws Exception {
+        for (int afterMicros = 0; afterMicros < 12_000; afterMicros += 500) {
+            try (Start start = new Start()) {
+                start.awaitLoaded("Main");
+                TimeUnit.MICROSECONDS.sleep(afterMicros);
+                start.hangUp();
+                if (!start.reloads()) {
+                    start.assertHadNotBegun();
+                }
+            }
+        }
+    }
+
+    @Example
+    void seriesOfHangUpsDuringTheStartIsHeld() throws Exception {
+        for (String moment :
+                List.of(
+                        "setup.OperatorConfig",
+                        "proxy.Proxy",
+                        "proxy.control.ProxyConfiguration")) {
+            try (Start start = new Start()) {
+                start.awaitLoaded(moment);
+                for (int i = 0; i < 5; i++) {
+                    start.hangUp();
+                }
+                assertTrue(start.reloads(), "ended by SIGHUP after " + moment + " was loaded");
+            }
+        }
+    }
+}
