A SIGHUP during a long start is carried out after it

What callers saw: where the start took more than three seconds, as on a machine with little of a core, a SIGHUP that came meanwhile was forgotten without a word: the file that had been replaced was not read.

Cause: the signal's thread waited three seconds for the start, a bound that is meant for SIGTERM, whose sender kills after little more.

Change: a reload waits as long as the start takes; of several that wait one is enough, as it reads the file after all of them came.

Evidence: ProcessSignalsTest holds the start for four seconds by a FIFO in the configuration's place. Before: nobody reads the FIFO again within 30 s; now it is read at once.

--- a/src/main/java/cottonlock/ProcessSignals.java
+++ b/src/main/java/cottonlock/ProcessSignals.java
@@ -3,6 +3,7 @@
 import cottonlock.proxy.Proxy;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Maps the process's signals to the proxy's life cycle: SIGTERM drains it, SIGHUP reloads its
@@ -17,9 +18,10 @@
  */
 final class ProcessSignals {
     /** A process manager kills a process that has not stopped after little more. */
-    private static final long MAX_START_SECONDS = 3;
+    private static final long MAX_DRAIN_DELAY_SECONDS = 3;
 
     private final CountDownLatch started = new CountDownLatch(1);
+    private final AtomicBoolean reloadPending = new AtomicBoolean();
     private final boolean hangUpIgnored;
 
     /** Written once, by the starting thread, before {@link #started} opens; null if none serves. */
@@ -57,20 +59,31 @@
         }
     }
 
+    /**
+     * However long the start takes, the file is read again after it: it may have been replaced
+     * since the start read it. One reload serves all signals that have come before it begins.
+     */
     private void reload() {
+        if (!reloadPending.compareAndSet(false, true)) {
+            return;
+        }
         try {
-            if (started.await(MAX_START_SECONDS, TimeUnit.SECONDS) && proxy != null) {
-                proxy.reload();
-            }
+            started.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return;
+        } finally {
+            reloadPending.set(false);
+        }
+        if (proxy != null) {
+            proxy.reload();
         }
     }
 
     private void drain() {
         long signalledAtNanos = System.nanoTime();
         try {
-            if (started.await(MAX_START_SECONDS, TimeUnit.SECONDS) && proxy != null) {
+            if (started.await(MAX_DRAIN_DELAY_SECONDS, TimeUnit.SECONDS) && proxy != null) {
                 proxy.drain(signalledAtNanos);
             }
         } catch (InterruptedException e) {
--- a/src/test/java/cottonlock/ProcessSignalsTest.java
+++ b/src/test/java/cottonlock/ProcessSignalsTest.java
@@ -5,13 +5,17 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -29,6 +33,9 @@
     private static final Pattern LOADED_CLASS = Pattern.compile("(?m) cottonlock\\.(\\S+) source");
     private static final long MAX_START_SECONDS = 30;
 
+    /** Longer than the three seconds for which a stop waits for the start. */
+    private static final long LONG_START_SECONDS = 4;
+
     private static final String CONFIGURATION =
             "{\"listen\":\"127.0.0.1:%d\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":"
                     + "{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":{\"Categories\":["
@@ -48,6 +55,12 @@
         }
     }
 
+    private static String configurationText() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return String.format(CONFIGURATION, free.getLocalPort());
+        }
+    }
+
     /** One process that was sent SIGHUP during its start. */
     private final class Start implements AutoCloseable {
         private final File output = Files.createTempFile(folder, "output", ".log").toFile();
@@ -56,8 +69,10 @@
         private Set<String> loadedAtSignal;
 
         Start() throws IOException {
-            Path configuration = folder.resolve(output.getName() + ".json");
-            Files.writeString(configuration, String.format(CONFIGURATION, freePort()));
+            this(Files.writeString(folder.resolve("configuration.json"), configurationText()));
+        }
+
+        Start(Path configuration) throws IOException {
             ProcessBuilder builder =
                     new ProcessBuilder(
                             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -73,12 +88,6 @@
             process = builder.redirectErrorStream(true).redirectOutput(output).start();
         }
 
-        private static int freePort() throws IOException {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                return free.getLocalPort();
-            }
-        }
-
         void awaitLoaded(String className) throws Exception {
             long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_START_SECONDS);
             while (!loadedClasses().contains(className)) {
@@ -177,4 +186,31 @@
             }
         }
     }
+
+    /** A start that takes longer than a process manager waits: the reload was forgotten. */
+    @Example
+    void hangUpDuringALongStartIsCarriedOutAfterIt() throws Exception {
+        Path configuration = folder.resolve("fifo");
+        assertEquals(0, new ProcessBuilder("mkfifo", configuration.toString()).start().waitFor());
+        try (Start start = new Start(configuration)) {
+            // Opened for writing once the program reads it.
+            try (OutputStream first = Files.newOutputStream(configuration)) {
+                start.hangUp();
+                Thread.sleep(TimeUnit.SECONDS.toMillis(LONG_START_SECONDS));
+                first.write(configurationText().getBytes(StandardCharsets.UTF_8));
+            }
+            CompletableFuture<Path> second =
+                    CompletableFuture.supplyAsync(() -> write(configuration));
+            second.get(MAX_START_SECONDS, TimeUnit.SECONDS);
+            assertTrue(start.reloads(), "not read again");
+        }
+    }
+
+    private static Path write(Path configuration) {
+        try {
+            return Files.writeString(configuration, configurationText());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
