--- a/src/main/java/cottonlock/concurrent/RunCompletion.java
+++ b/src/main/java/cottonlock/concurrent/RunCompletion.java
@@ -6,9 +6,9 @@
  * Lets the {@code close} method of a task wait until the thread in its {@code run} method has
  * returned.
  *
- * <p>A socket that was closed keeps its address until the last thread that waits on it has come
- * back from the kernel, and what that thread had just accepted or received is still handled. Only
- * when it has returned is the address free and nothing more comes.
+ * <p>A socket that was closed keeps its address until the last thread that waits on it has returned
+ * from the kernel, and what that thread had just accepted or received is still handled. Only when
+ * it has returned is the address free and nothing more comes.
  *
  * <p>A task calls {@link #begin} first and {@link #end} last in {@code run}; its {@code close}
  * calls {@link #close}, closes the sockets, and then calls {@link #awaitEnd}. All methods may be
