An id longer than a message to peers is passed over

What callers saw: the decision that found a backend with such an id lost ended with StringIndexOutOfBoundsException, and what it should have led to was left out.

Cause: PeerExchange cut the text at the last space within 256 characters; with a first id longer than that the cut was at -1. It also counted characters where the wire counts bytes.

Change: ids are added while their bytes fit; one longer than a message is passed over. Messages of ordinary ids are as before.

Evidence: PeerExchangeTest; before, one case ended with "begin 0, end -1", another sent too many bytes.

--- a/src/main/java/cottonlock/decision/backend/PeerExchange.java
+++ b/src/main/java/cottonlock/decision/backend/PeerExchange.java
@@ -1,7 +1,6 @@
 package cottonlock.decision.backend;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
-import static java.util.stream.Collectors.joining;
 
 import cottonlock.decision.api.DeploymentTopology;
 import cottonlock.decision.api.LoadBalancerActions;
@@ -28,20 +27,37 @@
      * outnumber backends, as the false findings of all would make backends suspect everywhere.
      */
     void reportLosses(Collection<Backend> backends, int readyCount) {
-        String lostIds =
-                backends.stream()
-                        .filter(backend -> backend.lossUnreported)
-                        .map(backend -> backend.id() + " ")
-                        .collect(joining());
+        byte[] message = message(backends);
         backends.forEach(backend -> backend.lossUnreported = false);
         if (topology.peerMessagesAllowed()
                 && topology.loadBalancerCount() <= readyCount
-                && !lostIds.isEmpty()) {
-            int end = lostIds.lastIndexOf(' ', MAX_MESSAGE_BYTES);
-            actions.broadcastToPeers(lostIds.substring(0, end).getBytes(UTF_8));
+                && message.length > 0) {
+            actions.broadcastToPeers(message);
         }
     }
 
+    /**
+     * The first of the ids of backends found lost, as many as fit into one message. An id that is
+     * longer than a message is passed over: peers have to find that backend lost themselves.
+     */
+    private static byte[] message(Collection<Backend> backends) {
+        StringBuilder ids = new StringBuilder();
+        int byteCount = 0;
+        for (Backend backend : backends) {
+            int idBytes = backend.lossUnreported ? backend.id().getBytes(UTF_8).length : 0;
+            if (idBytes == 0 || idBytes > MAX_MESSAGE_BYTES) {
+                continue;
+            }
+            int separatorBytes = ids.length() == 0 ? 0 : 1;
+            byteCount += separatorBytes + idBytes;
+            if (byteCount > MAX_MESSAGE_BYTES) {
+                break;
+            }
+            ids.append(separatorBytes == 0 ? "" : " ").append(backend.id());
+        }
+        return ids.toString().getBytes(UTF_8);
+    }
+
     /** The ids of the backends that a message names; they may be unknown here. */
     static List<String> lostBackendIds(byte[] message) {
         return List.of(new String(message, UTF_8).split(" ", -1));
