A drain ends a connection only behind an answer that said so

What callers saw: in a planned restart a client that had begun its next request behind a long answer lost it: its connection ended, though the answer had not said Connection: close.

Cause: finish and relay choose whether the connection ends before they write. close() came while the answer was being written, and over() ended the connection by that later word.

Change: over() ends it only where the answer has said so. A connection of which a part of the next request has been read counts as reading, so that the drain's next look does not end it before that request's answer, which says Connection: close. Connections at rest end at the drain's next look, 5 ms later at most.

Evidence: DrainWhileAnsweringTest, a 16 MiB answer to a slow reader with half a request behind it. Before: the connection ended unanswered. Now it is served.

--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -83,6 +83,10 @@
     private ClientRequest req;
     private HttpReader coming;
     private boolean reading;
+
+    /** Whether some of the next request has been read while the answer to the last is owed. */
+    private boolean nextBegun;
+
     private boolean closing;
     private boolean inputEnded;
 
@@ -202,6 +206,7 @@
             if (reader.discardedBytes() > 0) {
                 lastOne();
             }
+            nextBegun(owed && reader.hasBufferedBytes());
             if (reader.discardedBytes() > DROP) {
                 awaitAnswer();
             }
@@ -215,12 +220,17 @@
             // meanwhile: its
             // client sends again only what was left unread. After an answer that said so nothing
             // more is due.
+            nextBegun = false;
             reading = !told && reader.discardedBytes() == 0;
             since = System.nanoTime();
             return reading;
         }
     }
 
+    private synchronized void nextBegun(boolean begun) {
+        nextBegun = begun;
+    }
+
     private synchronized void looks() {
         if (req != null) {
             req.looks();
@@ -363,16 +373,16 @@
 
     /** The request under way is over, and with it perhaps the connection. */
     private void over(boolean close) {
-        boolean ends;
         figures.requestEnded();
         synchronized (this) {
             req = null;
-            reading = false;
+            reading = nextBegun;
             since = System.nanoTime();
             notifyAll();
-            ends = close || closing;
         }
-        if (ends) {
+        // Only after an answer that has said so: a client that was told nothing may be sending its
+        // next request. Who has been told to end meanwhile ends once it rests.
+        if (close) {
             endReading();
         }
     }
