The smaller of limits.sockets and the system's descriptors is dealt out

What callers saw: where the system allows fewer descriptors than limits.sockets, idle clients filled them, and whoever brought work was not accepted.

Cause: places were dealt out by limits.sockets alone, so none was missing and no client gave way; accept failed with "Too many open files" again and again.

Where accept fails all the same, the client that will be missed least gives way.

--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -102,6 +102,8 @@
             } catch (IOException e) {
                 if (!server.isClosed()) {
                     log.warn("accept failed", String.valueOf(e.getMessage()));
+                    // Without free descriptors nobody would come in until somebody leaves.
+                    oneGivesWay();
                     pause();
                 }
             }
@@ -141,21 +143,26 @@
             } catch (InterruptedException e) {
                 return false;
             }
-            // One that sends half a request, and then nothing, must not keep the others out; and a
-            // crowd that
-            // asks for nothing but our health must not push out those who bring work, however long
-            // at rest.
-            clients.stream()
-                    .filter(client -> !client.owed())
-                    .min(
-                            Comparator.comparing(ClientConnection::busy)
-                                    .thenComparing(ClientConnection::worked)
-                                    .thenComparingLong(ClientConnection::since))
-                    .ifPresent(ClientConnection::giveWay);
+            oneGivesWay();
         }
         return false;
     }
 
+    /**
+     * Ends the connection that will be missed least. One that sends half a request, and then
+     * nothing, must not keep the others out; and a crowd that asks for nothing but our health must
+     * not push out those who bring work, however long at rest.
+     */
+    private void oneGivesWay() {
+        clients.stream()
+                .filter(client -> !client.owed())
+                .min(
+                        Comparator.comparing(ClientConnection::busy)
+                                .thenComparing(ClientConnection::worked)
+                                .thenComparingLong(ClientConnection::since))
+                .ifPresent(ClientConnection::giveWay);
+    }
+
     private static void pause() {
         try {
             // Out of descriptors, accept fails at once again and again.
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -16,6 +16,7 @@
 import cottonlock.proxy.http.BodySpillFiles;
 import cottonlock.proxy.http.BufferPool;
 import cottonlock.proxy.http.HttpWriter;
+import cottonlock.proxy.io.DescriptorLimit;
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
 import cottonlock.setup.LoadBalancerFactory;
@@ -148,7 +149,7 @@
         // Operators' calls hold theirs for seconds: taken from what is left for the list, they kept
         // it away.
         int own = OWN_SOCKETS + (shares ? ManagementServer.MAX_CONNECTIONS : 0);
-        int sockets = Math.max(4, config.limit("sockets", 1024) - own);
+        int sockets = Math.max(4, allowedSockets(config) - own);
         sockets -= sockets / FOR_BODIES;
         int toBackends = Math.max(2, (int) (sockets * TO_BACKENDS));
         int memoryMb = config.limit("memory_mb", 192);
@@ -293,6 +294,22 @@
         serves = true;
     }
 
+    /** Where the system allows fewer, more would only fail when they are opened. */
+    private int allowedSockets(ProxyConfiguration config) {
+        int configured = config.limit("sockets", 1024);
+        int descriptors = DescriptorLimit.current();
+        if (descriptors < configured) {
+            log.warn(
+                    "sockets",
+                    "limits.sockets is "
+                            + configured
+                            + ", but the system allows "
+                            + descriptors
+                            + " descriptors: these are kept to");
+        }
+        return Math.min(configured, descriptors);
+    }
+
     /** What operators ask for, carried out on the threads of their calls. */
     private final class Desk implements ManagementOperations {
         @Override
