--- a/src/main/java/cottonlock/cli/LabCommand.java
+++ b/src/main/java/cottonlock/cli/LabCommand.java
@@ -18,6 +18,7 @@
             LabRolloutCommand.class,
             LabRunCommand.class,
             LabScaleCommand.class,
+            LabSoakCommand.class,
             LabSweepCommand.class
         },
         description = "Plays scenarios with real proxies on loopback (docs/lab.md).")
@@ -29,7 +30,7 @@
         spec.commandLine()
                 .getErr()
                 .println(
-                        "cottonlock lab: expected run, compare, members, scale or "
+                        "cottonlock lab: expected run, compare, members, scale, soak or "
                                 + "sweep; --help tells more");
         return Cli.UNUSABLE;
     }
--- a/src/main/java/cottonlock/lab/Caller.java
+++ b/src/main/java/cottonlock/lab/Caller.java
@@ -31,6 +31,9 @@
      */
     private static final long CONNECT = 1_000_000_000L;
 
+    /** Pieces in which a request is written whose body takes its time. */
+    private static final int UPLOAD_PIECES = 10;
+
     /** What came of it. */
     enum End {
         FINISHED,
@@ -56,6 +59,7 @@
             double work) {
         byte[] bytes(long left) {
             boolean get = category.repeat().equals("safe");
+            int bodyBytes = category.bodyBytes();
             String text =
                     (get ? "GET /" : "POST /")
                             + category.name()
@@ -73,7 +77,12 @@
                             + (category.repeat().equals("keyed")
                                     ? "\r\nIdempotency-Key: " + key
                                     : "")
-                            + (get ? "\r\n\r\n" : "\r\nContent-Length: 4\r\n\r\nbody");
+                            + (get
+                                    ? "\r\n\r\n"
+                                    : "\r\nContent-Length: "
+                                            + bodyBytes
+                                            + "\r\n\r\n"
+                                            + "b".repeat(bodyBytes));
             return text.getBytes(StandardCharsets.ISO_8859_1);
         }
     }
@@ -82,13 +91,21 @@
     private static final class Call {
         final Request request;
         final Consumer<Result> then;
-        final long until;
+
+        /** When its answer is due; with a slow upload, from its last byte on. */
+        long until;
+
         final boolean keep;
         final long leaveAt;
         boolean reused;
         boolean again;
         boolean written;
         boolean begun;
+
+        /** When its connection was opened for it, and whether that came up. */
+        long openedAt;
+
+        boolean up;
         Loop.Timer timer;
         HttpIn in = new HttpIn();
 
@@ -111,6 +128,11 @@
     private final Deque<Conn> resting = new ArrayDeque<>();
     private final Set<Conn> busy = new HashSet<>();
 
+    /** When the proxy was told to end, and until when its front sends it new connections. */
+    private long termAt;
+
+    private long openUntil = Long.MAX_VALUE;
+
     /** The proxy is being killed: what it owes is excused, as long as it has not started again. */
     private boolean dying;
 
@@ -156,12 +178,14 @@
     }
 
     private void open(Call call) {
-        InetSocketAddress to = address.get();
+        InetSocketAddress to = loop.now() > openUntil ? null : address.get();
         if (to == null) {
             loop.after(0, () -> call.then.accept(new Result(End.NOT_TAKEN, 0)));
             return;
         }
         Conn conn = Conn.open(loop, to, this, buffer);
+        call.openedAt = loop.now();
+        call.up = false;
         conn.of = call;
         busy.add(conn);
         call.timer = loop.at(Math.min(call.until, loop.now() + CONNECT), conn::reset);
@@ -171,6 +195,7 @@
     public void up(Conn conn) {
         if (conn.of instanceof Call call) {
             call.timer.cancel();
+            call.up = true;
             start(conn, call);
         }
     }
@@ -178,7 +203,36 @@
     private void start(Conn conn, Call call) {
         conn.of = call;
         busy.add(conn);
-        long now = loop.now();
+        byte[] bytes = call.request.bytes(call.until - loop.now());
+        long upload = call.request.category().upload();
+        if (upload == 0) {
+            sent(conn, call);
+            conn.write(bytes);
+        } else {
+            call.timer = null;
+            upload(conn, call, bytes, 0, upload / UPLOAD_PIECES);
+        }
+    }
+
+    /** Writes one piece of a long request; the others follow. */
+    private void upload(Conn conn, Call call, byte[] bytes, int piece, long between) {
+        if (conn.isOver() || conn.of != call || call.written) {
+            return;
+        }
+        int from = (int) ((long) bytes.length * piece / UPLOAD_PIECES);
+        int to = (int) ((long) bytes.length * (piece + 1) / UPLOAD_PIECES);
+        boolean lastPiece = piece == UPLOAD_PIECES - 1;
+        if (lastPiece) {
+            call.until = loop.now() + call.request.patience();
+            sent(conn, call);
+        } else {
+            loop.after(between, () -> upload(conn, call, bytes, piece + 1, between));
+        }
+        conn.write(Arrays.copyOfRange(bytes, from, to));
+    }
+
+    /** Its last byte is being written: from now on an answer is owed. */
+    private void sent(Conn conn, Call call) {
         if (!call.again) {
             ledger.sent(
                     call.request.id(),
@@ -205,7 +259,6 @@
                                     new Result(left ? End.LEFT : End.NO_ANSWER, 0),
                                     false);
                         });
-        conn.write(call.request.bytes(call.until - now));
     }
 
     @Override
@@ -231,6 +284,10 @@
 
     private void answered(Conn conn, Call call, HttpIn.Message message) {
         long now = loop.now();
+        if (!call.written) {
+            // An answer before the request has come whole is its final one.
+            sent(conn, call);
+        }
         if (sabotage.equals("drop-answer") && chance.nextInt(200) == 0) {
             ledger.unanswered(now, call.request.id(), "its connection ended with no whole answer");
             finish(conn, call, new Result(End.NO_ANSWER, 0), false);
@@ -282,8 +339,13 @@
             return;
         }
         conn.of = null;
-        call.timer.cancel();
+        if (call.timer != null) {
+            call.timer.cancel();
+        }
         if (!call.written) {
+            if (!call.up && termAt > 0 && call.openedAt <= openUntil) {
+                ledger.refused(loop.now(), proxy, loop.now() - termAt);
+            }
             call.then.accept(new Result(End.NOT_TAKEN, 0));
         } else if (call.reused && !call.begun && !call.again && loop.now() < call.until) {
             call.again = true;
@@ -296,6 +358,18 @@
         }
     }
 
+    /** The proxy is about to be told to end; its front sends new connections for a while. */
+    void leaves(long forNanos) {
+        termAt = loop.now();
+        openUntil = termAt + forNanos;
+    }
+
+    /** Another process of the proxy serves. */
+    void restarted() {
+        termAt = 0;
+        openUntil = Long.MAX_VALUE;
+    }
+
     /** The proxy is about to be killed, or serves again. */
     void dying(boolean dies) {
         dying = dies;
@@ -313,7 +387,9 @@
     void close() {
         for (Conn conn : Set.copyOf(busy)) {
             if (conn.of instanceof Call call) {
-                call.timer.cancel();
+                if (call.timer != null) {
+                    call.timer.cancel();
+                }
                 conn.of = null;
             }
             conn.reset();
--- /dev/null
+++ b/src/main/java/cottonlock/lab/Crowd.java
@@ -0,0 +1,74 @@
+package cottonlock.lab;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * Idle connections that fill a proxy's descriptors: each asks for its health once and stays, and is
+ * opened again when the proxy ends it. Lives on the loop's thread.
+ */
+final class Crowd implements Conn.Owner {
+    /** Nanoseconds after which a connection that has ended is opened again. */
+    private static final long REOPEN_AFTER = 100_000_000L;
+
+    private static final byte[] HEALTH_REQUEST =
+            "GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
+    private final Loop loop;
+    private final ByteBuffer buffer;
+    private final Supplier<InetSocketAddress> address;
+    private final Set<Conn> conns = new HashSet<>();
+    private boolean over;
+
+    /** The address is null while the proxy does not serve. */
+    Crowd(Loop loop, ByteBuffer buffer, Supplier<InetSocketAddress> address) {
+        this.loop = loop;
+        this.buffer = buffer;
+        this.address = address;
+    }
+
+    /** Opens so many connections. */
+    void gather(int count) {
+        for (int i = 0; i < count; i++) {
+            open();
+        }
+    }
+
+    /** Ends all connections for good. */
+    void disperse() {
+        over = true;
+        Set.copyOf(conns).forEach(Conn::reset);
+    }
+
+    private void open() {
+        if (over) {
+            return;
+        }
+        InetSocketAddress to = address.get();
+        if (to == null) {
+            loop.after(REOPEN_AFTER, this::open);
+        } else {
+            conns.add(Conn.open(loop, to, this, buffer));
+        }
+    }
+
+    @Override
+    public void up(Conn conn) {
+        conn.write(HEALTH_REQUEST);
+    }
+
+    @Override
+    public void came(Conn conn, byte[] bytes, int length) {
+        // Answers about the proxy's health are of no interest.
+    }
+
+    @Override
+    public void ended(Conn conn, boolean byReset) {
+        conns.remove(conn);
+        loop.after(REOPEN_AFTER, this::open);
+    }
+}
--- a/src/main/java/cottonlock/lab/Discovery.java
+++ b/src/main/java/cottonlock/lab/Discovery.java
@@ -40,6 +40,9 @@
         Health shown = Health.ACTIVE;
         long version;
 
+        /** Its process has started anew since it was shown: its start is told again. */
+        boolean restarted;
+
         Line(Backend backend) {
             this.backend = backend;
         }
@@ -82,6 +85,7 @@
     private long version = 1;
     private boolean down;
     private boolean stale;
+    private boolean silent;
     private long slow;
 
     Discovery(
@@ -192,13 +196,14 @@
 
     /** A backend's process has started anew: the list tells when. */
     void restarted(Backend backend) {
-        lines.get(backend.id).shown = null;
+        lines.get(backend.id).restarted = true;
         set(backend, Health.ACTIVE);
     }
 
     private void show(Line line) {
-        if (line.shown != line.health) {
+        if (line.shown != line.health || line.restarted) {
             line.shown = line.health;
+            line.restarted = false;
             changed.remove(line.version);
             line.version = ++version;
             changed.put(version, line);
@@ -270,7 +275,9 @@
 
     private void beat() {
         for (Watch watch : watches.values()) {
-            watch.watching.forEach(conn -> conn.write(chunk("\n")));
+            if (!silent) {
+                watch.watching.forEach(conn -> conn.write(chunk("\n")));
+            }
         }
         loop.after(BEAT, this::beat);
     }
@@ -312,6 +319,12 @@
         }
     }
 
+    /** Silent: nothing is said on a watch, and changes are kept back; at the end all is told. */
+    void silent(boolean saysNothing) {
+        silent = saysNothing;
+        stale(saysNothing);
+    }
+
     /** It is at new addresses from now on; the old ones refuse. */
     void move() throws IOException {
         for (Watch watch : watches.values()) {
--- a/src/main/java/cottonlock/lab/Experiment.java
+++ b/src/main/java/cottonlock/lab/Experiment.java
@@ -36,6 +36,11 @@
      */
     private static final long FRONT_AFTER_TERM = 300_000_000L;
 
+    /** The longest deadline that whoever stops a proxy waits for, and how much longer. */
+    private static final long MAX_DEADLINE_MILLIS = 3_000;
+
+    private static final long KILL_AFTER_DEADLINE_MILLIS = 700;
+
     /** Nanoseconds that a backend is gone at least before it starts again. */
     private static final long GONE = 500_000_000L;
 
@@ -232,6 +237,9 @@
             return;
         }
         long needed = OWN_DESCRIPTORS;
+        for (Scenario.Fault crowd : scenario.faults) {
+            needed += crowd.kind().equals("proxy-crowd") ? (long) crowd.amount() : 0;
+        }
         for (int t = 0; t < scenario.tiers.size(); t++) {
             long proxies = t == 0 ? scenario.proxies.count() : scenario.tiers.get(t - 1).backends();
             long there = scenario.tiers.get(t).backends();
@@ -677,6 +685,9 @@
                 case "drain" -> hit.forEach(b -> drain(b, entry));
                 case "proxy-kill" -> proxyKill(nodes.get(entry.proxy()), end);
                 case "proxy-term" -> proxyTerm(nodes.get(entry.proxy()), entry.length());
+                case "proxy-restart" ->
+                        proxyRestart(nodes.get(entry.proxy()), entry.series(), entry.length());
+                case "proxy-crowd" -> crowd(nodes.get(entry.proxy()), end, (int) entry.amount());
                 case "proxy-pause" -> proxyPause(nodes.get(entry.proxy()), end);
                 case "proxy-hang" -> proxyHang(nodes.get(entry.proxy()), end);
                 case "proxy-starve" -> proxyStarve(nodes.get(entry.proxy()), end, entry.amount());
@@ -710,6 +721,8 @@
                                 end,
                                 () -> discovery.slow((long) (entry.amount() * 1e6)),
                                 () -> discovery.slow(0));
+                case "discovery-silent" ->
+                        during(end, () -> discovery.silent(true), () -> discovery.silent(false));
                 case "discovery-stale" ->
                         during(end, () -> discovery.stale(true), () -> discovery.stale(false));
                 default -> {
@@ -1000,6 +1013,55 @@
                 });
     }
 
+    /**
+     * A process is ended by a series of signals and killed at the earliest moment that it has to
+     * count with; clients go on to use the connections that they have.
+     */
+    private void proxyRestart(Node node, SignalSeries series, long away) {
+        runInBackground(
+                () -> {
+                    node.host.end(
+                            series,
+                            killAfterMillis(),
+                            () -> loop.post(() -> node.caller.leaves(FRONT_AFTER_TERM)));
+                    loop.post(
+                            () -> {
+                                node.serving = false;
+                                ledger.startedAnew(node.number);
+                                loop.after(away, () -> backAfterRestart(node, series, away));
+                            });
+                    return null;
+                });
+    }
+
+    private void backAfterRestart(Node node, SignalSeries series, long away) {
+        runInBackground(
+                () -> {
+                    start(node);
+                    loop.post(node.caller::restarted);
+                    if (series.againWhenReady()) {
+                        proxyRestart(node, SignalSeries.TERM, away);
+                    }
+                    return null;
+                });
+    }
+
+    /** The longest deadline, of three seconds at most, and a little more (DEPLOY). */
+    private long killAfterMillis() {
+        long longest =
+                scenario.categories.stream()
+                        .mapToLong(Scenario.CategoryPlan::expiry)
+                        .max()
+                        .orElse(0);
+        return Math.min(MAX_DEADLINE_MILLIS, longest / 1_000_000) + KILL_AFTER_DEADLINE_MILLIS;
+    }
+
+    private void crowd(Node node, long end, int connections) {
+        Crowd crowd = new Crowd(loop, buffer, () -> node.serving ? node.host.address() : null);
+        crowd.gather(connections);
+        loop.at(end, crowd::disperse);
+    }
+
     private void back(Node node) {
         runInBackground(
                 () -> {
--- a/src/main/java/cottonlock/lab/Host.java
+++ b/src/main/java/cottonlock/lab/Host.java
@@ -218,6 +218,46 @@
         }
     }
 
+    /**
+     * Sends the signals of a series to the process, and kills what is left of it so many
+     * milliseconds after the first SIGTERM.
+     *
+     * @param beforeTerm called just before the first SIGTERM is sent
+     */
+    void end(SignalSeries series, long killAfterMillis, Runnable beforeTerm)
+            throws IOException, InterruptedException {
+        Process leaving;
+        synchronized (this) {
+            leaving = process;
+        }
+        long beganAt = System.nanoTime();
+        long killAt = 0;
+        for (SignalSeries.Step step : series.steps()) {
+            sleepUntil(beganAt + TimeUnit.MILLISECONDS.toNanos(step.afterMillis()));
+            if (killAt == 0 && step.isTerm()) {
+                beforeTerm.run();
+                killAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(killAfterMillis);
+            }
+            if (leaving.isAlive()) {
+                signal(step.name(), leaving);
+            }
+        }
+        if (!leaving.waitFor(killAt - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+            leaving.destroyForcibly().waitFor();
+        }
+        synchronized (this) {
+            process = null;
+        }
+    }
+
+    private static void sleepUntil(long nanoTime) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, nanoTime - System.nanoTime()));
+    }
+
+    private static void signal(String name, Process to) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(to.pid())).start().waitFor();
+    }
+
     /** Stops the process where it stands, or lets it go on: no signal handler sees either. */
     synchronized void stop(boolean stands) throws IOException, InterruptedException {
         if (process != null) {
--- a/src/main/java/cottonlock/lab/Ledger.java
+++ b/src/main/java/cottonlock/lab/Ledger.java
@@ -129,6 +129,22 @@
         }
     }
 
+    /**
+     * A new connection was refused although the proxy's front may still send there.
+     *
+     * @param sinceTerm nanoseconds since the proxy was told to end
+     */
+    void refused(long now, int proxy, long sinceTerm) {
+        breach(
+                Rule.LOST,
+                now,
+                String.format(
+                        Locale.ROOT,
+                        "n%d refused a new connection %.0f ms after SIGTERM",
+                        proxy,
+                        sinceTerm / 1e6));
+    }
+
     /** Its client has left, or its proxy was killed: nothing is owed any more. */
     void excused(long now, String id, boolean proxyDied) {
         Entry e = items.get(id);
--- a/src/main/java/cottonlock/lab/Scenario.java
+++ b/src/main/java/cottonlock/lab/Scenario.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -26,6 +27,10 @@
     private static final double ANY = Double.MAX_VALUE;
     private static final double SECOND = 1e9;
     private static final double MILLI = 1e6;
+
+    /** The stand-ins hold a body whole. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
+
     private static final String NAME = "[A-Za-z0-9._-]{1,40}";
 
     /** Arrivals of one run, at most: their schedule is held in memory. */
@@ -67,7 +72,11 @@
     /** One tenant; rate in first sends a second. */
     record TenantPlan(String name, double share, double quota, double rate) {}
 
-    /** One category; work in core nanoseconds at speed 1. */
+    /**
+     * One category; work in core nanoseconds at speed 1.
+     *
+     * @param upload nanoseconds over which the bodies of its requests are sent, in pieces
+     */
     record CategoryPlan(
             String name,
             long due,
@@ -79,7 +88,9 @@
             double lateCredit,
             double weight,
             double work,
-            double spread) {}
+            double spread,
+            int bodyBytes,
+            long upload) {}
 
     /** How the clients behave. */
     record ClientPlan(
@@ -100,6 +111,7 @@
      * @param groups between which a fault of the ways between proxies acts; none: between all
      * @param oneWay whether from the first group to the others only
      * @param after the moment that {@code at} counts from; empty: the beginning
+     * @param series the signals of a restart
      */
     record Fault(
             long at,
@@ -115,7 +127,8 @@
             List<List<Integer>> groups,
             boolean oneWay,
             String name,
-            String after) {}
+            String after,
+            SignalSeries series) {}
 
     /**
      * How the proxies know one another; text is the table of the operator's file, keyed: with a
@@ -156,9 +169,12 @@
                             Map.entry("discovery-down", ""),
                             Map.entry("discovery-slow", "ms"),
                             Map.entry("discovery-stale", ""),
+                            Map.entry("discovery-silent", ""),
                             Map.entry("discovery-moved", ""),
                             Map.entry("proxy-kill", ""),
                             Map.entry("proxy-term", ""),
+                            Map.entry("proxy-restart", ""),
+                            Map.entry("proxy-crowd", "connections"),
                             Map.entry("proxy-pause", ""),
                             Map.entry("proxy-hang", ""),
                             Map.entry("proxy-starve", "chance"),
@@ -176,6 +192,7 @@
     static final Set<String> OF_PROCESSES =
             Set.of(
                     "proxy-kill",
+                    "proxy-restart",
                     "proxy-pause",
                     "proxy-hang",
                     "proxy-starve",
@@ -389,7 +406,9 @@
                             f.number("late_credit", 0, 0, 1),
                             f.number("weight", 1, 0, 1e6),
                             MILLI * f.number("work_ms", Double.NaN, 0, 60_000),
-                            f.number("spread", 0.3, 0, 3));
+                            f.number("spread", 0.3, 0, 3),
+                            f.integer("body_bytes", 4, 0, MAX_BODY_BYTES),
+                            millis(f, "upload_ms", 0, 0));
             if (!seen.add(c.name)) {
                 f.addFault("name", "stands twice");
             }
@@ -521,7 +540,17 @@
                 groups(f, kind),
                 f.bool("one_way", false),
                 f.matching("name", "", "[A-Za-z0-9-]{1,40}", "a short name"),
-                after);
+                after,
+                series(f));
+    }
+
+    private static SignalSeries series(Fields f) {
+        String[] names = new String[SignalSeries.values().length];
+        for (SignalSeries series : SignalSeries.values()) {
+            names[series.ordinal()] = series.name().toLowerCase(Locale.ROOT);
+        }
+        String name = f.oneOf("series", names[0], names);
+        return SignalSeries.valueOf(name.toUpperCase(Locale.ROOT));
     }
 
     /** The proxies that a fault of proxies hits; none where they are drawn. */
--- a/src/main/java/cottonlock/lab/Timeline.java
+++ b/src/main/java/cottonlock/lab/Timeline.java
@@ -33,9 +33,21 @@
             List<List<Integer>> groups,
             boolean oneWay,
             String name,
-            String after) {
+            String after,
+            SignalSeries series) {
         Entry(long at, long length, String kind, List<String> backends, int proxy, double amount) {
-            this(at, length, kind, backends, proxy, amount, List.of(), false, "", "");
+            this(
+                    at,
+                    length,
+                    kind,
+                    backends,
+                    proxy,
+                    amount,
+                    List.of(),
+                    false,
+                    "",
+                    "",
+                    SignalSeries.TERM);
         }
 
         String line() {
@@ -99,7 +111,8 @@
                                     List.of(),
                                     false,
                                     f.name(),
-                                    f.after()));
+                                    f.after(),
+                                    f.series()));
                     at += f.every();
                 }
             } else if (f.kind().startsWith("peer")) {
@@ -114,7 +127,8 @@
                                 f.groups(),
                                 f.oneWay(),
                                 f.name(),
-                                f.after()));
+                                f.after(),
+                                f.series()));
             } else if (f.kind().equals("deploy")) {
                 long at = f.at();
                 for (String backend : hit) {
@@ -135,7 +149,8 @@
                                 List.of(),
                                 false,
                                 f.name(),
-                                f.after()));
+                                f.after(),
+                                f.series()));
             }
         }
         for (int i = 0; i < random.count(); i++) {
@@ -173,7 +188,8 @@
                                 groups,
                                 pair && chance.nextBoolean(),
                                 "",
-                                ""));
+                                "",
+                                SignalSeries.TERM));
                 continue;
             }
             entries.add(
