Tests of signals set the disposition that they need

Seen: ScaleTest#anInterruptedRunLeavesNoProcess and CliTest#anInterrupted LabLeavesItsReportAndNothingElse failed ("expected 130 but was 0") where the build had been started by a shell without job control, as in the background of a script: such a shell ignores SIGINT, and Java leaves an ignored signal alone. Under nohup the tests of SIGHUP could likewise show nothing.

Evidence: under trap '' INT both failed before and pass now (one run each). What lab should do where SIGINT is ignored is not changed.

--- a/src/test/java/cottonlock/ProcessSignalsTest.java
+++ b/src/test/java/cottonlock/ProcessSignalsTest.java
@@ -75,6 +75,9 @@
         Start(Path configuration) throws IOException {
             ProcessBuilder builder =
                     new ProcessBuilder(
+                            // Started under nohup, this test would pass on an ignored SIGHUP.
+                            "env",
+                            "--default-signal=HUP",
                             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                             "-XX:+UseSerialGC",
                             "-XX:TieredStopAtLevel=1",
--- a/src/test/java/cottonlock/cli/CliTest.java
+++ b/src/test/java/cottonlock/cli/CliTest.java
@@ -18,7 +18,8 @@
 
     private static ProcessBuilder process(
             Map<String, String> environment, List<String> options, String... args) {
-        List<String> command = new ArrayList<>();
+        // A shell without job control starts this test with SIGINT ignored, which Java leaves so.
+        List<String> command = new ArrayList<>(List.of("env", "--default-signal=INT"));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC"));
         command.addAll(options);
--- a/src/test/java/cottonlock/lab/scale/ScaleTest.java
+++ b/src/test/java/cottonlock/lab/scale/ScaleTest.java
@@ -246,6 +246,10 @@
         Path folder = Files.createTempDirectory("scale");
         Process run =
                 new ProcessBuilder(
+                                // A shell without job control starts this test with SIGINT
+                                // ignored, which Java leaves so.
+                                "env",
+                                "--default-signal=INT",
                                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                                 "-XX:TieredStopAtLevel=1",
                                 "-XX:+UseSerialGC",
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -288,6 +288,9 @@
         assertEquals(0, new ProcessBuilder("mkfifo", fifo.toString()).start().waitFor());
         ProcessBuilder builder =
                 new ProcessBuilder(
+                        // Started under nohup, this test would pass on an ignored SIGHUP.
+                        "env",
+                        "--default-signal=HUP",
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-cp",
                         "target/classes",
