--- a/src/main/java/cottonlock/lab/Caller.java
+++ b/src/main/java/cottonlock/lab/Caller.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -344,7 +345,19 @@
         }
         if (!call.written) {
             if (!call.up && termAt > 0 && call.openedAt <= openUntil) {
-                ledger.refused(loop.now(), proxy, loop.now() - termAt);
+                ledger.refused(
+                        loop.now(),
+                        proxy,
+                        String.format(
+                                Locale.ROOT,
+                                "%s%s, opened %.1f ms after SIGTERM, %s after %.1f ms, due in %.1f"
+                                        + " ms",
+                                call.request.id(),
+                                call.reused ? " on a kept connection" : "",
+                                (call.openedAt - termAt) / 1e6,
+                                byReset ? "failed" : "ended",
+                                (loop.now() - call.openedAt) / 1e6,
+                                (call.until - loop.now()) / 1e6));
             }
             call.then.accept(new Result(End.NOT_TAKEN, 0));
         } else if (call.reused && !call.begun && !call.again && loop.now() < call.until) {
--- a/src/main/java/cottonlock/lab/Ledger.java
+++ b/src/main/java/cottonlock/lab/Ledger.java
@@ -130,19 +130,12 @@
     }
 
     /**
-     * A new connection was refused although the proxy's front may still send there.
+     * A new connection did not come up although the proxy's front may still send there.
      *
-     * @param sinceTerm nanoseconds since the proxy was told to end
+     * @param what the request and the times of the connection
      */
-    void refused(long now, int proxy, long sinceTerm) {
-        breach(
-                Rule.LOST,
-                now,
-                String.format(
-                        Locale.ROOT,
-                        "n%d refused a new connection %.0f ms after SIGTERM",
-                        proxy,
-                        sinceTerm / 1e6));
+    void refused(long now, int proxy, String what) {
+        breach(Rule.LOST, now, "n" + proxy + " refused a new connection: " + what);
     }
 
     /** Its client has left, or its proxy was killed: nothing is owed any more. */
