Constants of the data path have units in their names

Need: WAITED_FOR, COME, LAST, LOOK, SIGHT and the like could not be read without their comments, and their units not at all.

No value is changed.

--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -19,19 +19,19 @@
 /** A backend's actor: the one owner of the connections to it, kept ones first. */
 final class BackendActor implements Runnable {
     /** More than the sockets there are: what the connections tell always fits. */
-    private static final int MOST = 4_096;
+    private static final int MAILBOX_CAPACITY = 4_096;
 
     /** Parts of the idle time after which a connection is retired, before the backend does it. */
-    private static final double RETIRE = 0.8;
+    private static final double IDLE_TIMEOUT_PART = 0.8;
 
     /**
      * Nanoseconds after an answer within which a second one may come, some milliseconds late: used
-     * again at once, the connection would give it to the next attempt. Seen: 0.1 to 4 ms.
+     * again at once, the connection would give it to the next attempt.
      */
-    static final long SETTLE = 5_000_000;
+    static final long SETTLE_NANOS = 5_000_000;
 
     /** How often the resting connections are looked through at least, in microseconds. */
-    private static final long LOOK = 500_000;
+    private static final long IDLE_CHECK_MICROS = 500_000;
 
     private final Mailbox mailbox;
     private final ConnectionPermits permits;
@@ -99,7 +99,7 @@
         this.keepAlive = keepAlive;
         this.workers = workers;
         this.connectLimit = (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectLimit));
-        this.retireAfter = (long) (idle * RETIRE * 1_000_000);
+        this.retireAfter = (long) (idle * IDLE_TIMEOUT_PART * 1_000_000);
         this.settle = settle;
         this.buffers = buffers;
         this.writer = writer;
@@ -107,7 +107,7 @@
         this.clock = clock;
         this.figures = figures;
         this.log = log;
-        this.mailbox = new Mailbox(MOST, log);
+        this.mailbox = new Mailbox(MAILBOX_CAPACITY, log);
     }
 
     /**
@@ -158,7 +158,7 @@
         permits.join(this);
         try {
             while (!leaving || !connections.isEmpty() || !held.isEmpty()) {
-                mailbox.next(held.isEmpty() ? LOOK : unsettled() / 1_000);
+                mailbox.next(held.isEmpty() ? IDLE_CHECK_MICROS : unsettled() / 1_000);
                 retire();
                 while (!held.isEmpty() && unsettled() <= 0) {
                     send(held.poll());
--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -26,7 +26,7 @@
      * Milliseconds of a pause in an answer: some backends take seconds to write it, in pieces. One
      * that stops short would hold its request until nothing else can be tried any more.
      */
-    private static final long GAP = 1_200;
+    private static final long RESPONSE_PAUSE_MILLIS = 1_200;
 
     private final BackendActor backend;
     private final InetSocketAddress address;
@@ -242,7 +242,7 @@
     /** Reads one answer; false when the connection is to end. */
     private boolean exchange(HttpReader reader) throws IOException, MalformedMessageException {
         reader.setTimeout(0);
-        MessageHead head = reader.readResponseHead(GAP);
+        MessageHead head = reader.readResponseHead(RESPONSE_PAUSE_MILLIS);
         MessageBody body = reader.readBodyStart(buffers);
         try {
             ClientRequest.Attempt attempt;
--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -24,50 +24,50 @@
      * Milliseconds between requests: many clients ask once and stay, and may be left after two
      * seconds.
      */
-    private static final long REST = 2_200;
+    private static final long IDLE_TIMEOUT_MILLIS = 2_200;
 
     /**
      * Milliseconds for a head to come in, from connecting for the first, and for a pause in a body:
      * slow ones take two seconds, half ones must not pile up.
      */
-    private static final long READ = 2_600;
+    private static final long READ_TIMEOUT_MILLIS = 2_600;
 
     /** Bytes a second of a body at least: a little less than the slowest clients send. */
-    private static final long SLOWEST = 48 << 10;
+    private static final long MIN_BODY_BYTES_PER_SECOND = 48 << 10;
 
     /**
      * Nanoseconds of silence after which a request that has not come whole may give way: with a
      * second, a crowd of half ones held all places, and those who came were closed unread.
      */
-    private static final long HALF = 250_000_000L;
+    private static final long PARTIAL_REQUEST_NANOS = 250_000_000L;
 
     /**
      * Milliseconds for what a refused client still sends, so that it sees the answer before the
      * end.
      */
-    private static final long LINGER = 300;
+    private static final long REFUSAL_LINGER_MILLIS = 300;
 
     /**
      * Nanoseconds after connecting within which the first request begins: a far network's round
      * trip.
      */
-    private static final long NEW = 300_000_000L;
+    private static final long FIRST_REQUEST_NANOS = 300_000_000L;
 
     /** Milliseconds after which a request that came before the last answer is looked at again. */
-    private static final long LOOK = 20;
+    private static final long READ_AHEAD_CHECK_MILLIS = 20;
 
     /**
      * Milliseconds that a backend may pause within a long answer: some take seconds to write on.
      */
-    private static final long STALL = 5_000;
+    private static final long RELAY_PAUSE_MILLIS = 5_000;
 
     /**
      * Bytes that are read and dropped at most: what lies in the buffers of one connection. Reading
      * on through 60 MB costs the others.
      */
-    private static final int DROP = 256 << 10;
+    private static final int MAX_DISCARDED_BYTES = 256 << 10;
 
-    private static final byte[] CONTINUE =
+    private static final byte[] CONTINUE_RESPONSE =
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Socket socket;
@@ -193,7 +193,10 @@
                 // same: not read on, it was not noticed, and what it had asked for was sent on
                 // after it had
                 // gone.
-                reader.setTimeout(owed && reader.hasBufferedBytes() ? LOOK : asked ? REST : READ);
+                reader.setTimeout(
+                        owed && reader.hasBufferedBytes()
+                                ? READ_AHEAD_CHECK_MILLIS
+                                : asked ? IDLE_TIMEOUT_MILLIS : READ_TIMEOUT_MILLIS);
                 looks();
                 if (!reader.readAhead()) {
                     return false;
@@ -207,7 +210,7 @@
                 lastOne();
             }
             nextBegun(owed && reader.hasBufferedBytes());
-            if (reader.discardedBytes() > DROP) {
+            if (reader.discardedBytes() > MAX_DISCARDED_BYTES) {
                 awaitAnswer();
             }
         }
@@ -261,16 +264,16 @@
         RequestValidator.Asked judged = null;
         try {
             if (asked) {
-                reader.setTimeout(READ);
+                reader.setTimeout(READ_TIMEOUT_MILLIS);
             }
             asked = true;
             head = reader.readRequestHead();
             boolean health = head.target().equals("/_health");
             judged = health ? null : admission.asked(head);
             if (head.lists("Expect", "100-continue")) {
-                watchdog.write(socket, out -> out.write(CONTINUE));
+                watchdog.write(socket, out -> out.write(CONTINUE_RESPONSE));
             }
-            reader.setPacing(READ, SLOWEST);
+            reader.setPacing(READ_TIMEOUT_MILLIS, MIN_BODY_BYTES_PER_SECOND);
             body = reader.readBody(buffers, spools, MessageBody.MAX_REQUEST_BYTES);
             if (reader.hasStrayBytes()) {
                 body.release();
@@ -338,8 +341,8 @@
         watchdog.write(socket, out -> writer.writeRefusal(out, e.status(), e.getMessage()));
         socket.shutdownOutput();
         // Closed with bytes unread, the connection would take the answer with it.
-        reader.setTimeout(LINGER);
-        reader.discard(DROP);
+        reader.setTimeout(REFUSAL_LINGER_MILLIS);
+        reader.discard(MAX_DISCARDED_BYTES);
     }
 
     private void answer(int status, String name, String value, MessageBody body, boolean close)
@@ -409,7 +412,7 @@
                         // The rest may take as long as the client likes; what is in hand would be
                         // missed by others.
                         part.release();
-                        rest.setPacing(STALL, HttpReader.ANY_RATE_BYTES_PER_SECOND);
+                        rest.setPacing(RELAY_PAUSE_MILLIS, HttpReader.ANY_RATE_BYTES_PER_SECOND);
                         rest.relayBody(
                                 (from, at, count) ->
                                         writer.writeRelayed(out, chunked, from, at, count));
@@ -452,7 +455,7 @@
     void close() {
         synchronized (this) {
             closing = true;
-            boolean awaitsFirstRequest = !asked && System.nanoTime() - since < NEW;
+            boolean awaitsFirstRequest = !asked && System.nanoTime() - since < FIRST_REQUEST_NANOS;
             if (reading || req != null || inputEnded || awaitsFirstRequest) {
                 return;
             }
@@ -501,7 +504,7 @@
     /** Ends it, unless a request is under way or may be just about to come in whole. */
     void giveWay() {
         synchronized (this) {
-            if (req != null || (reading && System.nanoTime() - since() < HALF)) {
+            if (req != null || (reading && System.nanoTime() - since() < PARTIAL_REQUEST_NANOS)) {
                 return;
             }
             closing = true;
--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -29,15 +29,15 @@
     /**
      * Milliseconds for a connection to come free; whoever waits longer is better served elsewhere.
      */
-    private static final long WAIT = 250;
+    private static final long MAX_PLACE_WAIT_MILLIS = 250;
 
     /** Milliseconds between looks for one that can be closed. */
-    private static final long LOOK = 5;
+    private static final long PLACE_CHECK_MILLIS = 5;
 
     /** Milliseconds between looks at whether to leave; and at a queue that may be empty. */
-    private static final int TURN = 100;
+    private static final int ACCEPT_TIMEOUT_MILLIS = 100;
 
-    private static final int EMPTY = 1;
+    private static final int LAST_ACCEPT_TIMEOUT_MILLIS = 1;
 
     private final Semaphore places;
     private final BiFunction<Socket, ClientListener, ClientConnection> clientOf;
@@ -65,7 +65,7 @@
         if (shares) {
             server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
-        server.setSoTimeout(TURN);
+        server.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
         try {
             server.bind(address, BACKLOG);
         } catch (IOException e) {
@@ -90,7 +90,7 @@
         while (!server.isClosed()) {
             try {
                 if (leaving) {
-                    server.setSoTimeout(EMPTY);
+                    server.setSoTimeout(LAST_ACCEPT_TIMEOUT_MILLIS);
                 }
                 take(server.accept());
             } catch (SocketTimeoutException e) {
@@ -135,9 +135,10 @@
 
     /** Takes a place, if need be that of the client that will miss it least. */
     private boolean placeFound() {
-        for (long waited = 0; waited <= WAIT; waited += LOOK) {
+        for (long waited = 0; waited <= MAX_PLACE_WAIT_MILLIS; waited += PLACE_CHECK_MILLIS) {
             try {
-                if (places.tryAcquire(waited == 0 ? 0 : LOOK, TimeUnit.MILLISECONDS)) {
+                if (places.tryAcquire(
+                        waited == 0 ? 0 : PLACE_CHECK_MILLIS, TimeUnit.MILLISECONDS)) {
                     return true;
                 }
             } catch (InterruptedException e) {
--- a/src/main/java/cottonlock/proxy/ClientRequest.java
+++ b/src/main/java/cottonlock/proxy/ClientRequest.java
@@ -16,10 +16,10 @@
 /** A request on its way through the sockets: what came of it, and who still needs its body. */
 final class ClientRequest {
     /** Nanoseconds that a look at a client takes: a read that finds its end returns at once. */
-    private static final long LOOK = 100_000;
+    private static final long CLIENT_CHECK_NANOS = 100_000;
 
     /** How often that is waited for the look: whoever reads has had a core by then. */
-    private static final int LOOKS = 20;
+    private static final int MAX_CLIENT_CHECKS = 20;
 
     final ClientConnection client;
     final String method;
@@ -117,7 +117,7 @@
     }
 
     private synchronized boolean looked() {
-        return lookedAt != 0 && System.nanoTime() - lookedAt >= LOOK;
+        return lookedAt != 0 && System.nanoTime() - lookedAt >= CLIENT_CHECK_NANOS;
     }
 
     /**
@@ -125,8 +125,8 @@
      * may have left before; without the wait three to five of a hundred such were sent on.
      */
     void awaitLook() {
-        for (int i = 0; i < LOOKS && !looked() && !claimed(); i++) {
-            LockSupport.parkNanos(LOOK);
+        for (int i = 0; i < MAX_CLIENT_CHECKS && !looked() && !claimed(); i++) {
+            LockSupport.parkNanos(CLIENT_CHECK_NANOS);
         }
     }
 
--- a/src/main/java/cottonlock/proxy/ConnectionPermits.java
+++ b/src/main/java/cottonlock/proxy/ConnectionPermits.java
@@ -8,7 +8,7 @@
 /** The sockets there may be to backends, shared by their actors. */
 final class ConnectionPermits {
     /** Milliseconds for the others to close a connection that rests: far below any due time. */
-    private static final long WAIT = 20;
+    private static final long PERMIT_WAIT_MILLIS = 20;
 
     private final Semaphore free;
     private final List<BackendActor> sharers = new CopyOnWriteArrayList<>();
@@ -33,7 +33,7 @@
         // Connections that rest at some backends must not shut out work for the others.
         sharers.forEach(BackendActor::spareOne);
         try {
-            return free.tryAcquire(WAIT, TimeUnit.MILLISECONDS);
+            return free.tryAcquire(PERMIT_WAIT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
--- a/src/main/java/cottonlock/proxy/ConnectionThreads.java
+++ b/src/main/java/cottonlock/proxy/ConnectionThreads.java
@@ -15,7 +15,7 @@
      * Milliseconds that a thread waits: longer than the gaps in a crowd, and no memory is held for
      * long.
      */
-    private static final long STAY = 3_000;
+    private static final long KEEP_ALIVE_MILLIS = 3_000;
 
     /** Far longer than a thread needs to return from a closed socket, also on a busy machine. */
     private static final long MAX_CLOSE_SECONDS = 5;
@@ -24,7 +24,7 @@
             new ThreadPoolExecutor(
                     0,
                     Integer.MAX_VALUE,
-                    STAY,
+                    KEEP_ALIVE_MILLIS,
                     TimeUnit.MILLISECONDS,
                     new SynchronousQueue<>(),
                     task -> Sockets.thread("connection", task));
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -36,19 +36,19 @@
  */
 final class LoadBalancerActor implements Runnable, LoadBalancerActions, EndpointListListener {
     /** More than the sockets there are: each has a message or two under way at most. */
-    private static final int MOST = 4_096;
+    private static final int MAILBOX_CAPACITY = 4_096;
 
     /**
      * Tenths of a millisecond until a wake that failed is tried again: seldom enough to harm
      * nobody.
      */
-    private static final long AGAIN = 1_000;
+    private static final long TIMER_RETRY_TICKS = 1_000;
 
     /**
      * Tenths of a millisecond after a client was last seen there in which an attempt may begin:
      * within 100 ms of its leaving none is a fault, and the write takes some of them.
      */
-    private static final long SIGHT = 800;
+    private static final long CLIENT_SEEN_TICKS = 800;
 
     private final Mailbox mailbox;
 
@@ -57,8 +57,7 @@
 
     /**
      * Starts backends' threads: whoever starts one waits until it has been given a core for the
-     * first time. Seen where none was free: 2 to 5 s for a list of a hundred, with every deadline
-     * running meanwhile.
+     * first time, and this thread must not wait.
      */
     private final Mailbox starter;
 
@@ -111,9 +110,9 @@
         this.actorOf = actorOf;
         this.figures = figures;
         this.log = log;
-        this.mailbox = new Mailbox(MOST, log);
-        this.clerk = new Mailbox(MOST, log);
-        this.starter = new Mailbox(MOST, log);
+        this.mailbox = new Mailbox(MAILBOX_CAPACITY, log);
+        this.clerk = new Mailbox(MAILBOX_CAPACITY, log);
+        this.starter = new Mailbox(MAILBOX_CAPACITY, log);
     }
 
     /**
@@ -198,7 +197,7 @@
         if (now >= wakeAt) {
             // The module sets its next time itself; if it failed on the way, it would never be
             // woken again.
-            wakeAt = now + AGAIN;
+            wakeAt = now + TIMER_RETRY_TICKS;
             balancer.onTimer(now);
             retireUnlisted();
             count();
@@ -269,7 +268,7 @@
      * to, at all.
      */
     void unseen(ClientRequest req, boolean first) {
-        req.seenUntil = first ? Long.MAX_VALUE : clock.now() + SIGHT;
+        req.seenUntil = first ? Long.MAX_VALUE : clock.now() + CLIENT_SEEN_TICKS;
         mailbox.put(
                 () -> {
                     req.unseen = true;
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -34,59 +34,52 @@
 /** A load balancer on sockets: what an embedding program starts and closes. */
 public final class Proxy {
     /**
-     * Descriptors for the program itself, its jars, discovery, peers and the listener: 13 at rest,
-     * measured, and for a moment a connection just accepted, files that processes share, the
-     * configuration.
+     * Descriptors for the program itself, its jars, discovery, peers and the listener, and for a
+     * moment a connection just accepted, files that processes share, the configuration.
      */
     private static final int OWN_SOCKETS = 24;
 
     /** Part of the others that backends have: clients hold a third of all at most for requests. */
-    private static final double TO_BACKENDS = 0.375;
+    private static final double BACKEND_SOCKET_SHARE = 0.375;
 
-    /**
-     * MB that the program takes by itself, and connections of clients that one more holds,
-     * measured.
-     */
-    private static final int OWN_MEMORY = 48;
+    /** MB that the program takes by itself, and connections of clients that one more holds. */
+    private static final int OWN_MEMORY_MB = 48;
 
-    private static final int CLIENTS_A_MB = 6;
+    private static final int CLIENTS_PER_MB = 6;
 
-    /**
-     * Milliseconds of patience, at most, that whoever stops the program waits for, and how many
-     * more.
-     */
-    private static final long WAITED_FOR = 3_000;
+    /** The longest deadline that whoever stops the program waits for, and how much longer. */
+    private static final long MAX_DEADLINE_MILLIS = 3_000;
 
-    private static final long MORE = 700;
+    private static final long KILL_DELAY_MILLIS = 700;
 
     /**
      * Milliseconds before that by which all is answered: time to leave in, also with little of a
      * core.
      */
-    private static final long MARGIN = 300;
+    private static final long EXIT_MARGIN_MILLIS = 300;
 
     /**
      * Milliseconds for which new connections go on coming after the program was told to stop: 0.4 s
      * at most.
      */
-    private static final long COME = 450;
+    private static final long MIN_ACCEPT_MILLIS = 450;
 
     /** Milliseconds that the last requests taken have at least: twice what most of them need. */
-    private static final long LAST = 900;
+    private static final long LAST_REQUEST_MILLIS = 900;
 
     /**
      * Where the settings give none, in their microseconds: a far network's connect, a common idle
      * time.
      */
-    private static final double CONNECT = 250_000;
+    private static final double DEFAULT_CONNECT_TIMEOUT_MICROS = 250_000;
 
-    private static final double IDLE = 15_000_000;
+    private static final double DEFAULT_IDLE_TIMEOUT_MICROS = 15_000_000;
 
     /** One of so many sockets is left for the file of a long body. */
-    private static final int FOR_BODIES = 12;
+    private static final int SOCKETS_PER_BODY_FILE = 12;
 
     /** Milliseconds between looks at whether all is answered. */
-    private static final long LOOK = 5;
+    private static final long DRAIN_CHECK_MILLIS = 5;
 
     private final Path configuration;
 
@@ -150,25 +143,29 @@
         // it away.
         int own = OWN_SOCKETS + (shares ? ManagementServer.MAX_CONNECTIONS : 0);
         int sockets = Math.max(4, allowedSockets(config) - own);
-        sockets -= sockets / FOR_BODIES;
-        int toBackends = Math.max(2, (int) (sockets * TO_BACKENDS));
+        sockets -= sockets / SOCKETS_PER_BODY_FILE;
+        int toBackends = Math.max(2, (int) (sockets * BACKEND_SOCKET_SHARE));
         int memoryMb = config.limit("memory_mb", 192);
         int fromClients =
                 Math.min(
-                        sockets - toBackends, Math.max(16, (memoryMb - OWN_MEMORY) * CLIENTS_A_MB));
+                        sockets - toBackends,
+                        Math.max(16, (memoryMb - OWN_MEMORY_MB) * CLIENTS_PER_MB));
         // An eighth of the memory, a third of the heap at most: one for each connection, the rest
         // for bodies.
         long bytes = Math.min(((long) memoryMb << 20) / 8, Runtime.getRuntime().maxMemory() / 3);
         int connections = fromClients + toBackends;
         buffers = new BufferPool((int) Math.max(connections, bytes / BufferPool.SIZE), connections);
         Path spooled = folder == null ? Path.of(System.getProperty("java.io.tmpdir")) : folder;
-        BodySpillFiles spools = new BodySpillFiles(spooled, Math.max(2, sockets / FOR_BODIES));
+        BodySpillFiles spools =
+                new BodySpillFiles(spooled, Math.max(2, sockets / SOCKETS_PER_BODY_FILE));
         HttpWriter writer = new HttpWriter(buffers);
         WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
         ConnectionPermits permits = new ConnectionPermits(toBackends);
         KeepAlivePolicy keepAlive = new KeepAlivePolicy();
-        long connect = settings.ticksRoundedDown("Limits.ConnectTimeout", CONNECT) / 10;
-        long idle = settings.ticksRoundedDown("Limits.ConnIdle", IDLE) / 10;
+        long connect =
+                settings.ticksRoundedDown("Limits.ConnectTimeout", DEFAULT_CONNECT_TIMEOUT_MICROS)
+                        / 10;
+        long idle = settings.ticksRoundedDown("Limits.ConnIdle", DEFAULT_IDLE_TIMEOUT_MICROS) / 10;
         String name = config.text("name", "proxy") + "-" + config.text("listen", "");
         Path kept = shares ? folder : null;
         succession = new ProcessHandover(new SharedFile(kept, name, "serving", log));
@@ -183,7 +180,7 @@
                                         workers,
                                         connect,
                                         idle,
-                                        BackendActor.SETTLE,
+                                        BackendActor.SETTLE_NANOS,
                                         buffers,
                                         writer,
                                         watchdog,
@@ -420,7 +417,10 @@
      * served.
      */
     public void drain(long toldAt) throws InterruptedException {
-        long left = Math.min(WAITED_FOR, admission.longest()) + MORE - MARGIN;
+        long left =
+                Math.min(MAX_DEADLINE_MILLIS, admission.longest())
+                        + KILL_DELAY_MILLIS
+                        - EXIT_MARGIN_MILLIS;
         left -= (System.nanoTime() - toldAt) / 1_000_000;
         long end = System.nanoTime() + left * 1_000_000;
         // Taken before, some requests might wait for longer than the program is let live.
@@ -432,7 +432,13 @@
             emptied(end, () -> {});
         } else {
             Thread.sleep(
-                    Math.max(0, Math.min(left, Math.max(COME, Math.max(left / 2, left - LAST)))));
+                    Math.max(
+                            0,
+                            Math.min(
+                                    left,
+                                    Math.max(
+                                            MIN_ACCEPT_MILLIS,
+                                            Math.max(left / 2, left - LAST_REQUEST_MILLIS)))));
             if (members != null) {
                 members.service().leave();
             }
@@ -440,14 +446,14 @@
         }
         // A look at who is busy would not do: a request may have been read and not yet be known to
         // be.
-        emptied(end + MARGIN / 2 * 1_000_000, listener::endResting);
+        emptied(end + EXIT_MARGIN_MILLIS / 2 * 1_000_000, listener::endResting);
     }
 
     /** Waits until no connection is left, or the time has come. */
     private void emptied(long until, Runnable each) throws InterruptedException {
         while (!listener.empty() && System.nanoTime() < until) {
             each.run();
-            Thread.sleep(LOOK);
+            Thread.sleep(DRAIN_CHECK_MILLIS);
         }
     }
 
--- a/src/main/java/cottonlock/proxy/RequestValidator.java
+++ b/src/main/java/cottonlock/proxy/RequestValidator.java
@@ -15,7 +15,7 @@
      * What passing the answer on may take, in tenths of a millisecond: a busy core's few
      * milliseconds.
      */
-    private static final long RESERVE = 100;
+    private static final long DEADLINE_RESERVE_TICKS = 100;
 
     private final TickClock clock;
     private volatile RequestRules rules;
@@ -43,7 +43,7 @@
      * Returns by when, by the module's clock.
      */
     long endWithin(long millis) {
-        leaving = clock.now() + millis * 10 - RESERVE;
+        leaving = clock.now() + millis * 10 - DEADLINE_RESERVE_TICKS;
         return leaving;
     }
 
@@ -110,7 +110,9 @@
                             ? "no X-Timeout-Ms"
                             : "X-Timeout-Ms is not a number of whole milliseconds");
         }
-        long wait = Math.min(in.longest(category) / 10, Long.parseLong(patience)) * 10 - RESERVE;
+        long wait =
+                Math.min(in.longest(category) / 10, Long.parseLong(patience)) * 10
+                        - DEADLINE_RESERVE_TICKS;
         return new Asked(
                 head, requestId, idempotencyKey, category, first, tenant, tenantName, wait);
     }
--- a/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
+++ b/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
@@ -11,13 +11,13 @@
 /** Closes sockets whose writes take too long: a machine that has gone silent never takes them. */
 final class WriteTimeoutWatchdog implements Runnable {
     /** How often it looks, in milliseconds: the limits are far longer. */
-    private static final long LOOK = 200;
+    private static final long CHECK_MILLIS = 200;
 
     /**
      * Nanoseconds without a byte taken: readers pause for two or three seconds; one that never
      * reads on would hold its connection for good.
      */
-    private static final long LIMIT = 5_000_000_000L;
+    private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
 
     private final Map<Socket, Long> writing = new ConcurrentHashMap<>();
 
@@ -48,11 +48,11 @@
     public void run() {
         try {
             while (true) {
-                Thread.sleep(LOOK);
+                Thread.sleep(CHECK_MILLIS);
                 long now = System.nanoTime();
                 writing.forEach(
                         (socket, since) -> {
-                            if (now - since > LIMIT) {
+                            if (now - since > WRITE_TIMEOUT_NANOS) {
                                 Sockets.close(socket);
                             }
                         });
--- a/src/test/java/cottonlock/proxy/ListsTest.java
+++ b/src/test/java/cottonlock/proxy/ListsTest.java
@@ -282,7 +282,7 @@
                                         new ConnectionThreads(),
                                         1_000,
                                         60_000,
-                                        BackendActor.SETTLE,
+                                        BackendActor.SETTLE_NANOS,
                                         new BufferPool(16, 4),
                                         null,
                                         null,
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -478,7 +478,7 @@
         StandIn backend = new StandIn(request -> FAILED);
         long later = clock.now() + 100_000;
         for (int kind = 0; kind < 4; kind++) {
-            BackendActor actor = actor(backend, BackendActor.SETTLE);
+            BackendActor actor = actor(backend, BackendActor.SETTLE_NANOS);
             Sent sent = attempt(actor, kind == 1 ? clock.now() : later);
             if (kind == 2) {
                 actor.ready(false);
@@ -505,7 +505,7 @@
             throws Exception {
         StandIn old = new StandIn(request -> CLOSE);
         StandIn now = new StandIn(request -> FAILED);
-        BackendActor actor = actor(old, BackendActor.SETTLE);
+        BackendActor actor = actor(old, BackendActor.SETTLE_NANOS);
         for (int i = 0; i < 5_000; i++) {
             actor.release();
             actor.listensAt(address(i % 2 == 0 ? old : now));
@@ -527,7 +527,7 @@
     @Example
     void aStrayAnswerReadJustBeforeTheNextAttemptIsNotItsAnswer() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, BackendActor.SETTLE);
+        BackendActor actor = actor(backend, BackendActor.SETTLE_NANOS);
         Sent first = attempt(null, Long.MAX_VALUE);
         BackendConnection connection =
                 new BackendConnection(
