Proxy.close() also waits for the very end of the connections' threads

Change: ConnectionThreads keeps the threads that it has made and joins them. The test leaves out threads that were there before it; those of the proxies that it starts are judged as before.

--- a/src/main/java/cottonlock/proxy/ConnectionThreads.java
+++ b/src/main/java/cottonlock/proxy/ConnectionThreads.java
@@ -1,6 +1,9 @@
 package cottonlock.proxy;
 
 import cottonlock.proxy.io.Sockets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -17,9 +20,6 @@
      */
     private static final long KEEP_ALIVE_MILLIS = 3_000;
 
-    /** Far longer than a thread needs to return from a closed socket, also on a busy machine. */
-    private static final long MAX_CLOSE_SECONDS = 5;
-
     private final ThreadPoolExecutor threads =
             new ThreadPoolExecutor(
                     0,
@@ -27,7 +27,17 @@
                     KEEP_ALIVE_MILLIS,
                     TimeUnit.MILLISECONDS,
                     new SynchronousQueue<>(),
-                    task -> Sockets.thread("connection", task));
+                    this::newThread);
+
+    /** Those that have been made and have not ended: the pool forgets a thread before its end. */
+    private final Set<Thread> made = ConcurrentHashMap.newKeySet();
+
+    private Thread newThread(Runnable task) {
+        Thread thread = Sockets.thread("connection", task);
+        made.removeIf(older -> older.getState() == Thread.State.TERMINATED);
+        made.add(thread);
+        return thread;
+    }
 
     /** Serves a connection; an OutOfMemoryError when no thread can be had. */
     void serve(Runnable connection) {
@@ -36,14 +46,10 @@
 
     /**
      * Ends all threads and waits for their end, 5 s at most; the sockets of their connections have
-     * been closed before. An interrupt ends the wait; it is kept for the caller.
+     * been closed before. An interrupt does not end the wait; it is kept for the caller.
      */
     void close() {
         threads.shutdownNow();
-        try {
-            threads.awaitTermination(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        Sockets.join(List.copyOf(made));
     }
 }
--- a/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
+++ b/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
@@ -40,9 +40,13 @@
 
     private final SplittableRandom random = new SplittableRandom(1);
 
-    private static List<String> proxyThreads() {
+    /** Connections' threads of tests before this one may wait for further ones for a while. */
+    private final Set<Thread> before = Thread.getAllStackTraces().keySet();
+
+    /** The names of the threads of proxies that this test has started and that still run. */
+    private List<String> proxyThreads() {
         return Thread.getAllStackTraces().keySet().stream()
-                .filter(Thread::isAlive)
+                .filter(thread -> thread.isAlive() && !before.contains(thread))
                 .map(Thread::getName)
                 .filter(PROXY_THREADS::contains)
                 .sorted()
