The test of a long start waits until the first configuration has been read

A fault of the test.

Change: it writes again once the program has gone on with its start. The check is the same.

Evidence: the class's four cases passed.

--- a/src/test/java/cottonlock/ProcessSignalsTest.java
+++ b/src/test/java/cottonlock/ProcessSignalsTest.java
@@ -202,6 +202,8 @@
                 Thread.sleep(TimeUnit.SECONDS.toMillis(LONG_START_SECONDS));
                 first.write(configurationText().getBytes(StandardCharsets.UTF_8));
             }
+            // Written while the first reader is still there, both would be read as one file.
+            start.awaitLoaded("proxy.ClientListener");
             CompletableFuture<Path> second =
                     CompletableFuture.supplyAsync(() -> write(configuration));
             second.get(MAX_START_SECONDS, TimeUnit.SECONDS);
