The operators' listener queues a burst of calls; a dozen filled it

What callers saw: behind some dozens of connections opened at once, HEALTH took over a second.

Cause: the listener was bound with a queue of 12, as many as are served at once. The system drops the connection request of whoever comes while the queue is full, and the caller's system sends it again after a second.

Change: the queue holds 1,024.

ManagementServerTest.aBurstOfCallersIsQueuedWhileNoneIsAccepted: before, "Connect timed out"; passes now, as do the cases of OperatorDaysTest.

--- a/src/main/java/cottonlock/admin/ManagementServer.java
+++ b/src/main/java/cottonlock/admin/ManagementServer.java
@@ -20,6 +20,12 @@
     /** Connections that may be open at once; each takes a file descriptor and a thread. */
     public static final int MAX_CONNECTIONS = 12;
 
+    /**
+     * Connections that may wait to be accepted. The system drops the connection request of one more
+     * caller, who sends it again after a second.
+     */
+    private static final int BACKLOG = 1_024;
+
     private static final int MAX_COMMAND_BYTES = 512;
 
     private static final int READ_TIMEOUT_MILLIS = 5_000;
@@ -52,7 +58,7 @@
         this.operations = operations;
         server.setReuseAddress(true);
         try {
-            server.bind(address, MAX_CONNECTIONS);
+            server.bind(address, BACKLOG);
         } catch (IOException e) {
             server.close();
             throw new IOException(
