An operator's call that has come whole is not closed for a newer one

What callers saw: of 200 callers who each send a whole HEALTH at once, some found their connection closed without an answer.

Cause: with all twelve connections taken, the oldest whose command had not been read was closed for a newer one, also where the whole call lay in its socket and its thread had not run yet.

Change: a connection gives way only if all that has arrived on it is read, and only its input is ended, so a call that is read at that moment is still answered. Where none can give way, the newer one waits, 100 ms at most.

ManagementServerTest.eachCallThatHasComeWholeIsAnswered: before, the first caller had no answer ("expected ACK").

--- a/src/main/java/cottonlock/admin/ManagementServer.java
+++ b/src/main/java/cottonlock/admin/ManagementServer.java
@@ -9,6 +9,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Answers management commands, one command line a connection.
@@ -32,6 +34,13 @@
 
     private static final int ACCEPT_RETRY_MILLIS = 20;
 
+    /**
+     * How long a new connection waits, at most, while all others have sent what is not yet read.
+     */
+    private static final long MAX_PLACE_WAIT_MILLIS = 100;
+
+    private static final long PLACE_CHECK_MILLIS = 2;
+
     /** Stack of a connection's thread: the calls here are shallow. */
     private static final long THREAD_STACK_BYTES = 192 << 10;
 
@@ -93,10 +102,7 @@
 
     private void startConnection(Socket socket) {
         synchronized (awaitingCommand) {
-            // An idle connection must not keep a new caller out.
-            if (openConnections >= MAX_CONNECTIONS && !awaitingCommand.isEmpty()) {
-                closeQuietly(awaitingCommand.poll());
-            }
+            awaitPlace();
             openConnections++;
             awaitingCommand.add(socket);
         }
@@ -109,6 +115,57 @@
         }
     }
 
+    /**
+     * Waits until a connection may be added: an idle one must not keep a new caller out, and a call
+     * that has arrived must not be dropped for a newer one. Called with {@link #awaitingCommand}
+     * locked.
+     */
+    private void awaitPlace() {
+        long deadlineNanos =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_PLACE_WAIT_MILLIS);
+        while (openConnections >= MAX_CONNECTIONS
+                && !endOldestIdle()
+                && System.nanoTime() - deadlineNanos < 0) {
+            try {
+                awaitingCommand.wait(PLACE_CHECK_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    /** Returns whether there was a connection of which all that has arrived has been read. */
+    private boolean endOldestIdle() {
+        for (Iterator<Socket> oldestFirst = awaitingCommand.iterator(); oldestFirst.hasNext(); ) {
+            Socket socket = oldestFirst.next();
+            if (!hasUnreadBytes(socket)) {
+                oldestFirst.remove();
+                endInput(socket);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean hasUnreadBytes(Socket socket) {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            // It has been closed.
+            return false;
+        }
+    }
+
+    /** Its thread sees the end and closes it; a command that it has just read is still answered. */
+    private static void endInput(Socket socket) {
+        try {
+            socket.shutdownInput();
+        } catch (IOException e) {
+            // It has been closed.
+        }
+    }
+
     private void serve(Socket socket) {
         try {
             socket.setTcpNoDelay(true);
@@ -131,6 +188,7 @@
         synchronized (awaitingCommand) {
             awaitingCommand.remove(socket);
             openConnections--;
+            awaitingCommand.notifyAll();
         }
     }
 
--- a/src/test/java/cottonlock/admin/ManagementServerTest.java
+++ b/src/test/java/cottonlock/admin/ManagementServerTest.java
@@ -35,17 +35,46 @@
             connect();
         }
         Socket last = connect();
-        last.setSoTimeout(CONNECT_RETRY_MILLIS);
-        last.getOutputStream().write("HEALTH\n".getBytes(UTF_8));
-        Thread acceptor = new Thread(server, "acceptor");
-        acceptor.start();
+        send(last, "HEALTH\n");
+        Thread acceptor = accept();
         try {
-            assertEquals("ACK\n", new String(last.getInputStream().readAllBytes(), UTF_8));
+            assertEquals("ACK\n", answer(last));
         } finally {
             close(acceptor);
         }
     }
 
+    /** Guards against a caller who is closed for a newer one though its whole call has come. */
+    @Example
+    void eachCallThatHasComeWholeIsAnswered() throws Exception {
+        for (int i = 0; i < BURST_CALLERS; i++) {
+            send(connect(), "HEALTH\n");
+        }
+        Thread acceptor = accept();
+        try {
+            for (Socket caller : callers) {
+                assertEquals("ACK\n", answer(caller));
+            }
+        } finally {
+            close(acceptor);
+        }
+    }
+
+    private Thread accept() {
+        Thread acceptor = new Thread(server, "acceptor");
+        acceptor.start();
+        return acceptor;
+    }
+
+    private static void send(Socket caller, String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(UTF_8));
+    }
+
+    private static String answer(Socket caller) throws IOException {
+        caller.setSoTimeout(CONNECT_RETRY_MILLIS);
+        return new String(caller.getInputStream().readAllBytes(), UTF_8);
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket();
         callers.add(socket);
