What is logged during a shutdown is written

What operators saw: from SIGTERM on no line was logged, though the process serves on for seconds.

Cause: Java's logging closes its handlers in a shutdown hook of its own, beside the hook that drains the proxy.

Change: ServiceLogManager, named to Java by a property, keeps the log open once the proxy serves. A SIGTERM during the start still closes it.

ProcessSignalsTest.whatAShutdownLogsIsWritten: a bad request 300 ms after SIGTERM. Before, no line ("expected true"); now it is logged.

--- a/src/main/java/cottonlock/Main.java
+++ b/src/main/java/cottonlock/Main.java
@@ -14,6 +14,9 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_UNUSABLE_CONFIGURATION = 2;
 
+    /** A name, as the class itself, once loaded, would have Java create its own manager. */
+    private static final String LOG_MANAGER = "cottonlock.ServiceLogManager";
+
     private Main() {}
 
     /**
@@ -28,6 +31,7 @@
         // Before anything else is loaded: until then a signal ends the process.
         ProcessSignals signals =
                 args.length > 0 && args[0].equals("serve") ? new ProcessSignals() : null;
+        System.setProperty("java.util.logging.manager", LOG_MANAGER);
         String command = args.length == 1 ? args[0] : "";
         if (command.equals("serve") && System.getenv("COTTONLOCK_OPERATOR") == null) {
             System.exit(serve(OperatorConfig.NONE, signals));
--- a/src/main/java/cottonlock/ProcessSignals.java
+++ b/src/main/java/cottonlock/ProcessSignals.java
@@ -53,6 +53,7 @@
      */
     void started(Proxy served) {
         proxy = served;
+        ServiceLogManager.keepOpen();
         started.countDown();
         if (hangUpIgnored && served != null) {
             warnOfIgnoredHangUp();
--- a/src/test/java/cottonlock/ProcessSignalsTest.java
+++ b/src/test/java/cottonlock/ProcessSignalsTest.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,7 +22,7 @@
 import java.util.regex.Pattern;
 import net.jqwik.api.Example;
 
-/** Guards against a SIGHUP soon after the start that ends the process for good. */
+/** Guards against signals that end the process for good, or whose outcome isn't logged. */
 class ProcessSignalsTest {
     /** The exit status of a JVM that SIGHUP has ended, by itself or by Java's handler. */
     private static final int ENDED_BY_HANG_UP = 129;
@@ -36,6 +37,12 @@
     /** Longer than the three seconds for which a stop waits for the start. */
     private static final long LONG_START_SECONDS = 4;
 
+    /** By then Java's own shutdown hooks have run; the proxy serves on for longer. */
+    private static final long SHUTDOWN_BEGUN_MILLIS = 300;
+
+    private static final int RESPONSE_TIMEOUT_MILLIS = 2_000;
+    private static final Pattern LISTEN = Pattern.compile("\"listen\":\"127.0.0.1:(\\d+)\"");
+
     private static final String CONFIGURATION =
             "{\"listen\":\"127.0.0.1:%d\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":"
                     + "{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":{\"Categories\":["
@@ -110,6 +117,28 @@
             return loaded;
         }
 
+        /** Waits until it answers; returns its port. */
+        int awaitServing() throws Exception {
+            Matcher listen = LISTEN.matcher(Files.readString(folder.resolve("configuration.json")));
+            assertTrue(listen.find());
+            int port = Integer.parseInt(listen.group(1));
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_START_SECONDS);
+            while (!answers(port)) {
+                assertTrue(System.nanoTime() < deadlineNanos, "does not serve");
+                Thread.sleep(10);
+            }
+            return port;
+        }
+
+        private boolean answers(int port) {
+            try {
+                return statusLine(port, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+                        .equals("HTTP/1.1 200");
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
         void hangUp() throws Exception {
             loadedAtSignal = loadedClasses();
             new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
@@ -211,6 +240,29 @@
         }
     }
 
+    /** Guards against a shutdown that logs nothing: Java closed the log as the shutdown began. */
+    @Example
+    void whatAShutdownLogsIsWritten() throws Exception {
+        try (Start start = new Start()) {
+            int port = start.awaitServing();
+            start.process.destroy();
+            Thread.sleep(SHUTDOWN_BEGUN_MILLIS);
+            assertEquals("HTTP/1.1 400", statusLine(port, "no request\r\n\r\n"));
+            assertTrue(start.process.waitFor(MAX_START_SECONDS, TimeUnit.SECONDS), "has not ended");
+            String log = Files.readString(start.output.toPath());
+            assertTrue(log.contains("bad request"), log);
+        }
+    }
+
+    private static String statusLine(int port, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            int length = "HTTP/1.1 200".length();
+            return new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
+        }
+    }
+
     private static Path write(Path configuration) {
         try {
             return Files.writeString(configuration, configurationText());
