Calls that an overloaded discovery has let wait and refused become rarer

Cause: a crowded discovery lets a call wait for 2 s and refuses it.

Change: after a call that has waited for a second or more, the next one begins up to 3.9 s after that call began; with 2 s of its own wait the list is there within 6 s. All other failures keep 0.8 s.

EndpointListFreshnessTest: before, "a pause of 5500" (0.55 s after six refusals); passes now, as do ListsTest, unchanged, and TranscriptTest.

--- a/src/main/java/cottonlock/decision/backend/EndpointListFreshness.java
+++ b/src/main/java/cottonlock/decision/backend/EndpointListFreshness.java
@@ -17,11 +17,20 @@
     /** Half of the first backoff, which is 0.2 s: each failure, the first one too, doubles it. */
     private static final long BASE_BACKOFF_TICKS = 1_000;
 
+    /** Doublings of the base backoff: more would not change the longest one. */
+    private static final int MAX_BACKOFF_DOUBLINGS = 8;
+
+    /** The longest backoff, but after a call that has waited in a queue: 0.8 s. */
+    private static final long MAX_BACKOFF_TICKS = 8_000;
+
+    /** A call that fails after so long has waited in the queue of an overloaded discovery. */
+    private static final long MIN_QUEUE_WAIT_TICKS = 10_000;
+
     /**
-     * Doublings of the base backoff: the longest of 0.8 s lets a poll follow within 2 s of the
-     * recovery of discovery, whose list counts as known 6 s after it.
+     * Between the beginnings of a call that has waited so and of the next one: with 2 s for which
+     * that may wait too, the list is there within the 6 s after which it counts as known.
      */
-    private static final int MAX_BACKOFF_DOUBLINGS = 3;
+    private static final long MAX_CALL_INTERVAL_TICKS = 39_000;
 
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -29,6 +38,7 @@
     private final SplittableRandom random;
     private final DeploymentTopology topology;
     private long nextPollAtTicks = NEVER;
+    private long lastPollAtTicks;
     private int consecutiveFailures;
 
     EndpointListFreshness(
@@ -54,22 +64,34 @@
         }
     }
 
-    /** A subscription has failed or ended: the next one follows after a backoff. */
+    /**
+     * A subscription has failed or ended: the next one follows after a backoff, the longer the more
+     * have failed, since a discovery that has more callers than it can answer refuses all of them.
+     */
     void onFailure(long nowTicks) {
         consecutiveFailures++;
         long backoffTicks =
                 Math.min(
-                        topology.maxPollIntervalTicks() / BACKOFFS_PER_POLL_INTERVAL,
+                        maxBackoffTicks(nowTicks),
                         BASE_BACKOFF_TICKS << Math.min(MAX_BACKOFF_DOUBLINGS, consecutiveFailures));
         // All load balancers lose discovery at once, so the upper half of the backoff is jitter.
         long halfTicks = backoffTicks / 2;
         nextPollAtTicks = nowTicks + halfTicks + random.nextLong(Math.max(1, halfTicks));
     }
 
+    private long maxBackoffTicks(long nowTicks) {
+        long callTicks = nowTicks - lastPollAtTicks;
+        long leftTicks = callTicks < MIN_QUEUE_WAIT_TICKS ? 0 : MAX_CALL_INTERVAL_TICKS - callTicks;
+        return Math.min(
+                topology.maxPollIntervalTicks() / BACKOFFS_PER_POLL_INTERVAL,
+                Math.max(MAX_BACKOFF_TICKS, leftTicks));
+    }
+
     /** Subscribes again where the backoff is over. */
     void pollIfDue(long nowTicks) {
         if (nowTicks >= nextPollAtTicks) {
             nextPollAtTicks = NEVER;
+            lastPollAtTicks = nowTicks;
             actions.subscribeEndpointList();
         }
     }
