Review, case 3: long bodies in TMPDIR exceed the memory limit

Cause: files of long bodies are bounded by 1 GiB, whatever memory_mb is, and count as memory. Change: a test under review/3: twelve bodies of 32 MB at once under a limit of 192 MB.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder=$(cd "$(dirname "$0")" && pwd)
+exec sh "$folder/../run-case.sh" "$folder" LongBodies
