--- a/review/stand/SecondAnswer.java
+++ b/review/stand/SecondAnswer.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
@@ -16,6 +16,7 @@
     private static final double SHARE = 0.05;
     private static final int LATEST_COPY_MILLIS = 8;
 
+    private static final SplittableRandom seeds = new SplittableRandom(Stand.SEED);
     private static final AtomicInteger copies = new AtomicInteger();
     private static final AtomicInteger withheld = new AtomicInteger();
     private static final AtomicInteger served = new AtomicInteger();
@@ -26,6 +27,10 @@
         Stand.main(Path.of(args[0]), () -> run(Path.of(args[1])));
     }
 
+    private static synchronized SplittableRandom random() {
+        return seeds.split();
+    }
+
     private static boolean run(Path folder) throws Exception {
         Stand.Discovery discovery = new Stand.Discovery();
         for (int i = 0; i < BACKENDS; i++) {
@@ -68,10 +73,10 @@
     /** Answers each request with its own id; at times writes the same answer once more. */
     private static void backend(String id, java.net.Socket socket) throws Exception {
         InputStream in = socket.getInputStream();
+        SplittableRandom random = random();
         for (Stand.Message request = Stand.Message.read(in);
                 request != null;
                 request = Stand.Message.read(in)) {
-            ThreadLocalRandom random = ThreadLocalRandom.current();
             Thread.sleep(random.nextInt(27, 48));
             String body = "answer of " + id + " to " + request.field("X-Request-ID");
             byte[] answer =
@@ -96,6 +101,7 @@
 
     private static void client(int number, int port, long endMillis) {
         Stand.Client connection = null;
+        SplittableRandom random = random();
         for (int i = 0; Stand.millis() < endMillis; i++) {
             String id = String.format("%08x%08x", number + 1, i);
             try {
@@ -123,7 +129,7 @@
                 connection.close();
                 connection = null;
             }
-            Stand.sleep(ThreadLocalRandom.current().nextInt(0, 60));
+            Stand.sleep(random.nextInt(0, 60));
         }
         if (connection != null) {
             connection.close();
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -28,6 +28,9 @@
 final class Stand {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    /** The seed of what the stand-ins draw, and of the proxy's configuration. */
+    static final long SEED = System.getenv("seed") == null ? 1 : Long.parseLong(System.getenv("seed"));
+
     private static final long START = System.nanoTime();
     private static PrintWriter record;
     private static final List<Proxy> proxies = Collections.synchronizedList(new ArrayList<>());
@@ -45,7 +48,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(Stand::killAll));
         int code;
         try {
-            say("TROUBLE=" + (TROUBLE ? "1" : "0"));
+            say("TROUBLE=" + (TROUBLE ? "1" : "0") + ", seed " + SEED);
             boolean broken = body.run();
             say(broken ? "VERDICT: the rule was broken" : "VERDICT: the rule held");
             code = broken ? 1 : 0;
@@ -190,7 +193,7 @@
             int port, int discoveryPort, String categories, String known, int memoryMb, int sockets, String mode,
             String extra) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discoveryPort
-                + "\",\"seed\":\"" + String.format("%016x", System.nanoTime() | 1) + "\"," + extra
+                + "\",\"seed\":\"" + String.format("%016x", SEED) + "\"," + extra
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "},"
                 + "\"known\":" + known + ",\"settings\":{\"Categories\":[" + categories + "],"
                 + "\"Projects\":[{\"Name\":\"malopolska\",\"Share\":1.0,\"QuotaRps\":2000.0}],"
