--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -29,6 +29,10 @@
     /** Whether the disruption is made. */
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    /** What the proxy draws from; the environment's {@code seed}, 1 if there is none. */
+    private static final long SEED =
+            Long.parseLong(System.getenv().getOrDefault("seed", "1")) * 0x9e3779b97f4a7c15L;
+
     private static final long START = System.nanoTime();
     private static final List<Process> PROCESSES = new ArrayList<>();
     private static BufferedWriter record;
@@ -58,7 +62,7 @@
             record = Files.newBufferedWriter(Path.of(args[0], "record.txt"));
             folder = Files.createTempDirectory("cottonlock-review");
             Runtime.getRuntime().addShutdownHook(new Thread(Rig::cleanUp));
-            note("trouble=" + TROUBLE);
+            note("trouble=" + TROUBLE + " seed=" + String.format("%016x", SEED));
             code = body.run() ? HELD : BROKEN;
         } catch (Throwable e) {
             StackTraceElement[] trace = e.getStackTrace();
@@ -157,6 +161,10 @@
         final Path config;
         int memoryMb = 192;
         int sockets = 1_024;
+
+        /** Where operators call; 0: nowhere. A replacement of the process gets another one. */
+        int mgmtPort;
+
         Process process;
 
         Proxy(String name) throws IOException {
@@ -175,12 +183,15 @@
                             + port
                             + "\",\"discovery\":\"127.0.0.1:"
                             + discoveryPort
-                            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-                            + "\"memory_mb\":"
+                            + "\",\"seed\":\""
+                            + String.format("%016x", SEED)
+                            + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
                             + memoryMb
                             + ",\"sockets\":"
                             + sockets
-                            + "},\"known\":"
+                            + "},"
+                            + (mgmtPort == 0 ? "" : "\"mgmt\":\"127.0.0.1:" + mgmtPort + "\",")
+                            + "\"known\":"
                             + known
                             + ",\"settings\":"
                             + settings
@@ -230,6 +241,26 @@
             throw new IOException("the proxy " + name + " does not serve: " + logText());
         }
 
+        /** Waits until the process says yes to operators. */
+        void awaitYes(double maxMillis) throws IOException {
+            double until = millis() + maxMillis;
+            while (millis() < until) {
+                try (Socket call = new Socket(loopback(), mgmtPort)) {
+                    call.setSoTimeout(1_000);
+                    call.getOutputStream().write("HEALTH\n".getBytes(StandardCharsets.UTF_8));
+                    String answer = Http.line(call.getInputStream());
+                    if (answer != null && answer.startsWith("ACK")) {
+                        note("process " + process.pid() + " of " + name + " says yes");
+                        return;
+                    }
+                } catch (IOException e) {
+                    // Not yet.
+                }
+                sleep(10);
+            }
+            throw new IOException("the new process does not say yes: " + logText());
+        }
+
         String logText() throws IOException {
             Path log = home.resolve("log");
             return Files.exists(log) ? Files.readString(log) : "";
@@ -241,6 +272,12 @@
         }
     }
 
+    /** Sends SIGTERM to a process of the script, by its id. */
+    static void terminate(Process process) {
+        note("SIGTERM to process " + process.pid());
+        process.destroy();
+    }
+
     private static String runCommand() throws IOException {
         for (String line : Files.readAllLines(Path.of("deploy/balancer.toml"))) {
             if (line.startsWith("run =")) {
