--- a/review/stand-ins-3/Deployment.java
+++ b/review/stand-ins-3/Deployment.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Locale;
 
 /** The configuration of one small deployment's proxy, in the form of the deployment page. */
 final class Deployment {
@@ -13,7 +14,14 @@
 
     Deployment() throws IOException {}
 
-    private static String category(String name, long due, long expiry, String repeat, String scope) {
+    /** What the proxy draws from: the environment's seed, or 1. */
+    private static String seed() {
+        String seed = System.getenv().getOrDefault("seed", "1");
+        return String.format(Locale.ROOT, "%016x", Long.parseLong(seed));
+    }
+
+    private static String category(
+            String name, long due, long expiry, String repeat, String scope) {
         return "{\"Name\":\""
                 + name
                 + "\",\"Credit\":1.0,\"LateCredit\":0.0,\"DueTime\":"
@@ -27,11 +35,12 @@
                 + "\",\"RepeatWindow\":10000000,\"Stream\":false}";
     }
 
-    /** Writes the configuration with so-named addresses. */
+    /** Writes the configuration to a file. */
     Path write(Path file) throws IOException {
         return write(file, management);
     }
 
+    /** The same, for a process with another management address. */
     Path write(Path file, int managementPort) throws IOException {
         String text =
                 "{\"name\":\"n0\",\"listen\":\"127.0.0.1:"
@@ -40,7 +49,9 @@
                         + managementPort
                         + "\",\"discovery\":\"127.0.0.1:"
                         + discovery
-                        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+                        + "\",\"seed\":\""
+                        + seed()
+                        + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
                         + memoryMb
                         + ",\"sockets\":"
                         + sockets
--- a/review/stand-ins-3/Rig.java
+++ b/review/stand-ins-3/Rig.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
-/** One play of a case: the proxies' processes, their files, the record, and the end of all of it. */
+/** One play of a case: the proxies' processes, their files, the record, and the end of it all. */
 final class Rig implements AutoCloseable {
     static final int BROKEN = 1;
     static final int HELD = 0;
