--- a/review/stand-ins-3/LargeFleet.java
+++ b/review/stand-ins-3/LargeFleet.java
@@ -13,10 +13,10 @@
     private static final int MEMORY_MB = 192;
     private static final int CLIENTS = 12;
     private static final long PAUSE_MILLIS = 100;
-    private static final long PLAY_MILLIS = 60_000;
+    private static final long PLAY_MILLIS = 45_000;
 
     public static void main(String[] args) {
-        Rig.main(LargeFleet::play);
+        Rig.main(LargeFleet::play, args);
     }
 
     private static int play(Rig rig) throws Exception {
--- a/review/stand-ins-3/MassReplacement.java
+++ b/review/stand-ins-3/MassReplacement.java
@@ -22,14 +22,14 @@
     /** How long an old backend is listed as leaving before it has left. */
     private static final long LEAVING_MILLIS = 1_000;
 
-    private static final long PLAY_MILLIS = 35_000;
+    private static final long PLAY_MILLIS = 25_000;
     private static final long TIMEOUT_MILLIS = 2_000;
 
     /** Half a second after its time a request without an answer is lost; on sockets 50 ms later. */
     private static final long SLACK_MILLIS = 550;
 
     public static void main(String[] args) {
-        Rig.main(MassReplacement::play);
+        Rig.main(MassReplacement::play, args);
     }
 
     /** Tells the whole list, then each change on a line of its own; an empty line after 2 s. */
--- a/review/stand-ins-3/Rig.java
+++ b/review/stand-ins-3/Rig.java
@@ -8,10 +8,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One play of a case: the proxies' processes, their files, the record, and the end of it all. */
 final class Rig implements AutoCloseable {
@@ -22,18 +24,19 @@
     /** Whether the case's disruption happens; TROUBLE=0 leaves it out. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
-    final Path root = Path.of(System.getProperty("case.root"));
-    final Path temporary = Path.of(System.getProperty("case.tmp"));
+    /** The checkout, from which the scripts start. */
+    final Path root = Path.of("").toAbsolutePath();
+
+    /** Ends with the play; the proxies' TMPDIR, and what they log. */
+    final Path temporary = Files.createTempDirectory("review-");
+
     private final PrintWriter record;
     private final List<Process> processes = new CopyOnWriteArrayList<>();
     private final long startNanos = System.nanoTime();
 
-    Rig() throws IOException {
-        record =
-                new PrintWriter(
-                        Files.newBufferedWriter(
-                                Path.of(System.getProperty("case.folder"), "record.txt")));
-        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+    Rig(String folder) throws IOException {
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end));
         note("trouble %s", trouble ? "on" : "off");
     }
 
@@ -43,9 +46,9 @@
     }
 
     /** Plays a case and ends this process with its result; anything unexpected is NOT_RUN. */
-    static void main(Play play) {
+    static void main(Play play, String... folder) {
         int result = NOT_RUN;
-        try (Rig rig = new Rig()) {
+        try (Rig rig = new Rig(folder[0])) {
             try {
                 result = play.run(rig);
             } catch (Exception | Error e) {
@@ -53,8 +56,9 @@
                 e.printStackTrace();
             }
             rig.note("result %d (0 held, 1 broken, 2 not run)", result);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             e.printStackTrace();
+            result = NOT_RUN;
         }
         System.exit(result);
     }
@@ -170,15 +174,11 @@
         return thread;
     }
 
-    private void endProcesses() {
+    /** Ends all processes, waits until they are gone, and removes the temporary folder. */
+    private synchronized void end() {
         for (Process process : new ArrayList<>(processes)) {
             process.destroyForcibly();
         }
-    }
-
-    @Override
-    public void close() {
-        endProcesses();
         for (Process process : processes) {
             try {
                 process.waitFor(5, TimeUnit.SECONDS);
@@ -186,6 +186,16 @@
                 Thread.currentThread().interrupt();
             }
         }
+        try (Stream<Path> files = Files.walk(temporary)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            // It has been removed before.
+        }
+    }
+
+    @Override
+    public void close() {
+        end();
         record.close();
     }
 }
--- a/review/stand-ins-3/TurnedAwayAgain.java
+++ b/review/stand-ins-3/TurnedAwayAgain.java
@@ -12,7 +12,7 @@
     private static final int BAD_CLIENTS = 150;
     private static final long BAD_FROM_MILLIS = 5_000;
     private static final long BAD_UNTIL_MILLIS = 15_000;
-    private static final long PLAY_MILLIS = 40_000;
+    private static final long PLAY_MILLIS = 30_000;
     private static final long TIMEOUT_MILLIS = 2_000;
 
     /** Half a second after its time a request without an answer is lost; on sockets 50 ms later. */
@@ -21,7 +21,7 @@
     private static final int QUERY_CHARS = 3_000;
 
     public static void main(String[] args) {
-        Rig.main(TurnedAwayAgain::play);
+        Rig.main(TurnedAwayAgain::play, args);
     }
 
     private static void work(Backend.Request request, OutputStream out) throws Exception {
@@ -114,6 +114,7 @@
             throws Exception {
         String query = "?q=" + "a".repeat(QUERY_CHARS);
         Thread.sleep(BAD_FROM_MILLIS);
+        int request = 0;
         for (int i = 0; rig.millis() - start < BAD_UNTIL_MILLIS; ) {
             try (Client client = new Client(port)) {
                 client.socket.setSoTimeout(8_000);
@@ -129,10 +130,12 @@
                                     + "\r\nX-Timeout-Ms: 6000\r\nIdempotency-Key: "
                                     + name
                                     + "k"
-                                    + i
+                                    + request
                                     + "\r\nContent-Length: 2\r\n\r\nok");
                     Client.Answer answer = client.readAnswer();
                     (answer.status == 200 ? served : refused).incrementAndGet();
+                    // What was turned away is sent again; only its id is new, as with any retry.
+                    request += answer.status == 200 ? 1 : 0;
                     if ("close".equals(answer.fields.get("connection"))) {
                         break;
                     }
