--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/cottonlock.jar ] && [ -f target/review-2/LongAnswersAtOnce.class ] || exit 2
-exec java -Xmx256m -cp target/review-2 LongAnswersAtOnce review/10
+[ -f target/cottonlock.jar ] && [ -f target/review-4/RepeatAfterWindow.class ] || exit 2
+exec java -Xmx256m -cp target/review-4 RepeatAfterWindow review/10
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/cottonlock.jar ] && [ -f target/review-3/MassReplacement.class ] || exit 2
-exec java -Xmx512m -cp target/review-3 MassReplacement review/7
+[ -f target/cottonlock.jar ] && [ -f target/review-3/TurnedAwayAgain.class ] || exit 2
+exec java -Xmx512m -cp target/review-3 TurnedAwayAgain review/7
--- a/review/11/Case.java
+++ b/review/stand-ins-4/LongRequestAtOnce.java
@@ -11,7 +11,7 @@
  * Clients keep their connections and send the next request when they have the whole answer to the
  * last one. With the disruption the requests are long: 12,000 bytes in place of 212.
  */
-final class Case {
+final class LongRequestAtOnce {
     private static final int CLIENTS = 8;
     private static final int SECONDS = 30;
     private static final int LONG_BYTES = Integer.getInteger("body", 12_000);
@@ -22,7 +22,7 @@
     private static volatile boolean stopped;
 
     public static void main(String[] args) throws Exception {
-        Rig.main(args, Case::run);
+        Rig.main(args, LongRequestAtOnce::run);
     }
 
     private static List<String> run(Rig rig) throws Exception {
--- a/review/12/Case.java
+++ b/review/stand-ins-4/RepeatAfterWindow.java
@@ -9,7 +9,7 @@
  * Keyed requests with long bodies: the connection of an attempt is reset after it was run, and the
  * backend of the next one takes some seconds to read it.
  */
-final class Case {
+final class RepeatAfterWindow {
     private static final long WINDOW_MILLIS = 3_000;
     private static final long SLACK_MILLIS = 150;
     private static final long READ_MILLIS = 4_200;
@@ -23,7 +23,7 @@
     private static final List<String> breaks = new ArrayList<>();
 
     public static void main(String[] args) throws Exception {
-        Rig.main(args, Case::run);
+        Rig.main(args, RepeatAfterWindow::run);
     }
 
     private static List<String> run(Rig rig) throws Exception {
--- a/review/stand-ins-4/Rig.java
+++ b/review/stand-ins-4/Rig.java
@@ -59,14 +59,14 @@
         List<String> run(Rig rig) throws Exception;
     }
 
-    private Rig(Path folder, Path work) throws IOException {
-        this.work = work;
+    private Rig(Path folder) throws IOException {
+        this.work = Files.createTempDirectory("review");
         this.record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
     }
 
     /** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
     static void main(String[] args, Body body) throws IOException {
-        Rig rig = new Rig(Path.of(args[0]), Path.of(args[1]));
+        Rig rig = new Rig(Path.of(args[0]));
         Runtime.getRuntime().addShutdownHook(new Thread(rig::endProcesses));
         daemon(
                 () -> {
@@ -108,6 +108,17 @@
                 Thread.currentThread().interrupt();
             }
         }
+        deleteWork();
+    }
+
+    private void deleteWork() {
+        try (java.util.stream.Stream<Path> files = Files.walk(work)) {
+            for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException | java.io.UncheckedIOException e) {
+            // It was deleted before.
+        }
     }
 
     static long millis() {
@@ -482,9 +493,6 @@
         private final List<String[]> changes = new ArrayList<>();
         private long seq;
 
-        /** Milliseconds before a call is answered. */
-        volatile long answerDelayMillis;
-
         Discovery(long seq) throws IOException {
             this.seq = seq;
             this.server = new ServerSocket();
@@ -529,7 +537,6 @@
                 }
                 String target = head.split(" ")[1];
                 record("discovery is asked " + target);
-                sleep(answerDelayMillis);
                 OutputStream out = socket.getOutputStream();
                 if (!target.contains("stream=1")) {
                     byte[] list = LATIN.bytes(whole() + "\n");
