Requests that come behind a response are kept, not dropped

Cause: ClientConnection.awaitRequest reads on while a response is owed, through one buffer of 8 KiB, and HttpReader.readAhead dropped what was in it when it was full. A response is owed until its writer has returned, so the next request may have come before that. Evidence: the connections ended by FIN; a test that holds the response back loses the request each time.

The time of a request counts from the read that brought its last byte (ArrivalTimes). A client counts as unobserved from when all input had last been read. The end of a response wakes a connection with a pipelined request, which was looked at every 20 ms. Nothing is served after a response that broke.

--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -52,8 +52,13 @@
      */
     private static final long FIRST_REQUEST_NANOS = 300_000_000L;
 
-    /** Milliseconds between checks of a pipelined request that waits for the response before it. */
-    private static final long READ_AHEAD_CHECK_MILLIS = 20;
+    /**
+     * Milliseconds between reads of a connection on which a pipelined request waits for the
+     * response before it, and how long each of them waits for input.
+     */
+    private static final long READ_AHEAD_INTERVAL_MILLIS = 20;
+
+    private static final long READ_AHEAD_MILLIS = 1;
 
     /**
      * Maximum milliseconds that a backend may pause within a long response: some take seconds to
@@ -102,7 +107,7 @@
 
     /**
      * Whether the connection ends after the next response. {@code closeAnnounced}: whether a
-     * response has announced the end.
+     * response has announced the end, or could not be written, so that nothing more is served.
      */
     private boolean closeAfterResponse;
 
@@ -142,10 +147,11 @@
     @Override
     public void run() {
         byte[] buffer = null;
+        HttpReader reader = null;
         try {
             socket.setTcpNoDelay(true);
             buffer = buffers.take();
-            HttpReader reader = new HttpReader(socket, buffer);
+            reader = new HttpReader(socket, buffer, buffers);
             synchronized (this) {
                 inputReader = reader;
             }
@@ -162,6 +168,9 @@
                 loadBalancer.clientDisconnected(abandoned);
             }
             Sockets.close(socket);
+            if (reader != null) {
+                reader.releaseReadAhead();
+            }
             if (buffer != null) {
                 buffers.give(buffer);
             }
@@ -178,7 +187,7 @@
         // looks the same, but the response is still owed.
         if (req != null && inputShutDown) {
             // The connection is not read any more, so a disconnect would go unnoticed.
-            loadBalancer.clientUnobserved(req, true);
+            loadBalancer.inputShutDown(req);
         }
         while (req != null && inputShutDown) {
             try {
@@ -195,29 +204,33 @@
         for (boolean responseOwed = hasOpenRequest();
                 responseOwed || !reader.hasBufferedBytes();
                 responseOwed = hasOpenRequest()) {
-            try {
-                // A pipelined request waits for the response before it. Its client may disconnect
-                // meanwhile: when the connection was not read on, this went unnoticed, and the
-                // request was sent to a backend after its client had left.
-                reader.setTimeout(
-                        responseOwed && reader.hasBufferedBytes()
-                                ? READ_AHEAD_CHECK_MILLIS
-                                : firstRequestStarted ? IDLE_TIMEOUT_MILLIS : READ_TIMEOUT_MILLIS);
+            boolean nextStarted = responseOwed && reader.hasBufferedBytes();
+            setNextRequestStarted(nextStarted);
+            reader.setTimeout(
+                    nextStarted
+                            ? READ_AHEAD_MILLIS
+                            : firstRequestStarted ? IDLE_TIMEOUT_MILLIS : READ_TIMEOUT_MILLIS);
+            if (reader.hasCaughtUp()) {
                 markClientChecked();
-                if (!reader.readAhead()) {
+            }
+            // A pipelined request waits for the response before it. Its client may disconnect
+            // meanwhile: when the connection was not read on, this went unnoticed, and the request
+            // was sent to a backend after its client had left.
+            switch (reader.readAhead()) {
+                case END_OF_STREAM -> {
                     return false;
                 }
-            } catch (SocketTimeoutException e) {
-                if (!responseOwed && !hasOpenRequest() && !reader.hasBufferedBytes()) {
-                    return false;
+                case TIMED_OUT -> {
+                    if (nextStarted) {
+                        awaitResponse(READ_AHEAD_INTERVAL_MILLIS);
+                    } else if (!responseOwed && !hasOpenRequest()) {
+                        return false;
+                    }
+                }
+                case NO_SPACE -> awaitResponseUnobserved(reader.caughtUpNanos());
+                case READ -> {
+                    // The request is parsed when the response before it has been written.
                 }
-            }
-            if (reader.discardedBytes() > 0) {
-                closeAfterNextResponse();
-            }
-            setNextRequestStarted(responseOwed && reader.hasBufferedBytes());
-            if (reader.discardedBytes() > RequestRefuser.MAX_DISCARDED_BYTES) {
-                awaitResponse();
             }
         }
         Runnable hook = afterReadHook;
@@ -229,7 +242,7 @@
             // the client sends again only what was left unread. After a response that announced the
             // end, nothing more is served.
             nextRequestStarted = false;
-            reading = !closeAnnounced && reader.discardedBytes() == 0;
+            reading = !closeAnnounced;
             lastActivityNanos = System.nanoTime();
             return reading;
         }
@@ -253,17 +266,27 @@
     /**
      * Waits for the response under way. A client that sends without end is not read meanwhile, so
      * its disconnect would go unnoticed.
+     *
+     * @param observedNanos when the client was last known to be there, by the monotonic clock
      */
-    private synchronized void awaitResponse() throws IOException {
+    private synchronized void awaitResponseUnobserved(long observedNanos) throws IOException {
         if (req != null) {
-            loadBalancer.clientUnobserved(req, false);
+            loadBalancer.clientUnobserved(req, System.nanoTime() - observedNanos);
+            req.markClientChecked();
         }
         while (req != null) {
-            try {
-                wait();
-            } catch (InterruptedException e) {
-                throw new IOException("interrupted while waiting for a response", e);
+            awaitResponse(0);
+        }
+    }
+
+    /** Waits for the response under way, for a limited time; 0: without a limit. */
+    private synchronized void awaitResponse(long maxMillis) throws IOException {
+        try {
+            if (req != null) {
+                wait(maxMillis);
             }
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while waiting for a response", e);
         }
     }
 
@@ -365,7 +388,7 @@
      * unread and sends it again, so that it would be lost or executed twice if it were served.
      */
     private synchronized boolean isReadAfterShutdown(HttpReader reader) {
-        return inputShutDown && reader.lastReadNanos() - inputShutDownNanos > 0;
+        return inputShutDown && reader.lastParsedReadNanos() - inputShutDownNanos > 0;
     }
 
     private void writeResponse(
@@ -413,6 +436,8 @@
     private void endRequest(boolean close) {
         metrics.requestEnded();
         synchronized (this) {
+            // Before the connection's thread goes on: it may have read the next request already.
+            closeAnnounced |= close;
             req = null;
             reading = nextRequestStarted;
             lastActivityNanos = System.nanoTime();
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -1,6 +1,7 @@
 package cottonlock.proxy;
 
 import cottonlock.admin.Metrics;
+import cottonlock.core.Ticks;
 import cottonlock.decision.LoadBalancer;
 import cottonlock.decision.api.AttemptOutcome;
 import cottonlock.decision.api.Endpoint;
@@ -290,14 +291,26 @@
     /**
      * Handles that a disconnect of a request's client would go unnoticed from now on. A request
      * that waits for capacity is rejected, and no further attempt is made; the first attempt may
-     * still start for {@link #CLIENT_OBSERVED_TICKS}.
+     * start until {@link #CLIENT_OBSERVED_TICKS} after the client was last observed.
      *
-     * @param firstAttemptAnyTime whether the first attempt may start at any time, because the
-     *     request was read just before this side shut its connection's input down
+     * @param observedNanosAgo the time since the client was last known to be there
      */
-    void clientUnobserved(ClientRequest req, boolean firstAttemptAnyTime) {
+    void clientUnobserved(ClientRequest req, long observedNanosAgo) {
         req.observedUntilTicks =
-                firstAttemptAnyTime ? Long.MAX_VALUE : clock.now() + CLIENT_OBSERVED_TICKS;
+                clock.now() - observedNanosAgo / Ticks.NANOSECONDS_PER_TICK + CLIENT_OBSERVED_TICKS;
+        endUnlessAttempted(req);
+    }
+
+    /**
+     * Handles that this side shut a connection's input down just after a request was read. As
+     * {@link #clientUnobserved}, but the first attempt may start at any time.
+     */
+    void inputShutDown(ClientRequest req) {
+        req.observedUntilTicks = Long.MAX_VALUE;
+        endUnlessAttempted(req);
+    }
+
+    private void endUnlessAttempted(ClientRequest req) {
         mailbox.put(
                 () -> {
                     req.clientUnobserved = true;
--- a/src/main/java/cottonlock/proxy/http/BufferPool.java
+++ b/src/main/java/cottonlock/proxy/http/BufferPool.java
@@ -18,6 +18,7 @@
     private final ConcurrentLinkedDeque<byte[]> free = new ConcurrentLinkedDeque<>();
     private final Semaphore permits;
     private final int reservedForConnections;
+    private final int reservedForMessages;
 
     /**
      * A pool of at most {@code maxBuffers}.
@@ -27,6 +28,8 @@
     public BufferPool(int maxBuffers, int reservedForConnections) {
         this.permits = new Semaphore(maxBuffers);
         this.reservedForConnections = reservedForConnections;
+        this.reservedForMessages =
+                reservedForConnections + (maxBuffers - reservedForConnections) / 2;
     }
 
     /** No buffer, or no space in spill files, was available within the time limit. */
@@ -51,16 +54,34 @@
         } catch (InterruptedException e) {
             throw new IOException("interrupted while waiting for a buffer", e);
         }
+        return acquiredBuffer();
+    }
+
+    private byte[] acquiredBuffer() {
         byte[] buffer = free.pollLast();
         return buffer != null ? buffer : new byte[SIZE];
     }
 
+    private byte[] takeUnlessOnlyLeft(int reserved) {
+        return permits.availablePermits() > reserved && permits.tryAcquire()
+                ? acquiredBuffer()
+                : null;
+    }
+
     /**
      * Takes a buffer that is not reserved for connections to read requests; null if there is none
      * at present.
      */
-    byte[] takeSpare() throws IOException {
-        return permits.availablePermits() > reservedForConnections ? take() : null;
+    byte[] takeSpare() {
+        return takeUnlessOnlyLeft(reservedForConnections);
+    }
+
+    /**
+     * Takes a buffer for input that can't be parsed yet; null if only those are left that the
+     * messages being served may need.
+     */
+    byte[] takeForReadAhead() {
+        return takeUnlessOnlyLeft(reservedForMessages);
     }
 
     /** Gives a buffer back. */
--- a/src/main/java/cottonlock/proxy/http/HttpReader.java
+++ b/src/main/java/cottonlock/proxy/http/HttpReader.java
@@ -27,9 +27,20 @@
 
     private boolean bodyComplete = true;
 
-    /** Reads through the given buffer, which remains owned by the caller. */
+    /** Reads through the given buffer, which remains owned by the caller, and never ahead. */
     public HttpReader(Socket socket, byte[] buffer) throws IOException {
-        this.input = new TimedSocketInput(socket, buffer);
+        this(socket, buffer, null);
+    }
+
+    /**
+     * Reads through the given buffer, which remains owned by the caller.
+     *
+     * @param readAheadBuffers hold what {@link #readAhead} reads beyond the given buffer, until
+     *     {@link #releaseReadAhead}; null: nothing is read beyond it
+     */
+    public HttpReader(Socket socket, byte[] buffer, BufferPool readAheadBuffers)
+            throws IOException {
+        this.input = new TimedSocketInput(socket, buffer, new ReadAheadQueue(readAheadBuffers));
         this.chunks = new ChunkParser(input);
     }
 
@@ -61,23 +72,37 @@
 
     /** Whether there are bytes that have been read but not parsed. */
     public boolean hasBufferedBytes() {
-        return input.bufferedBytes() > 0;
+        return input.hasBufferedBytes();
     }
 
     /**
-     * Reads more bytes into the buffer without parsing them; false at the end of the stream. If the
-     * buffer is full, its bytes are discarded, and counted by {@link #discardedBytes}.
+     * Reads more bytes without parsing them, waiting for the first until the deadline. They are
+     * parsed later, in order.
      */
-    public boolean readAhead() throws IOException {
-        return input.fillDiscardingIfFull();
+    public ReadAheadResult readAhead() throws IOException {
+        try {
+            return input.readAhead();
+        } catch (SocketTimeoutException e) {
+            return ReadAheadResult.TIMED_OUT;
+        }
+    }
+
+    /** Gives the buffers of what was read ahead back; the last call to a reader. */
+    public void releaseReadAhead() {
+        input.releaseReadAhead();
     }
 
     /**
-     * The number of bytes that {@link #readAhead} discarded; if any, the start of the next message
-     * is no longer known.
+     * Whether all bytes that have arrived have been read, so that the next read waits or finds the
+     * end of the stream.
      */
-    public long discardedBytes() {
-        return input.discardedBytes();
+    public boolean hasCaughtUp() throws IOException {
+        return input.hasCaughtUp();
+    }
+
+    /** When {@link #hasCaughtUp} last held, by the monotonic clock. */
+    public long caughtUpNanos() {
+        return input.caughtUpNanos();
     }
 
     /**
@@ -97,9 +122,15 @@
         return input.lastReadNanos();
     }
 
+    /** When the last byte of what has been parsed was read, by the monotonic clock. */
+    public long lastParsedReadNanos() {
+        return input.lastConsumedReadNanos();
+    }
+
     /**
-     * By the monotonic clock, a time before which the last bytes had not arrived. Earlier than when
-     * they were read if they may have waited for it, because there was no space for a body.
+     * By the monotonic clock, a time before which the last byte of what has been parsed had not
+     * arrived. Earlier than when it was read if it may have waited for it, because there was no
+     * space for a body.
      */
     public long earliestArrivalNanos() {
         return input.earliestArrivalNanos();
--- a/src/main/java/cottonlock/proxy/http/TimedSocketInput.java
+++ b/src/main/java/cottonlock/proxy/http/TimedSocketInput.java
@@ -19,6 +19,11 @@
     private final Socket socket;
     private final InputStream input;
     private final byte[] buffer;
+    private final ReadAheadQueue readAhead;
+    private final ArrivalTimes arrivalTimes = new ArrivalTimes();
+
+    /** The number of bytes that have been read from the socket. */
+    private long totalReadBytes;
 
     /** The bytes from {@code position} to {@code end} have been read and not consumed. */
     private int position;
@@ -34,7 +39,10 @@
     /** By how much each byte extends the deadline, if pacing is on. */
     private long nanosPerByte;
 
-    private long discardedBytes;
+    /**
+     * When all bytes that had arrived were last found to have been read, by the monotonic clock.
+     */
+    private long caughtUpNanos = System.nanoTime();
 
     /**
      * Since when the sender may have sent bytes that were not read; 0 if bytes are read as they
@@ -49,10 +57,16 @@
 
     private volatile long lastReadNanos = System.nanoTime();
 
-    TimedSocketInput(Socket socket, byte[] buffer) throws IOException {
+    /**
+     * Reads through a buffer.
+     *
+     * @param readAhead holds what is read before it is parsed
+     */
+    TimedSocketInput(Socket socket, byte[] buffer, ReadAheadQueue readAhead) throws IOException {
         this.socket = socket;
         this.input = socket.getInputStream();
         this.buffer = buffer;
+        this.readAhead = readAhead;
     }
 
     /** Sets a deadline for all reads from now on; a timeout of 0 means no deadline. */
@@ -107,12 +121,38 @@
         return pausedSinceNanos == 0 ? 0 : System.nanoTime() - pausedSinceNanos;
     }
 
+    /** When the byte that was consumed last was read, by the monotonic clock. */
+    long lastConsumedReadNanos() {
+        return arrivalTimes.arrivalNanos(consumedBytes() - 1, lastReadNanos);
+    }
+
+    private long consumedBytes() {
+        return totalReadBytes - bufferedBytes() - readAhead.byteCount();
+    }
+
     /**
-     * By the monotonic clock, a time before which the last bytes had not arrived: when they were
-     * read, unless they may have been waiting to be read since a pause.
+     * By the monotonic clock, a time before which the byte that was consumed last had not arrived:
+     * when it was read, unless it may have been waiting to be read since a pause.
      */
     long earliestArrivalNanos() {
-        return pausedSinceNanos == 0 ? lastReadNanos : pausedSinceNanos;
+        return pausedSinceNanos == 0 ? lastConsumedReadNanos() : pausedSinceNanos;
+    }
+
+    /**
+     * Whether all bytes that have arrived have been read, so that the next read waits or finds the
+     * end of the stream.
+     */
+    boolean hasCaughtUp() throws IOException {
+        if (input.available() > 0) {
+            return false;
+        }
+        caughtUpNanos = System.nanoTime();
+        return true;
+    }
+
+    /** When {@link #hasCaughtUp} last held, by the monotonic clock. */
+    long caughtUpNanos() {
+        return caughtUpNanos;
     }
 
     /** Ends the effect of a pause once all that was sent during it has surely been read. */
@@ -123,6 +163,14 @@
         }
     }
 
+    /** Whether bytes have been read that are not consumed; the next one is in the buffer then. */
+    boolean hasBufferedBytes() {
+        if (bufferedBytes() == 0 && !readAhead.isEmpty()) {
+            takeReadAhead();
+        }
+        return bufferedBytes() > 0;
+    }
+
     /** The number of bytes in the buffer that are not consumed. */
     int bufferedBytes() {
         return end - position;
@@ -158,27 +206,39 @@
         return bufferedBytes() == buffer.length;
     }
 
-    /** Whether there are bytes in the buffer or available at the socket. */
+    /** Whether there are bytes that have been read, or that are available at the socket. */
     boolean hasUnconsumedBytes() throws IOException {
-        return bufferedBytes() > 0 || input.available() > 0;
+        return hasBufferedBytes() || input.available() > 0;
     }
 
-    /** Reads more bytes; if the buffer is full, its bytes are first discarded and counted. */
-    boolean fillDiscardingIfFull() throws IOException {
-        if (isFull()) {
-            discardedBytes += buffer.length;
-            position = end;
+    /** Reads bytes behind those that are not consumed yet, waiting for the first. */
+    ReadAheadResult readAhead() throws IOException {
+        if (readAhead.isEmpty() && !isFull()) {
+            return fill() ? ReadAheadResult.READ : ReadAheadResult.END_OF_STREAM;
+        }
+        if (!readAhead.makeSpace()) {
+            return ReadAheadResult.NO_SPACE;
         }
-        return fill();
+        prepareRead();
+        int count = readAhead.readFrom(input);
+        recordRead(count);
+        return count > 0 ? ReadAheadResult.READ : ReadAheadResult.END_OF_STREAM;
     }
 
-    long discardedBytes() {
-        return discardedBytes;
+    /** Gives the buffers of what was read ahead back. */
+    void releaseReadAhead() {
+        readAhead.clear();
+    }
+
+    private void takeReadAhead() {
+        makeSpace();
+        end += readAhead.takeInto(buffer, end);
     }
 
     /** Reads and discards bytes until about {@code maxBytes} or the end of the stream. */
     void discard(int maxBytes) throws IOException {
-        int count = bufferedBytes();
+        int count = bufferedBytes() + readAhead.byteCount();
+        readAhead.clear();
         position = end;
         while (count < maxBytes && fill()) {
             count += bufferedBytes();
@@ -193,23 +253,36 @@
 
     /** Like {@link #fill()}, but reads at most {@code maxBytes}. */
     boolean fill(int maxBytes) throws IOException {
+        if (!readAhead.isEmpty()) {
+            takeReadAhead();
+            return true;
+        }
         makeSpace();
+        prepareRead();
+        int count = input.read(buffer, end, Math.min(maxBytes, buffer.length - end));
+        end += Math.max(0, count);
+        recordRead(count);
+        return count > 0;
+    }
+
+    private void prepareRead() throws IOException {
         checkCaughtUp();
         socket.setSoTimeout(remainingMillis());
-        int count = input.read(buffer, end, Math.min(maxBytes, buffer.length - end));
+    }
+
+    private void recordRead(int count) {
         if (count <= 0) {
-            return false;
+            return;
         }
-        end += count;
+        long nowNanos = System.nanoTime();
+        totalReadBytes += count;
         bytesSincePause += count;
-        lastReadNanos = System.nanoTime();
+        lastReadNanos = nowNanos;
+        arrivalTimes.record(totalReadBytes, nowNanos, consumedBytes());
         if (maxPauseNanos > 0) {
             deadlineNanos =
-                    Math.min(
-                            deadlineNanos + count * nanosPerByte,
-                            System.nanoTime() + maxPauseNanos);
+                    Math.min(deadlineNanos + count * nanosPerByte, nowNanos + maxPauseNanos);
         }
-        return true;
     }
 
     private void makeSpace() {
@@ -231,10 +304,11 @@
         if (deadlineNanos == 0) {
             return 0;
         }
-        long millis = (deadlineNanos - System.nanoTime()) / NANOS_PER_MILLISECOND;
-        if (millis <= 0) {
+        long remainingNanos = deadlineNanos - System.nanoTime();
+        if (remainingNanos <= 0) {
             throw new SocketTimeoutException("the deadline for reading has passed");
         }
+        long millis = (remainingNanos + NANOS_PER_MILLISECOND - 1) / NANOS_PER_MILLISECOND;
         return (int) Math.min(Integer.MAX_VALUE, millis);
     }
 }
