A refused request is forgotten at once, not at its deadline

Cause: LoadBalancerActor.requestsByDeadline kept answered requests until their deadline, so the heap held all requests of the last six seconds. Then OutOfMemoryError ended threads that catch IOException alone: the listener, backends' actors, the watchdog. Evidence: with a heap of 32 MB, no backend and 20,000 refused requests of 3 KB the process stops answering.

Change: OpenRequests holds requests by number and by deadline and removes them from both at once. The listener closes the connection that found no memory and gives its slot back; the actors and the watchdog go on after an error.

--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -180,10 +180,10 @@
                         waitingAttempts.isEmpty()
                                 ? IDLE_CHECK_MICROS
                                 : nanosUntilSettled() / 1_000);
-                closeExpiredIdle();
-                while (!waitingAttempts.isEmpty() && nanosUntilSettled() <= 0) {
-                    send(waitingAttempts.poll());
-                }
+                // Without a free byte in the heap this fails, and the backend still needs its
+                // thread.
+                mailbox.guard(this::closeExpiredIdle);
+                mailbox.guard(this::sendWaitingAttempts);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -352,6 +352,12 @@
         return null;
     }
 
+    private void sendWaitingAttempts() {
+        while (!waitingAttempts.isEmpty() && nanosUntilSettled() <= 0) {
+            send(waitingAttempts.poll());
+        }
+    }
+
     private void send(ClientRequest.Attempt attempt) {
         if (!attempt.mayStart(clock.now())) {
             // It waited in the mailbox: for a client that has left, no connection is opened or
--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -107,7 +107,12 @@
                 if (draining) {
                     server.setSoTimeout(LAST_ACCEPT_TIMEOUT_MILLIS);
                 }
-                register(server.accept());
+                accept();
+            } catch (OutOfMemoryError e) {
+                // The next connection may find memory, as others end: without a listener none would
+                // be served any more.
+                evictOne();
+                pause();
             } catch (SocketTimeoutException e) {
                 // If it were closed before the queue is empty, the kernel would reset the
                 // connections in it.
@@ -126,6 +131,19 @@
         }
     }
 
+    private void accept() throws IOException {
+        Socket socket = server.accept();
+        boolean registered = false;
+        try {
+            register(socket);
+            registered = true;
+        } finally {
+            if (!registered) {
+                Sockets.close(socket);
+            }
+        }
+    }
+
     private void register(Socket socket) {
         if (!acquireSlot()) {
             log.warn(
@@ -134,8 +152,7 @@
             Sockets.close(socket);
             return;
         }
-        ClientConnection client = connectionFactory.apply(socket, this);
-        clients.add(client);
+        ClientConnection client = createConnection(socket);
         if (draining) {
             client.closeAfterNextResponse();
         }
@@ -149,6 +166,21 @@
         }
     }
 
+    /** Creates a connection that has acquired its slot, which is released if that fails. */
+    private ClientConnection createConnection(Socket socket) {
+        boolean created = false;
+        try {
+            ClientConnection client = connectionFactory.apply(socket, this);
+            clients.add(client);
+            created = true;
+            return client;
+        } finally {
+            if (!created) {
+                slots.release();
+            }
+        }
+    }
+
     /** Acquires a slot, if necessary by evicting another connection. */
     private boolean acquireSlot() {
         for (long waitedMillis = 0;
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -19,12 +19,9 @@
 import cottonlock.proxy.io.Sockets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -88,14 +85,12 @@
     private volatile Set<String> listedIds = Set.of();
     private boolean listWatchEnded;
     private ManualEjections manualEjections;
-    private final Map<Long, ClientRequest> requests = new HashMap<>();
+    private final OpenRequests requests = new OpenRequests();
     private final Map<String, BackendActor> backends = new TreeMap<>();
 
     /** Backends removed from the list; some still have attempts in flight. */
     private final List<BackendActor> retiredBackends = new ArrayList<>();
 
-    private final PriorityQueue<ClientRequest> requestsByDeadline =
-            new PriorityQueue<>(Comparator.comparingLong((ClientRequest req) -> req.deadlineTicks));
     private LoadBalancer balancer;
     private EndpointListWatch watch;
     private PeerMessenger peers;
@@ -194,26 +189,12 @@
     }
 
     private long ticksUntilNextEvent() {
-        ClientRequest earliest = requestsByDeadline.peek();
-        return Math.min(timerAtTicks, earliest == null ? timerAtTicks : earliest.deadlineTicks)
-                - clock.now();
+        return requests.earliestDeadline(timerAtTicks) - clock.now();
     }
 
     private void runDueTimers() {
         long now = clock.now();
-        while (!requestsByDeadline.isEmpty() && requestsByDeadline.peek().deadlineTicks <= now) {
-            ClientRequest req = requestsByDeadline.poll();
-            for (ClientRequest.Attempt attempt : req.attempts) {
-                if (attempt.abandon()) {
-                    attemptEnded(attempt, AttemptOutcome.TIMED_OUT);
-                }
-            }
-            // The load balancer has ended each of these requests by now, unless a fault made it
-            // lose one.
-            if (requests.containsKey(req.number) && req.attemptsInFlight == 0) {
-                fail(req.number, RejectionReason.RESPONSE_LOST);
-            }
-        }
+        requests.takeDue(now).forEach(this::endAtDeadline);
         if (now >= timerAtTicks) {
             // The load balancer schedules its next timer itself; if it failed on the way, its timer
             // would never fire again.
@@ -227,6 +208,18 @@
         }
     }
 
+    private void endAtDeadline(ClientRequest req) {
+        for (ClientRequest.Attempt attempt : req.attempts) {
+            if (attempt.abandon()) {
+                attemptEnded(attempt, AttemptOutcome.TIMED_OUT);
+            }
+        }
+        // The load balancer has ended the request by now, unless a fault made it lose it.
+        if (!req.claimed() && req.attemptsInFlight == 0) {
+            fail(req.number, RejectionReason.RESPONSE_LOST);
+        }
+    }
+
     /**
      * Limits all deadlines, because the proxy shuts down: every request is answered by then, before
      * the process is killed.
@@ -236,11 +229,7 @@
                 () -> {
                     shutdownDeadlineTicks = latestTicks;
                     balancer.limitDeadlines(latestTicks);
-                    List<ClientRequest> openRequests = new ArrayList<>(requestsByDeadline);
-                    requestsByDeadline.clear();
-                    openRequests.forEach(
-                            req -> req.deadlineTicks = Math.min(req.deadlineTicks, latestTicks));
-                    requestsByDeadline.addAll(openRequests);
+                    requests.limitDeadlines(latestTicks);
                 });
     }
 
@@ -257,8 +246,7 @@
                     // It may have been validated just before the limit was set, and arrive just
                     // after it.
                     req.deadlineTicks = Math.min(req.deadlineTicks, shutdownDeadlineTicks);
-                    requests.put(req.number, req);
-                    requestsByDeadline.add(req);
+                    requests.add(req);
                     long now = clock.now();
                     RequestArrival arrival =
                             new RequestArrival(
@@ -345,7 +333,7 @@
                 shadow.compareFirstDecision(req.number, null);
                 shadow.requestEnded(clock.now(), req.number);
             }
-            requests.remove(req.number);
+            requests.remove(req);
         }
     }
 
--- a/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
+++ b/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
@@ -49,16 +49,24 @@
         try {
             while (true) {
                 Thread.sleep(CHECK_MILLIS);
-                long now = System.nanoTime();
-                lastProgressNanos.forEach(
-                        (socket, since) -> {
-                            if (now - since > WRITE_TIMEOUT_NANOS) {
-                                Sockets.close(socket);
-                            }
-                        });
+                closeStalled();
             }
         } catch (InterruptedException e) {
             // The proxy closes.
         }
     }
+
+    private void closeStalled() {
+        try {
+            long now = System.nanoTime();
+            lastProgressNanos.forEach(
+                    (socket, since) -> {
+                        if (now - since > WRITE_TIMEOUT_NANOS) {
+                            Sockets.close(socket);
+                        }
+                    });
+        } catch (OutOfMemoryError e) {
+            // The next check may find memory; without any, no stalled write would ever end.
+        }
+    }
 }
