A long repeat reaches its backend within the window, or is given up

Cause: Request.sendByTicks bounds when bytes are handed to the socket, and the systems' buffers take in the whole body at once. No thread looked at that time again; a write that was stuck ended at the client's deadline.

Change: AttemptOutputStream, out of BackendConnection, carries the bounds of an attempt to its socket. For a repeat bound by a window whose body is in a file it holds the last part back until the backend has probably read the rest, by the pace seen (DrainEstimate, behind a send buffer of 16 KiB), and gives the attempt up at once where that is too late. The watchdog ends a write after its latest time. Not shown by pace, so left: bodies that fit into the systems' buffers.

--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -1,6 +1,7 @@
 package cottonlock.proxy;
 
 import cottonlock.admin.Metrics;
+import cottonlock.core.Ticks;
 import cottonlock.decision.api.AttemptOutcome;
 import cottonlock.proxy.concurrent.TickClock;
 import cottonlock.proxy.http.BufferPool;
@@ -11,7 +12,6 @@
 import cottonlock.proxy.http.MessageHead;
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
-import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -29,6 +29,9 @@
      */
     private static final long RESPONSE_PAUSE_MILLIS = 1_200;
 
+    /** The least that still keeps the network busy between two writes. */
+    private static final int SMALL_SEND_BUFFER_BYTES = 16 << 10;
+
     private final BackendActor backend;
     private final InetSocketAddress address;
     private final int connectTimeoutMillis;
@@ -50,6 +53,9 @@
     private boolean written;
     private boolean closed;
 
+    /** Written by the thread that sends the last attempt, before it sends it. */
+    private volatile boolean sendBufferLimited;
+
     BackendConnection(
             BackendActor backend,
             InetSocketAddress address,
@@ -203,21 +209,19 @@
                 // meanwhile.
                 return AttemptOutcome.NOT_SENT;
             }
-            String host = address.getHostString() + ":" + address.getPort();
+            boolean holdsBack = attempt.isBoundByWindow() && attempt.req.body.isInFile();
+            if (holdsBack) {
+                limitUnreadBytes();
+            }
+            long remainingTicks = Math.max(0, attempt.sendByTicks - clock.now());
             watchdog.write(
                     socket,
-                    out ->
-                            writer.writeRequest(
-                                    new DeadlineOutputStream(out, attempt),
-                                    attempt.req.outbound(),
-                                    host,
-                                    () ->
-                                            Math.max(
-                                                    1,
-                                                    (attempt.req.deadlineTicks - clock.now())
-                                                            / 10)));
+                    remainingTicks * Ticks.NANOSECONDS_PER_TICK,
+                    out -> writeRequest(out, attempt, holdsBack));
             metrics.attemptSent();
             return null;
+        } catch (AttemptOutputStream.GivenUpException e) {
+            return AttemptOutcome.NOT_SENT;
         } catch (IOException e) {
             long now = clock.now();
             return now >= attempt.sendByTicks || !attempt.mayStart(now)
@@ -228,28 +232,25 @@
         }
     }
 
+    private void writeRequest(OutputStream out, ClientRequest.Attempt attempt, boolean holdsBack)
+            throws IOException {
+        String host = address.getHostString() + ":" + address.getPort();
+        AttemptOutputStream request = new AttemptOutputStream(out, attempt, clock, holdsBack);
+        writer.writeRequest(
+                request,
+                attempt.req.outbound(),
+                host,
+                () -> Math.max(1, (attempt.req.deadlineTicks - clock.now()) / 10));
+        request.finish();
+    }
+
     /**
-     * Fails before it writes anything too late: a request without its last byte is never executed.
+     * Makes this system take in little more than the backend has read, so that writing shows its
+     * pace. The connection serves no further attempt, which might need a larger buffer.
      */
-    private final class DeadlineOutputStream extends FilterOutputStream {
-        private final ClientRequest.Attempt attempt;
-        private boolean started;
-
-        DeadlineOutputStream(OutputStream out, ClientRequest.Attempt attempt) {
-            super(out);
-            this.attempt = attempt;
-        }
-
-        @Override
-        public void write(byte[] bytes, int from, int count) throws IOException {
-            long now = clock.now();
-            if (now >= attempt.sendByTicks || (!started && !attempt.mayStart(now))) {
-                throw new IOException(
-                        "the deadline for sending has passed, or the client has left");
-            }
-            started = true;
-            out.write(bytes, from, count);
-        }
+    private void limitUnreadBytes() throws IOException {
+        sendBufferLimited = true;
+        socket.setSendBufferSize(SMALL_SEND_BUFFER_BYTES);
     }
 
     /** Reads one response; false when the connection is to end. */
@@ -263,7 +264,7 @@
             synchronized (this) {
                 attempt = current;
                 current = null;
-                keepAlive &= !writing;
+                keepAlive &= !writing && !sendBufferLimited;
             }
             if (attempt == null) {
                 return false;
--- a/src/main/java/cottonlock/proxy/ClientRequest.java
+++ b/src/main/java/cottonlock/proxy/ClientRequest.java
@@ -206,6 +206,14 @@
             return !req.claimed() && now < req.observedUntilTicks;
         }
 
+        /**
+         * Whether the last byte must reach the backend before the client's deadline: the request
+         * may have been executed, and backends recognise a repeat for a limited time.
+         */
+        boolean isBoundByWindow() {
+            return sendByTicks < req.deadlineTicks;
+        }
+
         /**
          * Binds the attempt to the connection it is sent on; false if it has been settled before.
          */
--- a/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
+++ b/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
@@ -10,6 +10,9 @@
 
 /** Closes sockets whose writes take too long: a peer that has gone silent never reads them. */
 final class WriteTimeoutWatchdog implements Runnable {
+    /** The maximum duration of a write that has no other limit than its progress. */
+    private static final long NO_LIMIT_NANOS = Long.MAX_VALUE / 4;
+
     /** Milliseconds between checks: the timeout is far longer. */
     private static final long CHECK_MILLIS = 200;
 
@@ -19,7 +22,22 @@
      */
     private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
 
-    private final Map<Socket, Long> lastProgressNanos = new ConcurrentHashMap<>();
+    /** A write under way; times by the monotonic clock. */
+    private static final class OngoingWrite {
+        private final long latestEndNanos;
+        private volatile long lastProgressNanos = System.nanoTime();
+
+        OngoingWrite(long maxNanos) {
+            this.latestEndNanos = System.nanoTime() + maxNanos;
+        }
+
+        boolean isOverdue(long nowNanos) {
+            return nowNanos - lastProgressNanos > WRITE_TIMEOUT_NANOS
+                    || nowNanos - latestEndNanos > 0;
+        }
+    }
+
+    private final Map<Socket, OngoingWrite> ongoing = new ConcurrentHashMap<>();
 
     /** A write to a socket's stream. */
     interface Write {
@@ -28,7 +46,16 @@
 
     /** Runs a write that fails when none of it is accepted for too long. */
     void write(Socket socket, Write write) throws IOException {
-        lastProgressNanos.put(socket, System.nanoTime());
+        write(socket, NO_LIMIT_NANOS, write);
+    }
+
+    /**
+     * Runs a write that fails when none of it is accepted for too long, and soon after a time in
+     * which it has not ended.
+     */
+    void write(Socket socket, long maxNanos, Write write) throws IOException {
+        OngoingWrite state = new OngoingWrite(Math.min(maxNanos, NO_LIMIT_NANOS));
+        ongoing.put(socket, state);
         try {
             write.to(
                     new FilterOutputStream(socket.getOutputStream()) {
@@ -36,11 +63,11 @@
                         public void write(byte[] bytes, int from, int count) throws IOException {
                             out.write(bytes, from, count);
                             // A long body takes many writes, and each that succeeds is progress.
-                            lastProgressNanos.put(socket, System.nanoTime());
+                            state.lastProgressNanos = System.nanoTime();
                         }
                     });
         } finally {
-            lastProgressNanos.remove(socket);
+            ongoing.remove(socket);
         }
     }
 
@@ -59,9 +86,9 @@
     private void closeStalled() {
         try {
             long now = System.nanoTime();
-            lastProgressNanos.forEach(
-                    (socket, since) -> {
-                        if (now - since > WRITE_TIMEOUT_NANOS) {
+            ongoing.forEach(
+                    (socket, state) -> {
+                        if (state.isOverdue(now)) {
                             Sockets.close(socket);
                         }
                     });
