A request's id stays open until its attempts have ended

Callers saw: an unsafe request whose client had left ran a second time, when its id came again while the backend was still working.

Cause: ClientRequest.claim gave the id back when the client's disconnect was noticed; the attempt stays in flight, by design. Evidence: a test in which the backend holds the first attempt; the second request was sent to another backend (502, not 409).

Change: an id has a reference for the response that is owed and one for each attempt that is not settled. OpenRequestIds owns the ids, in place of a set that was passed around.

--- a/src/main/java/cottonlock/proxy/ClientRequest.java
+++ b/src/main/java/cottonlock/proxy/ClientRequest.java
@@ -9,7 +9,6 @@
 import cottonlock.proxy.http.OutboundRequest;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -53,11 +52,17 @@
      */
     volatile long observedUntilTicks = Long.MAX_VALUE;
 
-    /** The ids of all requests that wait for their response, including this one. */
-    private final Set<String> openIds;
+    /** The ids of all requests that are open, including this one. */
+    private final OpenRequestIds openIds;
 
     private final AtomicBoolean claimed = new AtomicBoolean();
 
+    /**
+     * One for the response that is owed, and one for each attempt that is not settled: a client may
+     * leave before its request has been executed.
+     */
+    private final AtomicInteger idReferences = new AtomicInteger(1);
+
     /** One for the response that is owed, and one for each write of the body that is under way. */
     private final AtomicInteger bodyReferences = new AtomicInteger(1);
 
@@ -93,7 +98,7 @@
             RequestValidator.ValidatedHead validated,
             MessageBody body,
             long deadlineTicks,
-            Set<String> openIds)
+            OpenRequestIds openIds)
             throws MalformedMessageException {
         MessageHead head = validated.head();
         this.openIds = openIds;
@@ -158,11 +163,22 @@
         if (!claimed.compareAndSet(false, true)) {
             return false;
         }
-        openIds.remove(requestId);
+        releaseId();
         releaseBody();
         return true;
     }
 
+    /** Keeps the id open for an attempt; false when the request is over. */
+    private boolean retainId() {
+        return idReferences.getAndUpdate(n -> n == 0 ? 0 : n + 1) > 0;
+    }
+
+    private void releaseId() {
+        if (idReferences.decrementAndGet() == 0) {
+            openIds.remove(requestId);
+        }
+    }
+
     boolean claimed() {
         return claimed.get();
     }
@@ -188,6 +204,10 @@
         final long sendByTicks;
 
         private final LoadBalancerActor loadBalancer;
+
+        /** Whether the request's id stays open until the attempt is settled. */
+        private final boolean retainsId;
+
         private BackendConnection connection;
         private boolean settled;
 
@@ -196,6 +216,13 @@
             this.number = number;
             this.sendByTicks = sendByTicks;
             this.loadBalancer = loadBalancer;
+            this.retainsId = req.retainId();
+        }
+
+        private void releaseId() {
+            if (retainsId) {
+                req.releaseId();
+            }
         }
 
         /**
@@ -234,6 +261,7 @@
                 settled = true;
                 connection = null;
             }
+            releaseId();
             loadBalancer.attemptSettled(this, outcome);
             return true;
         }
@@ -261,6 +289,7 @@
             if (toClose != null) {
                 toClose.closeNow();
             }
+            releaseId();
             return true;
         }
     }
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -273,7 +273,7 @@
         rules = new RequestRules(null, factory, settings, clock.now());
         rules.namesInForce().forEach(metrics::registerRequestClass);
         rules.tenantNames.forEach(metrics::registerTenant);
-        validator = new RequestValidator(clock, rules);
+        validator = new RequestValidator(clock, rules, new OpenRequestIds());
         InetSocketAddress listen = config.address("listen");
         listener =
                 new ClientListener(
--- a/src/main/java/cottonlock/proxy/RequestValidator.java
+++ b/src/main/java/cottonlock/proxy/RequestValidator.java
@@ -7,8 +7,6 @@
 import cottonlock.proxy.http.MessageBody;
 import cottonlock.proxy.http.MessageHead;
 import cottonlock.proxy.http.MessageHeadParser;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 /** Validates clients' requests and assigns their deadlines. */
 final class RequestValidator {
@@ -24,11 +22,12 @@
     /** The latest deadline of any request, in ticks; limited when the proxy shuts down. */
     private volatile long latestDeadlineTicks = Long.MAX_VALUE;
 
-    private final Set<String> openIds = ConcurrentHashMap.newKeySet();
+    private final OpenRequestIds openIds;
 
-    RequestValidator(TickClock clock, RequestRules rules) {
+    RequestValidator(TickClock clock, RequestRules rules, OpenRequestIds openIds) {
         this.clock = clock;
         this.rules = rules;
+        this.openIds = openIds;
     }
 
     /**
--- a/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
+++ b/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
@@ -23,7 +23,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -65,7 +64,7 @@
                         validatedHead("acme"),
                         body,
                         clock.now() + 100_000,
-                        ConcurrentHashMap.newKeySet());
+                        new OpenRequestIds());
         ClientRequest.Attempt attempt =
                 new ClientRequest.Attempt(request, 0, Long.MAX_VALUE, loadBalancer);
         assertTrue(actor == null || actor.offer(attempt));
@@ -707,7 +706,8 @@
         RequestValidator validator =
                 new RequestValidator(
                         clock,
-                        new RequestRules(null, new LoadBalancerFactory(settings), settings, 0));
+                        new RequestRules(null, new LoadBalancerFactory(settings), settings, 0),
+                        new OpenRequestIds());
         ClientListener listener =
                 new ClientListener(
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/src/test/java/cottonlock/proxy/ProxyTest.java
+++ b/src/test/java/cottonlock/proxy/ProxyTest.java
@@ -32,7 +32,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.ResourceBundle;
@@ -513,7 +512,8 @@
         BufferPool buffers = new BufferPool(1, 0);
         MessageBody body = new MessageBody(buffers);
         body.add(new byte[10], 0, 10);
-        ClientRequest req = new ClientRequest(null, validatedHead(null), body, 0, new HashSet<>());
+        ClientRequest req =
+                new ClientRequest(null, validatedHead(null), body, 0, new OpenRequestIds());
         assertTrue(req.retainBody());
         assertTrue(req.claim());
         assertFalse(req.claim());
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -24,7 +24,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -453,7 +452,7 @@
                         validatedHead("acme"),
                         body,
                         clock.now() + 100_000,
-                        ConcurrentHashMap.newKeySet());
+                        new OpenRequestIds());
         ClientRequest.Attempt attempt = new ClientRequest.Attempt(request, 0, sendBy, loadBalancer);
         assertTrue(actor == null || actor.offer(attempt));
         return new Sent(request, attempt);
