An id that is open at one process of a replacement is refused by the other

Evidence: without the replacement each such request gets 409; with it each is served by another backend while the first attempt is out.

Change: SharedIdTable shows the ids open in a process to the others, by hashes in a mapped file in TMPDIR that counts while its process holds the lock on it. An id is added before it is looked up elsewhere, so two processes can't both take it. A process that finds another at its start waits for 0.1 s before it listens. Without a management address there is no table.

OpenRequestIdsTest's case of two processes failed on the state before (200 where 409 is due); it passes, also with the old process killed, when the id is free.

--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -10,6 +10,7 @@
 import cottonlock.proxy.control.ProxyConfiguration;
 import cottonlock.proxy.control.RolloutActor;
 import cottonlock.proxy.control.SharedFile;
+import cottonlock.proxy.control.SharedIdTable;
 import cottonlock.proxy.control.SharedSpillLimit;
 import cottonlock.proxy.discovery.EndpointList;
 import cottonlock.proxy.discovery.EndpointListParser;
@@ -112,6 +113,10 @@
     private final TickClock clock = new TickClock();
     private final RequestValidator validator;
     private final ClientListener listener;
+
+    /** Null if this process shares nothing with others. */
+    private final SharedIdTable sharedIds;
+
     private final PeerMessenger peers;
 
     /** The membership of the fleet; null if membership is not configured. */
@@ -273,7 +278,11 @@
         rules = new RequestRules(null, factory, settings, clock.now());
         rules.namesInForce().forEach(metrics::registerRequestClass);
         rules.tenantNames.forEach(metrics::registerTenant);
-        validator = new RequestValidator(clock, rules, new OpenRequestIds());
+        sharedIds = openSharedIds(sharedStateDirectory, name, connections);
+        validator = new RequestValidator(clock, rules, new OpenRequestIds(sharedIds));
+        if (sharedIds != null) {
+            sharedIds.awaitAnnounced();
+        }
         InetSocketAddress listen = config.address("listen");
         listener =
                 new ClientListener(
@@ -351,6 +360,22 @@
         serving = true;
     }
 
+    /**
+     * The table that shows open ids to the proxy's other processes; null if there are none, or if
+     * there is no space for it.
+     */
+    private SharedIdTable openSharedIds(Path directory, String name, int capacity) {
+        if (directory == null) {
+            return null;
+        }
+        try {
+            return new SharedIdTable(directory, name, capacity, log);
+        } catch (IOException e) {
+            log.warn("open ids", "cannot be shown to other processes: " + e);
+            return null;
+        }
+    }
+
     /** Where the system allows fewer descriptors, further sockets would fail to open. */
     private int allowedSockets(ProxyConfiguration config) {
         int configured = config.limit("sockets", 1024);
@@ -552,6 +577,9 @@
         }
         List<Thread> unfinished = Sockets.join(threads);
         workers.close();
+        if (sharedIds != null) {
+            sharedIds.close();
+        }
         for (Thread thread : unfinished) {
             log.warn("close", "the thread " + thread.getName() + " has not ended");
         }
