A head takes no more memory than its bytes, however many fields it has

Operators saw: a process passed its memory limit while hundreds of clients had sent heads of very many short fields and half a body.

Cause: MessageHead made two strings of each field and kept them while the body was read: 88 KB for a head of 4.5 KB.

Change: a head keeps its text and finds fields in it.

--- a/src/main/java/cottonlock/proxy/http/MessageHead.java
+++ b/src/main/java/cottonlock/proxy/http/MessageHead.java
@@ -1,11 +1,12 @@
 package cottonlock.proxy.http;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /**
- * The start line and the header fields of one message. {@link #method}, {@link #target} and {@link
- * #requestVersion} apply to requests, {@link #responseVersion} and {@link #status} to responses.
+ * The start line and the header fields of one message. The fields are kept as they were received,
+ * so that a head takes no more memory than its bytes, however many fields it has. {@link #method},
+ * {@link #target} and {@link #requestVersion} apply to requests, {@link #responseVersion} and
+ * {@link #status} to responses.
  */
 public final class MessageHead {
     private static final String HTTP_1_0 = "HTTP/1.0";
@@ -16,8 +17,11 @@
     /** The words of the start line: at most three, of which the last may contain spaces. */
     private final String[] startLine;
 
-    private final List<String> names = new ArrayList<>();
-    private final List<String> values = new ArrayList<>();
+    /** The head as it was received; a line end stands behind each line but the last. */
+    private final String text;
+
+    /** Where the line of the first field begins; behind the text if there is none. */
+    private final int firstField;
 
     /**
      * A head without fields.
@@ -26,13 +30,14 @@
      *     spaces
      */
     public MessageHead(String[] startLine) {
-        this.startLine = startLine.clone();
+        this(startLine, "", 0);
     }
 
-    /** Appends a field. */
-    public void add(String name, String value) {
-        names.add(name);
-        values.add(value);
+    /** A head with the fields from a place of the given text on, which have been checked. */
+    MessageHead(String[] startLine, String text, int firstField) {
+        this.startLine = startLine.clone();
+        this.text = text;
+        this.firstField = firstField;
     }
 
     /** A request's method. */
@@ -116,28 +121,46 @@
      * @throws MalformedMessageException if it occurs more than once
      */
     public String singleValue(String name) throws MalformedMessageException {
-        String found = null;
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).equalsIgnoreCase(name)) {
-                if (found != null) {
-                    throw new MalformedMessageException(400, "more than one " + name);
-                }
-                found = values.get(i);
-            }
+        int line = nextLineOf(name, firstField);
+        if (line < 0) {
+            return null;
+        }
+        if (nextLineOf(name, MessageHeadParser.nextLine(text, line)) >= 0) {
+            throw new MalformedMessageException(400, "more than one " + name);
         }
-        return found;
+        return valueAt(line, name);
     }
 
     /** Whether a comma-separated list field contains the given element, ignoring case. */
     public boolean hasListElement(String name, String element) {
-        for (int i = 0; i < names.size(); i++) {
-            if (names.get(i).equalsIgnoreCase(name) && containsElement(values.get(i), element)) {
+        for (int line = nextLineOf(name, firstField);
+                line >= 0;
+                line = nextLineOf(name, MessageHeadParser.nextLine(text, line))) {
+            if (containsElement(valueAt(line, name), element)) {
                 return true;
             }
         }
         return false;
     }
 
+    /** Where the next line of a field begins, at or behind the given line; -1 if there is none. */
+    private int nextLineOf(String name, int firstLine) {
+        for (int line = firstLine;
+                line < text.length();
+                line = MessageHeadParser.nextLine(text, line)) {
+            if (text.regionMatches(true, line, name, 0, name.length())
+                    && text.startsWith(":", line + name.length())) {
+                return line;
+            }
+        }
+        return -1;
+    }
+
+    private String valueAt(int line, String name) {
+        int end = MessageHeadParser.lineEnd(text, line);
+        return text.substring(line + name.length() + 1, end).trim();
+    }
+
     private static boolean containsElement(String value, String element) {
         for (String part : value.split(",", -1)) {
             if (part.trim().equalsIgnoreCase(element)) {
--- a/src/main/java/cottonlock/proxy/http/MessageHeadParser.java
+++ b/src/main/java/cottonlock/proxy/http/MessageHeadParser.java
@@ -16,24 +16,31 @@
     /** Parses a head without the line ends that close it. */
     static MessageHead parse(String text) throws MalformedMessageException {
         int end = lineEnd(text, 0);
-        MessageHead head = new MessageHead(text.substring(0, end).split(" ", 3));
-        while (end < text.length()) {
-            int start = end + LINE_END_LENGTH;
-            end = lineEnd(text, start);
-            int colon = text.indexOf(':', start);
-            if (colon <= start || colon >= end || !isToken(text.substring(start, colon))) {
+        String[] startLine = text.substring(0, end).split(" ", 3);
+        int firstField = nextLine(text, 0);
+        for (int line = firstField; line <= text.length(); line = nextLine(text, line)) {
+            int colon = text.indexOf(':', line);
+            if (colon < 0 || colon >= lineEnd(text, line) || !isToken(text, line, colon)) {
                 throw new MalformedMessageException(400, "not a header field");
             }
-            head.add(text.substring(start, colon), text.substring(colon + 1, end).trim());
         }
-        return head;
+        return new MessageHead(startLine, text, firstField);
     }
 
-    private static int lineEnd(String text, int start) {
+    /** Where a line ends that begins at the given place or before it. */
+    static int lineEnd(String text, int start) {
         int end = text.indexOf('\r', start);
         return end < 0 ? text.length() : end;
     }
 
+    /**
+     * Where the line behind the one at the given place begins; behind the text if it is the last.
+     */
+    static int nextLine(String text, int start) {
+        int end = lineEnd(text, start);
+        return end == text.length() ? end + 1 : end + LINE_END_LENGTH;
+    }
+
     /** Whether the octet is a control character that is not permitted in a head. */
     static boolean isForbiddenControl(byte octet) {
         boolean permitted = octet == '\t' || octet == '\r' || octet == '\n';
@@ -62,7 +69,11 @@
 
     /** Whether the text is a token (RFC 9110, section 5.6.2). */
     static boolean isToken(String text) {
-        for (int i = 0; i < text.length(); i++) {
+        return isToken(text, 0, text.length());
+    }
+
+    private static boolean isToken(String text, int start, int end) {
+        for (int i = start; i < end; i++) {
             char character = text.charAt(i);
             boolean letter =
                     (character >= 'a' && character <= 'z')
@@ -71,7 +82,7 @@
                 return false;
             }
         }
-        return !text.isEmpty();
+        return end > start;
     }
 
     private static boolean isDigit(char character) {
