A long answer in chunks is relayed while its backend writes it

Cause: BackendConnection.exchange collected an answer of unknown length until it was whole or 64 KiB long, whatever time that took, and its attempt ended at the deadline. HttpReader waited for the line end behind a chunk before it passed the chunk on.

Change: readBodyStart takes what arrives within 1 s and 20 ms before the deadline at the latest; the rest is relayed. A line end behind a chunk is read with the next one.

--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -29,6 +29,14 @@
      */
     private static final long RESPONSE_PAUSE_MILLIS = 1_200;
 
+    /**
+     * Maximum milliseconds for which the first part of a response of unknown length is held back.
+     */
+    private static final long MAX_HOLD_BACK_MILLIS = 1_000;
+
+    /** Milliseconds before its request's deadline by which a response must begin to be relayed. */
+    private static final long RELAY_START_MILLIS = 20;
+
     /** The least that still keeps the network busy between two writes. */
     private static final int SMALL_SEND_BUFFER_BYTES = 16 << 10;
 
@@ -257,7 +265,7 @@
     private boolean exchange(HttpReader reader) throws IOException, MalformedMessageException {
         reader.setTimeout(0);
         MessageHead head = reader.readResponseHead(RESPONSE_PAUSE_MILLIS);
-        MessageBody body = reader.readBodyStart(buffers);
+        MessageBody body = reader.readBodyStart(buffers, System.nanoTime() + maxHoldBackNanos());
         try {
             ClientRequest.Attempt attempt;
             boolean keepAlive = head.keepsAlive(head.responseVersion());
@@ -289,6 +297,19 @@
         }
     }
 
+    /**
+     * How long the first part of a response of unknown length may be held back: the client must
+     * have its beginning in time. Only while it is held back, another attempt can be made.
+     */
+    private synchronized long maxHoldBackNanos() {
+        long maxTicks = Ticks.ofMillis(MAX_HOLD_BACK_MILLIS);
+        if (current != null) {
+            long remainingTicks = current.req.deadlineTicks - clock.now();
+            maxTicks = Math.min(maxTicks, remainingTicks - Ticks.ofMillis(RELAY_START_MILLIS));
+        }
+        return Math.max(0, maxTicks) * Ticks.NANOSECONDS_PER_TICK;
+    }
+
     /** Settles the attempt and forwards its response; false when some of it is left unread. */
     private boolean forwardResponse(
             ClientRequest.Attempt attempt, MessageHead head, MessageBody body, HttpReader reader)
--- a/src/main/java/cottonlock/proxy/http/HttpReader.java
+++ b/src/main/java/cottonlock/proxy/http/HttpReader.java
@@ -27,6 +27,9 @@
 
     private boolean bodyComplete = true;
 
+    /** Whether the line end behind the data of the last chunk has not been read. */
+    private boolean chunkEndDue;
+
     /** Reads through the given buffer, which remains owned by the caller, and never ahead. */
     public HttpReader(Socket socket, byte[] buffer) throws IOException {
         this(socket, buffer, null);
@@ -237,6 +240,7 @@
         String coding = head.singleValue("Transfer-Encoding");
         String length = head.singleValue("Content-Length");
         chunked = coding != null;
+        chunkEndDue = false;
         if (chunked) {
             checkChunked(head, coding, length);
             remainingBytes = 0;
@@ -316,18 +320,44 @@
 
     /**
      * Reads the body if it fits into buffers, else nothing or only its first part; see {@link
-     * #isBodyComplete}.
+     * #isBodyComplete}. Of a body of unknown length, only what arrives before the given time: it
+     * may be long, and its sender slow.
+     *
+     * @param endNanos by the monotonic clock
      */
-    public MessageBody readBodyStart(BufferPool buffers)
+    public MessageBody readBodyStart(BufferPool buffers, long endNanos)
             throws IOException, MalformedMessageException {
-        return readBody(new MessageBody(buffers), MessageBody.MAX_BUFFERED_BYTES, false);
+        MessageBody body = new MessageBody(buffers);
+        if (declaredLength() >= 0) {
+            return readBody(body, MessageBody.MAX_BUFFERED_BYTES, false);
+        }
+        return readBody(body, MessageBody.MAX_BUFFERED_BYTES, () -> arrivesBefore(endNanos), false);
+    }
+
+    /** Whether more of the message arrives, or the stream ends, before the given time. */
+    private boolean arrivesBefore(long endNanos) throws IOException {
+        return bodyComplete || hasBufferedBytes() || input.fillBefore(endNanos);
+    }
+
+    /** Whether to go on reading a body. */
+    private interface ReadCondition {
+        boolean holds() throws IOException;
     }
 
     private MessageBody readBody(MessageBody body, long maxBytes, boolean requireWhole)
             throws IOException, MalformedMessageException {
+        return readBody(body, maxBytes, () -> true, requireWhole);
+    }
+
+    private MessageBody readBody(
+            MessageBody body, long maxBytes, ReadCondition condition, boolean requireWhole)
+            throws IOException, MalformedMessageException {
         boolean done = false;
         try {
-            while (declaredLength() <= maxBytes && bodyContinues() && body.length() < maxBytes) {
+            while (declaredLength() <= maxBytes
+                    && condition.holds()
+                    && bodyContinues()
+                    && body.length() < maxBytes) {
                 long space = maxBytes - body.length();
                 int count = (int) Math.min(Math.min(remainingBytes, input.bufferedBytes()), space);
                 body.add(input.buffer(), input.position(), count);
@@ -404,6 +434,10 @@
     }
 
     private void beginChunk() throws IOException, MalformedMessageException {
+        if (chunkEndDue) {
+            chunks.readEnd();
+            chunkEndDue = false;
+        }
         remainingBytes = chunks.readSize();
         if (remainingBytes == 0) {
             chunks.skipTrailer();
@@ -421,7 +455,8 @@
             return;
         }
         if (chunked) {
-            chunks.readEnd();
+            // Some senders write the line end together with the next chunk.
+            chunkEndDue = true;
         } else {
             bodyComplete = true;
         }
--- a/src/main/java/cottonlock/proxy/http/TimedSocketInput.java
+++ b/src/main/java/cottonlock/proxy/http/TimedSocketInput.java
@@ -36,6 +36,9 @@
     /** The longest time without a byte, if pacing is on; 0: reads do not extend the deadline. */
     private long maxPauseNanos;
 
+    /** Until when the read under way waits at most, whatever the deadline; 0: no limit. */
+    private long waitLimitNanos;
+
     /** By how much each byte extends the deadline, if pacing is on. */
     private long nanosPerByte;
 
@@ -251,6 +254,26 @@
         return fill(buffer.length);
     }
 
+    /**
+     * Like {@link #fill()}, but gives up waiting at the given time, by the monotonic clock.
+     *
+     * @return false if nothing has arrived by then, and the stream has not ended
+     */
+    boolean fillBefore(long endNanos) throws IOException {
+        waitLimitNanos = endNanos;
+        try {
+            fill();
+            return true;
+        } catch (SocketTimeoutException e) {
+            if (System.nanoTime() - endNanos < 0) {
+                throw e;
+            }
+            return false;
+        } finally {
+            waitLimitNanos = 0;
+        }
+    }
+
     /** Like {@link #fill()}, but reads at most {@code maxBytes}. */
     boolean fill(int maxBytes) throws IOException {
         if (!readAhead.isEmpty()) {
@@ -301,10 +324,14 @@
      * the thread beyond the deadline.
      */
     private int remainingMillis() throws SocketTimeoutException {
-        if (deadlineNanos == 0) {
+        long endNanos = deadlineNanos;
+        if (waitLimitNanos != 0 && (endNanos == 0 || waitLimitNanos - endNanos < 0)) {
+            endNanos = waitLimitNanos;
+        }
+        if (endNanos == 0) {
             return 0;
         }
-        long remainingNanos = deadlineNanos - System.nanoTime();
+        long remainingNanos = endNanos - System.nanoTime();
         if (remainingNanos <= 0) {
             throw new SocketTimeoutException("the deadline for reading has passed");
         }
--- /dev/null
+++ b/src/test/java/cottonlock/proxy/LongAnswersTest.java
@@ -0,0 +1,99 @@
+package cottonlock.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import net.jqwik.api.Example;
+
+/** Long answers that backends write slowly, or that clients read slowly. */
+class LongAnswersTest extends ProxyFixture {
+    private static final String LONG_TIMEOUT = "X-Timeout-Ms: 1400\r\n";
+    private static final int PART_BYTES = 2_000;
+    private static final int PARTS = 40;
+    private static final long PART_MILLIS = 100;
+
+    /** A backend that writes an answer of unknown length for four seconds. */
+    private StandIn slowBackend(boolean lineEndWithNextChunk) throws IOException {
+        StandIn backend = new StandIn(request -> CLOSE);
+        backend.responder =
+                request -> {
+                    Socket socket = backend.sockets.get(backend.sockets.size() - 1);
+                    send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    String size = Integer.toHexString(PART_BYTES) + "\r\n";
+                    String data = "x".repeat(PART_BYTES);
+                    for (int part = 0; part < PARTS; part++) {
+                        boolean lineEndBefore = lineEndWithNextChunk && part > 0;
+                        send(socket, (lineEndBefore ? "\r\n" : "") + size + data);
+                        send(socket, lineEndWithNextChunk ? "" : "\r\n");
+                        Thread.sleep(PART_MILLIS);
+                    }
+                    return (lineEndWithNextChunk ? "\r\n" : "") + "0\r\n\r\n";
+                };
+        return backend;
+    }
+
+    /**
+     * Guards against an answer in chunks that was held back until its request's deadline and then
+     * cut off, while its backend was still writing.
+     */
+    @Example
+    void aLongAnswerInChunksThatIsWrittenSlowlyIsRelayed() throws Exception {
+        for (boolean lineEndWithNextChunk : new boolean[] {false, true}) {
+            start(slowBackend(lineEndWithNextChunk));
+            Socket socket = connect();
+            long begun = System.nanoTime();
+            send(socket, request("read", "slow", LONG_TIMEOUT, ""));
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            assertEquals('H', in.read());
+            long waitedMillis = (System.nanoTime() - begun) / 1_000_000;
+            assertTrue(waitedMillis < 1_400, "its beginning came after " + waitedMillis + " ms");
+            assertTrue(nextLine(in).startsWith("TTP/1.1 200"), "it is relayed");
+            while (!nextLine(in).isEmpty()) {
+                // The fields.
+            }
+            int length = 0;
+            for (int chunk = chunkSize(in); chunk > 0; chunk = chunkSize(in)) {
+                length += chunk;
+                in.skipNBytes(chunk + 2L);
+            }
+            assertEquals(PARTS * PART_BYTES, length);
+            closesCleanly();
+        }
+    }
+
+    /** Guards against a short answer in chunks that can't be given by another backend any more. */
+    @Example
+    void aShortAnswerInChunksThatBreaksOffSoonIsGivenByAnotherBackend() throws Exception {
+        String half = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+        StandIn broken = new StandIn(request -> OK);
+        StandIn whole = new StandIn(request -> OK);
+        start(broken, whole);
+        // Retries need a budget, which attempts add to.
+        for (int i = 0; i < 30; i++) {
+            assertEquals(200, status(call(request("read", "usual" + i, LONG_TIMEOUT, ""))));
+        }
+        int before = broken.requests.size();
+        broken.responder = request -> half + THEN_CLOSE;
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, status(call(request("read", "later" + i, LONG_TIMEOUT, ""))));
+        }
+        assertTrue(broken.requests.size() > before, "it was tried");
+    }
+
+    private static int chunkSize(InputStream in) throws IOException {
+        return Integer.parseInt(nextLine(in), 16);
+    }
+
+    private static String nextLine(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int octet = in.read(); octet != '\n'; octet = in.read()) {
+            assertTrue(octet >= 0, "the answer is cut off");
+            line.append((char) octet);
+        }
+        return line.toString().trim();
+    }
+}
