A client that reads a long answer steadily is not cut off

Callers saw: a client that read 64 KiB a second of an answer of 12 MB lost its connection after 4,006,400 bytes.

Cause: WriteTimeoutWatchdog sees progress when a blocked write returns; the system lets it go on when a third of the send buffer is free, and chooses a buffer of up to 4 MB. At that rate this takes longer than the 5 s after which a write counts as stuck.

Change: a connection that relays a long answer has a send buffer of 128 KiB, a third of which such a client reads in about a second.

--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -66,6 +66,9 @@
      */
     private static final long RELAY_PAUSE_MILLIS = 5_000;
 
+    /** Bytes of a long response that the system takes in: a third of it is soon read. */
+    private static final int RELAY_SEND_BUFFER_BYTES = 128 << 10;
+
     /**
      * Nanoseconds that a client waits at most, without being read, for space for the rest of its
      * body: its request has no deadline before its last byte is sent.
@@ -467,6 +470,9 @@
         }
         boolean complete = false;
         try {
+            // A blocked writer goes on when a third of the buffer is free: with the buffer that the
+            // system would choose, a client that reads steadily seems to have stopped.
+            socket.setSendBufferSize(RELAY_SEND_BUFFER_BYTES);
             watchdog.write(
                     socket,
                     out -> {
--- a/src/test/java/cottonlock/proxy/LongAnswersTest.java
+++ b/src/test/java/cottonlock/proxy/LongAnswersTest.java
@@ -16,6 +16,11 @@
     private static final int PARTS = 40;
     private static final long PART_MILLIS = 100;
 
+    private static final int SLOWLY_READ_BYTES = 12 << 20;
+    private static final int READ_BYTES = 32 << 10;
+    private static final long READ_MILLIS = 500;
+    private static final long SLOW_MILLIS = 12_000;
+
     /** A backend that writes an answer of unknown length for four seconds. */
     private StandIn slowBackend(boolean lineEndWithNextChunk) throws IOException {
         StandIn backend = new StandIn(request -> CLOSE);
@@ -96,4 +101,32 @@
         }
         return line.toString().trim();
     }
+
+    /**
+     * Guards against a client that reads a long answer steadily, 64 KiB a second, and was cut off
+     * as if it had stopped.
+     */
+    @Example
+    void aClientThatReadsALongAnswerSteadilyIsNotCutOff() throws Exception {
+        StandIn backend =
+                new StandIn(
+                        request ->
+                                "HTTP/1.1 200 OK\r\nContent-Length: "
+                                        + SLOWLY_READ_BYTES
+                                        + "\r\n\r\n"
+                                        + "x".repeat(SLOWLY_READ_BYTES));
+        start(backend);
+        Socket socket = connect();
+        send(socket, request("read", "steady", LONG_TIMEOUT, ""));
+        InputStream in = socket.getInputStream();
+        long begun = System.nanoTime();
+        long read = 0;
+        while ((System.nanoTime() - begun) / 1_000_000 < SLOW_MILLIS) {
+            read += in.readNBytes(READ_BYTES).length;
+            Thread.sleep(READ_MILLIS);
+        }
+        read += in.readNBytes(SLOWLY_READ_BYTES).length;
+        // The client keeps the connection, so only the length tells the end.
+        assertTrue(read > SLOWLY_READ_BYTES, "cut off after " + read + " bytes");
+    }
 }
