--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -231,7 +231,7 @@
                     }
                 }
                 case NO_SPACE -> awaitResponseUnobserved(reader.caughtUpNanos());
-                case READ -> {
+                default -> {
                     // The request is parsed when the response before it has been written.
                 }
             }
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -12,7 +12,7 @@
 import cottonlock.proxy.concurrent.TickClock;
 import cottonlock.proxy.control.ManualEjections;
 import cottonlock.proxy.control.PeerMessenger;
-import cottonlock.proxy.discovery.AddressSuccession;
+import cottonlock.proxy.discovery.AddressConflicts;
 import cottonlock.proxy.discovery.EndpointList;
 import cottonlock.proxy.discovery.EndpointListListener;
 import cottonlock.proxy.discovery.EndpointListWatch;
@@ -82,7 +82,7 @@
      */
     private final Map<String, Endpoint> listedEndpoints = new TreeMap<>();
 
-    private final AddressSuccession addressSuccession = new AddressSuccession();
+    private final AddressConflicts addressConflicts = new AddressConflicts();
     private final Set<String> unlistedIds = new TreeSet<>();
     private volatile Set<String> listedIds = Set.of();
     private boolean listWatchEnded;
@@ -343,7 +343,7 @@
     public void endpointListReceived(EndpointList received, boolean cached) {
         mailbox.put(
                 () -> {
-                    EndpointList list = addressSuccession.resolve(received);
+                    EndpointList list = addressConflicts.resolve(received);
                     List<Endpoint> endpoints = new ArrayList<>();
                     Map<String, BackendActor> absent =
                             list.complete() ? new TreeMap<>(backends) : new TreeMap<>();
--- a/src/main/java/cottonlock/proxy/discovery/AddressSuccession.java
+++ b/src/main/java/cottonlock/proxy/discovery/AddressConflicts.java
@@ -15,7 +15,7 @@
  * of their idempotency keys. Such a backend counts as draining until the list gives it another
  * address or start, whatever state the list says. Used by one thread.
  */
-public final class AddressSuccession {
+public final class AddressConflicts {
     /** The entries of the list, by id. */
     private final Map<String, EndpointList.Entry> listed = new HashMap<>();
 
--- a/src/main/java/cottonlock/proxy/http/HttpReader.java
+++ b/src/main/java/cottonlock/proxy/http/HttpReader.java
@@ -15,20 +15,8 @@
     /** A rate that any sender reaches, so that {@link #setPacing} limits only its pauses. */
     public static final long NEGLIGIBLE_RATE_BYTES_PER_SECOND = 16;
 
-    /** The value of {@code remainingBytes} for a body that ends with the connection. */
-    private static final long UNTIL_END_OF_STREAM = Long.MAX_VALUE;
-
     private final TimedSocketInput input;
-    private final ChunkParser chunks;
-    private boolean chunked;
-
-    /** Bytes that remain of the body, or of its current chunk. */
-    private long remainingBytes;
-
-    private boolean bodyComplete = true;
-
-    /** Whether the line end behind the data of the last chunk has not been read. */
-    private boolean chunkEndDue;
+    private final BodyFraming framing;
 
     /** Reads through the given buffer, which remains owned by the caller, and never ahead. */
     public HttpReader(Socket socket, byte[] buffer) throws IOException {
@@ -44,7 +32,7 @@
     public HttpReader(Socket socket, byte[] buffer, BufferPool readAheadBuffers)
             throws IOException {
         this.input = new TimedSocketInput(socket, buffer, new ReadAheadQueue(readAheadBuffers));
-        this.chunks = new ChunkParser(input);
+        this.framing = new BodyFraming(input);
     }
 
     /** Sets a deadline for all reads from now on; a timeout of 0 means no deadline. */
@@ -160,7 +148,7 @@
         input.beginMessage();
         MessageHead head = readHead();
         head.checkRequestLine();
-        beginBody(head, 0);
+        framing.begin(head, 0);
         return head;
     }
 
@@ -181,8 +169,7 @@
             }
             MessageHead head = readHead();
             head.checkStatusLine();
-            beginBody(head, head.hasNoBody() ? 0 : UNTIL_END_OF_STREAM);
-            bodyComplete |= head.hasNoBody();
+            framing.beginResponse(head);
             if (!head.isInterim()) {
                 return head;
             }
@@ -235,49 +222,14 @@
         return octet == '\n' && offset >= 3 && input.peek(offset - 2) == '\n';
     }
 
-    private void beginBody(MessageHead head, long lengthIfUnknown)
-            throws MalformedMessageException {
-        String coding = head.singleValue("Transfer-Encoding");
-        String length = head.singleValue("Content-Length");
-        chunked = coding != null;
-        chunkEndDue = false;
-        if (chunked) {
-            checkChunked(head, coding, length);
-            remainingBytes = 0;
-            bodyComplete = false;
-            return;
-        }
-        if (length != null && !MessageHeadParser.isDecimal(length)) {
-            throw new MalformedMessageException(400, "Content-Length is not a number");
-        }
-        remainingBytes = length == null ? lengthIfUnknown : Long.parseLong(length);
-        bodyComplete = remainingBytes == 0;
-    }
-
-    private static void checkChunked(MessageHead head, String coding, String length)
-            throws MalformedMessageException {
-        if (length != null) {
-            throw new MalformedMessageException(400, "both Transfer-Encoding and Content-Length");
-        }
-        if (head.isHttp10()) {
-            throw new MalformedMessageException(400, "a transfer coding in HTTP/1.0");
-        }
-        if (!coding.equalsIgnoreCase("chunked")) {
-            throw new MalformedMessageException(501, "a transfer coding other than chunked");
-        }
-    }
-
     /** The length of the body in bytes as its head declares it; -1 if the head declares none. */
     public long declaredLength() {
-        if (bodyComplete) {
-            return 0;
-        }
-        return chunked || remainingBytes == UNTIL_END_OF_STREAM ? -1 : remainingBytes;
+        return framing.declaredLength();
     }
 
     /** Whether all of the body has been read. */
     public boolean isBodyComplete() {
-        return bodyComplete;
+        return framing.isComplete();
     }
 
     /**
@@ -290,7 +242,7 @@
     public MessageBody readBody(
             BufferPool buffers, BodySpillFiles files, long maxBytes, SpaceWaitPolicy waitPolicy)
             throws IOException, MalformedMessageException {
-        if (bodyComplete) {
+        if (framing.isComplete()) {
             return new MessageBody(buffers);
         }
         long length = declaredLength();
@@ -336,7 +288,7 @@
 
     /** Whether more of the message arrives, or the stream ends, before the given time. */
     private boolean arrivesBefore(long endNanos) throws IOException {
-        return bodyComplete || hasBufferedBytes() || input.fillBefore(endNanos);
+        return framing.isComplete() || hasBufferedBytes() || input.fillBefore(endNanos);
     }
 
     /** Whether to go on reading a body. */
@@ -356,15 +308,15 @@
         try {
             while (declaredLength() <= maxBytes
                     && condition.holds()
-                    && bodyContinues()
+                    && framing.continues()
                     && body.length() < maxBytes) {
                 long space = maxBytes - body.length();
-                int count = (int) Math.min(Math.min(remainingBytes, input.bufferedBytes()), space);
+                int count = (int) Math.min(framing.bufferedBytes(), space);
                 body.add(input.buffer(), input.position(), count);
                 input.resume();
-                consume(count);
+                framing.consume(count);
             }
-            if (requireWhole && (declaredLength() > maxBytes || bodyContinues())) {
+            if (requireWhole && (declaredLength() > maxBytes || framing.continues())) {
                 throw new MalformedMessageException(413, "the body is too large");
             }
             done = true;
@@ -388,10 +340,10 @@
     /** Passes the rest of the body to a consumer, in parts as they are received. */
     public void relayBody(BodyConsumer consumer) throws IOException {
         try {
-            while (bodyContinues()) {
-                int count = (int) Math.min(remainingBytes, input.bufferedBytes());
+            while (framing.continues()) {
+                int count = framing.bufferedBytes();
                 consumer.accept(input.buffer(), input.position(), count);
-                consume(count);
+                framing.consume(count);
             }
         } catch (MalformedMessageException e) {
             throw new IOException(e.getMessage(), e);
@@ -401,9 +353,9 @@
     /** The next line of a body that consists of lines, without its line end; null at the end. */
     public String readLine(int maxChars) throws IOException, MalformedMessageException {
         StringBuilder line = new StringBuilder();
-        while (bodyContinues()) {
+        while (framing.continues()) {
             byte octet = input.peek(0);
-            consume(1);
+            framing.consume(1);
             if (octet == '\n') {
                 return line.toString();
             }
@@ -414,51 +366,4 @@
         }
         return null;
     }
-
-    /** Whether the body continues, in which case at least one byte of it is in the buffer. */
-    private boolean bodyContinues() throws IOException, MalformedMessageException {
-        if (!bodyComplete && chunked && remainingBytes == 0) {
-            beginChunk();
-        }
-        if (bodyComplete) {
-            return false;
-        }
-        if (hasBufferedBytes() || input.fill()) {
-            return true;
-        }
-        if (remainingBytes != UNTIL_END_OF_STREAM) {
-            throw new IOException("the connection ended within the body of a message");
-        }
-        bodyComplete = true;
-        return false;
-    }
-
-    private void beginChunk() throws IOException, MalformedMessageException {
-        if (chunkEndDue) {
-            chunks.readEnd();
-            chunkEndDue = false;
-        }
-        remainingBytes = chunks.readSize();
-        if (remainingBytes == 0) {
-            chunks.skipTrailer();
-            bodyComplete = true;
-        }
-    }
-
-    private void consume(int count) throws IOException, MalformedMessageException {
-        input.skip(count);
-        if (remainingBytes == UNTIL_END_OF_STREAM) {
-            return;
-        }
-        remainingBytes -= count;
-        if (remainingBytes > 0) {
-            return;
-        }
-        if (chunked) {
-            // Some senders write the line end together with the next chunk.
-            chunkEndDue = true;
-        } else {
-            bodyComplete = true;
-        }
-    }
 }
--- a/src/test/java/cottonlock/proxy/discovery/AddressSuccessionTest.java
+++ b/src/test/java/cottonlock/proxy/discovery/AddressConflictsTest.java
@@ -11,8 +11,8 @@
 import net.jqwik.api.Example;
 
 /** Backends at the address of one that has gone. */
-class AddressSuccessionTest {
-    private final AddressSuccession succession = new AddressSuccession();
+class AddressConflictsTest {
+    private final AddressConflicts conflicts = new AddressConflicts();
 
     private static EndpointList.Entry entry(String id, int port, State state, long startedAt) {
         return new EndpointList.Entry(
@@ -22,7 +22,7 @@
 
     private Map<String, State> resolve(boolean complete, EndpointList.Entry... entries) {
         Map<String, State> states = new TreeMap<>();
-        succession
+        conflicts
                 .resolve(new EndpointList(1, complete, List.of(entries)))
                 .entries()
                 .forEach(e -> states.put(e.endpoint().id(), e.endpoint().state()));
