The time that a backend needs to read a long repeat is estimated cautiously

Cause: DrainEstimate took what was written before the first write of over 5 ms for what the buffers hold. Beside load this process itself is late early on, so the buffers seemed small and the pace, which then took in their filling, high.

Change: the slowest pace of any 64 KiB, and full buffers of 256 KiB. A send buffer that can't be limited is no error.

--- a/src/main/java/cottonlock/proxy/AttemptOutputStream.java
+++ b/src/main/java/cottonlock/proxy/AttemptOutputStream.java
@@ -71,9 +71,8 @@
     }
 
     private void writeHeldBack() throws IOException {
-        long begunNanos = System.nanoTime();
         out.write(heldBack, 0, heldBack.length);
-        drain.written(heldBack.length, begunNanos, System.nanoTime());
+        drain.written(heldBack.length, System.nanoTime());
     }
 
     private void awaitDrained() throws IOException {
--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -256,9 +256,9 @@
      * Makes this system take in little more than the backend has read, so that writing shows its
      * pace. The connection serves no further attempt, which might need a larger buffer.
      */
-    private void limitUnreadBytes() throws IOException {
+    private void limitUnreadBytes() {
         sendBufferLimited = true;
-        socket.setSendBufferSize(SMALL_SEND_BUFFER_BYTES);
+        Sockets.limitSendBuffer(socket, SMALL_SEND_BUFFER_BYTES);
     }
 
     /** Reads one response; false when the connection is to end. */
--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -472,7 +472,7 @@
         try {
             // A blocked writer goes on when a third of the buffer is free: with the buffer that the
             // system would choose, a client that reads steadily seems to have stopped.
-            socket.setSendBufferSize(RELAY_SEND_BUFFER_BYTES);
+            Sockets.limitSendBuffer(socket, RELAY_SEND_BUFFER_BYTES);
             watchdog.write(
                     socket,
                     out -> {
--- a/src/main/java/cottonlock/proxy/DrainEstimate.java
+++ b/src/main/java/cottonlock/proxy/DrainEstimate.java
@@ -1,43 +1,48 @@
 package cottonlock.proxy;
 
 /**
- * Estimates how long a peer will take to read what has been written to its connection, from the
- * pace at which it let writes go on. Until a write has to wait, the buffers of both systems take in
- * all of it, and nothing is known of the peer. Used by one thread.
+ * Estimates how long a peer will take to read what has been written to its connection, by the pace
+ * at which it let writes go on. The estimate is cautious: it takes the slowest pace seen, as a peer
+ * may read in pieces, and assumes that the systems' buffers are full. Used by one thread.
  */
 final class DrainEstimate {
-    /** A write that takes longer than this has waited for the peer. */
-    private static final long WAIT_NANOS = 5_000_000;
+    /** What the buffers of both systems hold at most, behind a small send buffer. */
+    private static final long MAX_BUFFERED_BYTES = 256 << 10;
 
-    /** Bytes written before the first write that waited: what the buffers hold. */
-    private long bufferedBytes;
+    /** The number of writes over which the pace is measured: 64 KiB of a long body. */
+    private static final int WRITES_MEASURED = 8;
 
-    /** Bytes written since then, and the time that it took. */
-    private long pacedBytes;
+    /** The ends of the latest writes, by their number modulo the length. */
+    private final long[] endNanos = new long[WRITES_MEASURED + 1];
 
-    private long firstWaitNanos;
-    private long lastWriteNanos;
+    private final long[] endBytes = new long[WRITES_MEASURED + 1];
+    private int writes;
+    private long writtenBytes;
+    private double slowestNanosPerByte;
 
     /**
      * Records a write.
      *
-     * @param begunNanos when it began, by the monotonic clock
-     * @param endNanos when it returned
+     * @param nowNanos when it returned, by the monotonic clock
      */
-    void written(int count, long begunNanos, long endNanos) {
-        if (pacedBytes == 0 && endNanos - begunNanos < WAIT_NANOS) {
-            bufferedBytes += count;
-            return;
+    void written(int count, long nowNanos) {
+        writtenBytes += count;
+        int last = writes % endNanos.length;
+        endNanos[last] = nowNanos;
+        endBytes[last] = writtenBytes;
+        writes++;
+        // In a ring of one more entry the next place holds the end of the write before them.
+        int first = writes % endNanos.length;
+        if (writes > WRITES_MEASURED && endBytes[last] > endBytes[first]) {
+            double nanosPerByte =
+                    (double) (endNanos[last] - endNanos[first])
+                            / (endBytes[last] - endBytes[first]);
+            slowestNanosPerByte = Math.max(slowestNanosPerByte, nanosPerByte);
         }
-        if (pacedBytes == 0) {
-            firstWaitNanos = begunNanos;
-        }
-        pacedBytes += count;
-        lastWriteNanos = endNanos;
     }
 
     /** The time that the peer needs, from the last write on, to read all; 0 if nothing is known. */
     long remainingNanos() {
-        return pacedBytes == 0 ? 0 : bufferedBytes * (lastWriteNanos - firstWaitNanos) / pacedBytes;
+        return (long) (Math.min(writtenBytes, MAX_BUFFERED_BYTES) * slowestNanosPerByte);
     }
 }
--- a/src/main/java/cottonlock/proxy/io/Sockets.java
+++ b/src/main/java/cottonlock/proxy/io/Sockets.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -80,6 +81,18 @@
         }
     }
 
+    /**
+     * Limits what the system takes in of what is written to a socket, so that writing shows how
+     * fast the peer reads. Where the system does not allow it, the limit stays as it was.
+     */
+    public static void limitSendBuffer(Socket socket, int bytes) {
+        try {
+            socket.setSendBufferSize(bytes);
+        } catch (IOException e) {
+            // If the socket is closed, the next write fails.
+        }
+    }
+
     /**
      * Parses an address of the form host:port without resolving names.
      *
