A line of a stream ends with its chunk, so that what is buffered is the next line

Operators would have seen: a proxy that watched a stale control server did not compare it with another and missed a version.

Cause: since chunks' line ends are read with the next chunk, the two bytes behind a line stayed in the buffer, and RolloutActor took them for the beginning of a line and waited for the rest.

Change: readLine ends the chunk with the line; answers that are relayed do so with the next chunk, as before.

Measured: RolloutProcessesTest (6), ScaleTest (7) and LongAnswersTest (3) pass.

--- a/src/main/java/cottonlock/proxy/http/BodyFraming.java
+++ b/src/main/java/cottonlock/proxy/http/BodyFraming.java
@@ -101,10 +101,7 @@
     }
 
     private void beginChunk() throws IOException, MalformedMessageException {
-        if (chunkEndDue) {
-            chunks.readEnd();
-            chunkEndDue = false;
-        }
+        endChunk();
         remainingBytes = chunks.readSize();
         if (remainingBytes == 0) {
             chunks.skipTrailer();
@@ -112,6 +109,14 @@
         }
     }
 
+    /** Reads the line end behind the data of a chunk, if that has not been done. */
+    void endChunk() throws IOException, MalformedMessageException {
+        if (chunkEndDue) {
+            chunks.readEnd();
+            chunkEndDue = false;
+        }
+    }
+
     /** Consumes bytes of the body, which are in the buffer. */
     void consume(int count) throws IOException, MalformedMessageException {
         input.skip(count);
--- a/src/main/java/cottonlock/proxy/http/HttpReader.java
+++ b/src/main/java/cottonlock/proxy/http/HttpReader.java
@@ -356,6 +356,8 @@
         while (framing.continues()) {
             byte octet = input.peek(0);
             framing.consume(1);
+            // What is buffered behind a line begins the next one.
+            framing.endChunk();
             if (octet == '\n') {
                 return line.toString();
             }
