--- a/src/test/java/cottonlock/proxy/LongBodiesTest.java
+++ b/src/test/java/cottonlock/proxy/LongBodiesTest.java
@@ -368,19 +368,6 @@
         assertEquals(List.of(503, 200), List.copyOf(uploads.statuses));
     }
 
-    /** A process's own memory in bytes, without mapped files; 0 if it has ended. */
-    private static long ownMemoryBytes(Process process) {
-        try {
-            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                            .filter(line -> line.matches("Rss(Anon|Shmem):.*"))
-                            .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
-                            .sum()
-                    << 10;
-        } catch (IOException e) {
-            return 0;
-        }
-    }
-
     /**
      * Guards against two processes of a replacement that each fill the memory limit which they
      * share.
--- a/src/test/java/cottonlock/proxy/ProxyFixture.java
+++ b/src/test/java/cottonlock/proxy/ProxyFixture.java
@@ -327,6 +327,19 @@
         return process;
     }
 
+    /** A process's own memory in bytes, without mapped files; 0 if it has ended. */
+    static long ownMemoryBytes(Process process) {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                            .filter(line -> line.matches("Rss(Anon|Shmem):.*"))
+                            .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                            .sum()
+                    << 10;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), proxy.port());
         socket.setSoTimeout(8_000);
