A write's latest time can't overflow; stand-ins of tests stand once

Cause: an attempt without a latest time, as tests make them, gave the watchdog a product beyond a long, so that it was overdue at once; no attempt of the program is without one. Tests had five copies of a backend that waits and two of one that is served by hand.

Change: the watchdog takes milliseconds and converts them with saturation. ProxyFixture has backendThatWaits, RawBackend and readHead.

--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -224,7 +224,7 @@
             long remainingTicks = Math.max(0, attempt.sendByTicks - clock.now());
             watchdog.write(
                     socket,
-                    remainingTicks * Ticks.NANOSECONDS_PER_TICK,
+                    Ticks.toMillis(remainingTicks),
                     out -> writeRequest(out, attempt, holdsBack));
             metrics.attemptSent();
             return null;
--- a/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
+++ b/src/main/java/cottonlock/proxy/WriteTimeoutWatchdog.java
@@ -7,10 +7,11 @@
 import java.net.Socket;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 /** Closes sockets whose writes take too long: a peer that has gone silent never reads them. */
 final class WriteTimeoutWatchdog implements Runnable {
-    /** The maximum duration of a write that has no other limit than its progress. */
+    /** Longer than any process runs, and far from where times by the monotonic clock overflow. */
     private static final long NO_LIMIT_NANOS = Long.MAX_VALUE / 4;
 
     /** Milliseconds between checks: the timeout is far longer. */
@@ -27,8 +28,9 @@
         private final long latestEndNanos;
         private volatile long lastProgressNanos = System.nanoTime();
 
-        OngoingWrite(long maxNanos) {
-            this.latestEndNanos = System.nanoTime() + maxNanos;
+        OngoingWrite(long maxMillis) {
+            long maxNanos = TimeUnit.MILLISECONDS.toNanos(maxMillis);
+            this.latestEndNanos = System.nanoTime() + Math.min(maxNanos, NO_LIMIT_NANOS);
         }
 
         boolean isOverdue(long nowNanos) {
@@ -46,15 +48,17 @@
 
     /** Runs a write that fails when none of it is accepted for too long. */
     void write(Socket socket, Write write) throws IOException {
-        write(socket, NO_LIMIT_NANOS, write);
+        write(socket, Long.MAX_VALUE, write);
     }
 
     /**
      * Runs a write that fails when none of it is accepted for too long, and soon after a time in
      * which it has not ended.
+     *
+     * @param maxMillis that time; any number
      */
-    void write(Socket socket, long maxNanos, Write write) throws IOException {
-        OngoingWrite state = new OngoingWrite(Math.min(maxNanos, NO_LIMIT_NANOS));
+    void write(Socket socket, long maxMillis, Write write) throws IOException {
+        OngoingWrite state = new OngoingWrite(maxMillis);
         ongoing.put(socket, state);
         try {
             write.to(
--- a/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
+++ b/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
@@ -444,12 +444,7 @@
     @Example
     void behindAnotherRequestOfItsOwn() throws Exception {
         CountDownLatch proceed = new CountDownLatch(1);
-        StandIn backend =
-                new StandIn(
-                        request -> {
-                            proceed.await(8, TimeUnit.SECONDS);
-                            return OK;
-                        });
+        StandIn backend = backendThatWaits(proceed);
         startWithLongTimeouts(backend);
         for (boolean reset : new boolean[] {false, true}) {
             int before = backend.requests.size();
--- a/src/test/java/cottonlock/proxy/LongBodiesTest.java
+++ b/src/test/java/cottonlock/proxy/LongBodiesTest.java
@@ -9,7 +9,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryStream;
@@ -39,73 +38,32 @@
     private static final int PROCESS_MEGABYTES = 30;
 
     /** A backend that reads bodies at a limited rate and serves each request. */
-    private final class SlowReader implements AutoCloseable {
-        private final ServerSocket server =
-                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final class SlowReader extends RawBackend {
         private final int millisPerMegabyte;
 
         SlowReader(int millisPerMegabyte) throws IOException {
             this.millisPerMegabyte = millisPerMegabyte;
-            open.add(this);
-            Sockets.start("backend", this::acceptAll);
-        }
-
-        private void acceptAll() {
-            try {
-                while (true) {
-                    Socket socket = server.accept();
-                    open.add(socket);
-                    Sockets.start("backend connection", () -> serve(socket));
-                }
-            } catch (IOException e) {
-                // The test is over.
-            }
-        }
-
-        private void serve(Socket socket) {
-            try {
-                InputStream in = socket.getInputStream();
-                for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
-                    long left =
-                            Long.parseLong(
-                                    field(List.of(head.split("\r\n")), "Content-Length", "0"));
-                    for (long read = 0; read < left; ) {
-                        long part = Math.min(MEGABYTE, left - read);
-                        in.skipNBytes(part);
-                        read += part;
-                        Thread.sleep(part * millisPerMegabyte / MEGABYTE);
-                    }
-                    Thread.sleep(
-                            head.contains("X-Request-ID: slow")
-                                    ? SLOW_EXECUTION_MILLIS
-                                    : EXECUTION_MILLIS);
-                    socket.getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
-                }
-            } catch (IOException | InterruptedException e) {
-                // Its connection has ended.
-            }
-        }
-
-        String host(String id) {
-            return listEntry(id, server.getLocalPort());
         }
 
         @Override
-        public void close() throws IOException {
-            server.close();
-        }
-    }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-            int octet = in.read();
-            if (octet < 0) {
-                return "";
+        void serve(Socket socket) throws IOException, InterruptedException {
+            InputStream in = socket.getInputStream();
+            for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
+                long left =
+                        Long.parseLong(field(List.of(head.split("\r\n")), "Content-Length", "0"));
+                for (long read = 0; read < left; ) {
+                    long part = Math.min(MEGABYTE, left - read);
+                    in.skipNBytes(part);
+                    read += part;
+                    Thread.sleep(part * millisPerMegabyte / MEGABYTE);
+                }
+                Thread.sleep(
+                        head.contains("X-Request-ID: slow")
+                                ? SLOW_EXECUTION_MILLIS
+                                : EXECUTION_MILLIS);
+                socket.getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
             }
-            head.append((char) octet);
         }
-        return head.toString();
     }
 
     /** The size of all spill files that a process has open, in bytes; 0 if it has ended. */
--- a/src/test/java/cottonlock/proxy/OpenRequestIdsTest.java
+++ b/src/test/java/cottonlock/proxy/OpenRequestIdsTest.java
@@ -12,7 +12,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import net.jqwik.api.Example;
 
@@ -27,12 +26,7 @@
     @Example
     void anIdStaysOpenWhileAnAttemptOfAClientThatLeftIsOut() throws Exception {
         CountDownLatch proceed = new CountDownLatch(1);
-        StandIn backend =
-                new StandIn(
-                        request -> {
-                            proceed.await(8, TimeUnit.SECONDS);
-                            return OK;
-                        });
+        StandIn backend = backendThatWaits(proceed);
         StandIn other = new StandIn(request -> OK);
         start(backend, other);
         String request = request("once", "same", LONG_TIMEOUT, "body");
--- a/src/test/java/cottonlock/proxy/PipelinedRequestsTest.java
+++ b/src/test/java/cottonlock/proxy/PipelinedRequestsTest.java
@@ -8,7 +8,6 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 
 /** Requests that arrive before the one ahead of them on their connection has been answered. */
@@ -18,29 +17,26 @@
 
     private final CountDownLatch proceed = new CountDownLatch(1);
 
-    private StandIn backendThatWaits() throws IOException {
-        return new StandIn(
-                request -> {
-                    proceed.await(8, TimeUnit.SECONDS);
-                    return OK;
-                });
-    }
-
     private static String longRequest(String id) {
         return request("book", id, LONG_TIMEOUT, "x".repeat(LONGER_THAN_A_BUFFER));
     }
 
+    private Socket connectionWithRequestUnderWay(StandIn backend) throws Exception {
+        start(backend);
+        Socket socket = connect();
+        send(socket, request("read", "first", LONG_TIMEOUT, ""));
+        eventually(() -> backend.requests.size() == 1, "the first one is under way");
+        return socket;
+    }
+
     /**
      * Guards against a long request that was read and dropped, because its first bytes came while
      * the response ahead of it was being written: its connection ended without an answer.
      */
     @Example
     void aLongRequestBehindAnotherIsServed() throws Exception {
-        StandIn backend = backendThatWaits();
-        start(backend);
-        Socket socket = connect();
-        send(socket, request("read", "first", LONG_TIMEOUT, ""));
-        eventually(() -> backend.requests.size() == 1, "the first one is under way");
+        StandIn backend = backendThatWaits(proceed);
+        Socket socket = connectionWithRequestUnderWay(backend);
         send(socket, longRequest("second"));
         Thread.sleep(100);
         proceed.countDown();
@@ -109,11 +105,8 @@
     /** Guards against requests sent on although their client had left behind them. */
     @Example
     void nothingIsSentForAClientThatLeftBehindManyRequests() throws Exception {
-        StandIn backend = backendThatWaits();
-        start(backend);
-        Socket socket = connect();
-        send(socket, request("read", "first", LONG_TIMEOUT, ""));
-        eventually(() -> backend.requests.size() == 1, "the first one is under way");
+        StandIn backend = backendThatWaits(proceed);
+        Socket socket = connectionWithRequestUnderWay(backend);
         for (int i = 0; i < 10; i++) {
             send(socket, longRequest("gone" + i));
         }
@@ -127,11 +120,8 @@
     /** Guards against more time than a request's client has, told to its backend. */
     @Example
     void theTimeThatARequestWaitedBehindAnotherIsSubtracted() throws Exception {
-        StandIn backend = backendThatWaits();
-        start(backend);
-        Socket socket = connect();
-        send(socket, request("read", "first", LONG_TIMEOUT, ""));
-        eventually(() -> backend.requests.size() == 1, "the first one is under way");
+        StandIn backend = backendThatWaits(proceed);
+        Socket socket = connectionWithRequestUnderWay(backend);
         send(socket, longRequest("second"));
         Thread.sleep(300);
         // Bytes of a third request, which arrive later, tell nothing of the second one.
--- a/src/test/java/cottonlock/proxy/ProxyFixture.java
+++ b/src/test/java/cottonlock/proxy/ProxyFixture.java
@@ -29,6 +29,8 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.lifecycle.AfterTry;
 
 /** Runs a proxy on loopback sockets, with stand-ins for clients, backends and discovery. */
@@ -137,6 +139,73 @@
         }
     }
 
+    /** A backend that answers each request once the latch has been counted down. */
+    StandIn backendThatWaits(CountDownLatch proceed) throws IOException {
+        return new StandIn(
+                request -> {
+                    proceed.await(8, TimeUnit.SECONDS);
+                    return OK;
+                });
+    }
+
+    /** A backend whose connections are served as a test says, byte by byte. */
+    abstract class RawBackend implements AutoCloseable {
+        private final ServerSocket server =
+                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+        RawBackend() throws IOException {
+            open.add(this);
+            Sockets.start("backend", this::acceptAll);
+        }
+
+        /** Serves a connection until it ends, which an exception does as well. */
+        abstract void serve(Socket socket) throws IOException, InterruptedException;
+
+        private void acceptAll() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    open.add(socket);
+                    Sockets.start("backend connection", () -> serveUntilEnd(socket));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        }
+
+        private void serveUntilEnd(Socket socket) {
+            try {
+                serve(socket);
+            } catch (IOException | InterruptedException e) {
+                // Its connection has ended.
+            }
+        }
+
+        String host(String id) {
+            return listEntry(id, server.getLocalPort());
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /**
+     * Reads the head of a message with the empty line behind it; empty at the end of the stream.
+     */
+    static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+            int octet = in.read();
+            if (octet < 0) {
+                return "";
+            }
+            head.append((char) octet);
+        }
+        return head.toString();
+    }
+
     /** A backend at a port of the loopback address, as discovery lists it. */
     static String listEntry(String id, int port) {
         return "{\"host\":\""
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -635,12 +635,7 @@
     @Example
     void aPipelinedRequestWaitsForTheFirstResponse() throws Exception {
         CountDownLatch proceed = new CountDownLatch(1);
-        StandIn backend =
-                new StandIn(
-                        request -> {
-                            proceed.await(8, TimeUnit.SECONDS);
-                            return OK;
-                        });
+        StandIn backend = backendThatWaits(proceed);
         start(backend);
         Socket socket = connect();
         send(socket, request("once", "first", "", "body") + request("once", "second", "", "body"));
@@ -655,12 +650,7 @@
     @Example
     void inputBehindARequestIsKeptAndServedInOrder() throws Exception {
         CountDownLatch proceed = new CountDownLatch(1);
-        StandIn backend =
-                new StandIn(
-                        request -> {
-                            proceed.await(8, TimeUnit.SECONDS);
-                            return OK;
-                        });
+        StandIn backend = backendThatWaits(proceed);
         start(backend);
         Socket socket = connect();
         send(socket, request("once", "first", "", "body"));
--- a/src/test/java/cottonlock/proxy/RepeatWithinWindowTest.java
+++ b/src/test/java/cottonlock/proxy/RepeatWithinWindowTest.java
@@ -3,11 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cottonlock.proxy.io.Sockets;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -32,43 +29,21 @@
     private volatile long readMillis;
 
     /** A backend that resets the connection of the first request with a body that it has run. */
-    private final class SlowBackend implements AutoCloseable {
-        private final ServerSocket server =
-                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final class SlowBackend extends RawBackend {
+        SlowBackend() throws IOException {}
 
-        SlowBackend() throws IOException {
-            open.add(this);
-            Sockets.start("backend", this::acceptAll);
-        }
-
-        private void acceptAll() {
-            try {
-                while (true) {
-                    Socket socket = server.accept();
-                    open.add(socket);
-                    Sockets.start("backend connection", () -> serve(socket));
-                }
-            } catch (IOException e) {
-                // The test is over.
-            }
-        }
-
-        private void serve(Socket socket) {
-            try {
-                InputStream in = socket.getInputStream();
-                for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
-                    int length =
-                            Integer.parseInt(
-                                    field(List.of(head.split("\r\n")), "Content-Length", "0"));
-                    if (length > 0 && execute(in, length)) {
-                        socket.setSoLinger(true, 0);
-                        socket.close();
-                        return;
-                    }
-                    socket.getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
+        @Override
+        void serve(Socket socket) throws IOException, InterruptedException {
+            InputStream in = socket.getInputStream();
+            for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
+                int length =
+                        Integer.parseInt(field(List.of(head.split("\r\n")), "Content-Length", "0"));
+                if (length > 0 && execute(in, length)) {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                    return;
                 }
-            } catch (IOException | InterruptedException e) {
-                // Its connection has ended.
+                socket.getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
             }
         }
 
@@ -86,23 +61,6 @@
             executedAtMillis.add(System.nanoTime() / 1_000_000);
             return first;
         }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-        }
-    }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int octet = in.read();
-            if (octet < 0) {
-                return "";
-            }
-            head.append((char) octet);
-        }
-        return head.toString();
     }
 
     /** The status of a request whose first attempt is executed and then reset. */
@@ -110,7 +68,7 @@
         readMillis = readMillisOfRepeat;
         String[] hosts = new String[3];
         for (int i = 0; i < hosts.length; i++) {
-            hosts[i] = listEntry("b" + i, new SlowBackend().server.getLocalPort());
+            hosts[i] = new SlowBackend().host("b" + i);
         }
         proxy =
                 new Proxy(
