The proxy's large classes shed what is a job of its own

Behaviour is the same but for one moment: isListed knows a list just before the load balancer does, not just after.

--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -12,7 +12,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.Optional;
 import java.util.Set;
 
@@ -44,8 +43,6 @@
     private final KeepAlivePolicy keepAlive;
     private final ConnectionThreads workers;
     private final int connectTimeoutMillis;
-    private final long idleTimeoutNanos;
-    private final long settleNanos;
     private final BufferPool buffers;
     private final HttpWriter writer;
     private final WriteTimeoutWatchdog watchdog;
@@ -53,7 +50,7 @@
     private final Metrics metrics;
     private final RateLimitedLog log;
     private InetSocketAddress address;
-    private final Deque<BackendConnection> idleConnections = new ArrayDeque<>();
+    private final IdleBackendConnections idleConnections;
     private final Set<BackendConnection> connections = new HashSet<>();
 
     /**
@@ -107,8 +104,8 @@
         this.workers = workers;
         this.connectTimeoutMillis =
                 (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectTimeoutMillis));
-        this.idleTimeoutNanos = (long) (idleTimeoutMillis * IDLE_TIMEOUT_FRACTION * 1_000_000);
-        this.settleNanos = settleNanos;
+        long idleTimeoutNanos = (long) (idleTimeoutMillis * IDLE_TIMEOUT_FRACTION * 1_000_000);
+        this.idleConnections = new IdleBackendConnections(settleNanos, idleTimeoutNanos);
         this.buffers = buffers;
         this.writer = writer;
         this.watchdog = watchdog;
@@ -179,10 +176,10 @@
                 mailbox.runNext(
                         waitingAttempts.isEmpty()
                                 ? IDLE_CHECK_MICROS
-                                : nanosUntilSettled() / 1_000);
+                                : idleConnections.nanosUntilSettled() / 1_000);
                 // Without a free byte in the heap this fails, and the backend still needs its
                 // thread.
-                mailbox.guard(this::closeExpiredIdle);
+                mailbox.guard(idleConnections::closeExpired);
                 mailbox.guard(this::sendWaitingAttempts);
             }
         } catch (InterruptedException e) {
@@ -232,8 +229,7 @@
                 () -> {
                     if (!newAddress.equals(address)) {
                         address = newAddress;
-                        idleConnections.forEach(BackendConnection::closeNow);
-                        idleConnections.clear();
+                        idleConnections.closeAll();
                     }
                 });
     }
@@ -247,8 +243,7 @@
         offerIfStarted(
                 () -> {
                     closing = true;
-                    idleConnections.forEach(BackendConnection::closeNow);
-                    idleConnections.clear();
+                    idleConnections.closeAll();
                 });
     }
 
@@ -257,11 +252,7 @@
      * save, or because the backend was ejected manually. Called by the load balancer's thread.
      */
     void closeIdleConnections() {
-        offerIfStarted(
-                () -> {
-                    idleConnections.forEach(BackendConnection::closeNow);
-                    idleConnections.clear();
-                });
+        offerIfStarted(idleConnections::closeAll);
     }
 
     /**
@@ -269,13 +260,7 @@
      * actor of a backend that needs one.
      */
     void closeOldestIdle() {
-        mailbox.offer(
-                () -> {
-                    BackendConnection oldest = idleConnections.pollFirst();
-                    if (oldest != null) {
-                        oldest.closeNow();
-                    }
-                });
+        mailbox.offer(idleConnections::closeOldest);
     }
 
     /** Closes all connections without waiting for attempts in flight: the proxy closes. */
@@ -301,8 +286,7 @@
                             || !keepAlive.isReuseAllowed()) {
                         connection.closeNow();
                     } else {
-                        connection.idleSinceNanos = System.nanoTime();
-                        idleConnections.addLast(connection);
+                        idleConnections.add(connection);
                     }
                 });
     }
@@ -326,34 +310,8 @@
                 });
     }
 
-    /**
-     * Nanoseconds until the connection that has been idle longest has settled; 0 if none is idle.
-     */
-    private long nanosUntilSettled() {
-        return idleConnections.isEmpty()
-                ? 0
-                : settleNanos - (System.nanoTime() - idleConnections.peekFirst().idleSinceNanos);
-    }
-
-    /**
-     * Takes the most recently used of the idle connections that have settled; null if there is
-     * none.
-     */
-    private BackendConnection takeSettledConnection() {
-        long now = System.nanoTime();
-        for (Iterator<BackendConnection> iterator = idleConnections.descendingIterator();
-                iterator.hasNext(); ) {
-            BackendConnection connection = iterator.next();
-            if (now - connection.idleSinceNanos >= settleNanos) {
-                iterator.remove();
-                return connection;
-            }
-        }
-        return null;
-    }
-
     private void sendWaitingAttempts() {
-        while (!waitingAttempts.isEmpty() && nanosUntilSettled() <= 0) {
+        while (!waitingAttempts.isEmpty() && idleConnections.nanosUntilSettled() <= 0) {
             send(waitingAttempts.poll());
         }
     }
@@ -371,16 +329,15 @@
         }
         // When expired connections were closed only at intervals, some were used after the
         // backend's idle timeout, and were reset.
-        closeExpiredIdle();
+        idleConnections.closeExpired();
         if (!keepAlive.isReuseAllowed()) {
-            idleConnections.forEach(BackendConnection::closeNow);
-            idleConnections.clear();
+            idleConnections.closeAll();
         }
-        for (BackendConnection connection = takeSettledConnection();
+        for (BackendConnection connection = idleConnections.takeSettled();
                 connection != null;
-                connection = takeSettledConnection()) {
+                connection = idleConnections.takeSettled()) {
             if (!attempt.attach(connection)) {
-                idleConnections.addLast(connection);
+                idleConnections.putBack(connection);
                 return;
             }
             if (attempt.req.body.isInFile() && sendOnWorkerThread(connection, attempt)) {
@@ -444,12 +401,4 @@
             return false;
         }
     }
-
-    private void closeExpiredIdle() {
-        long now = System.nanoTime();
-        while (!idleConnections.isEmpty()
-                && now - idleConnections.peekFirst().idleSinceNanos > idleTimeoutNanos) {
-            idleConnections.pollFirst().closeNow();
-        }
-    }
 }
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -12,7 +12,6 @@
 import cottonlock.proxy.concurrent.TickClock;
 import cottonlock.proxy.control.ManualEjections;
 import cottonlock.proxy.control.PeerMessenger;
-import cottonlock.proxy.discovery.AddressConflicts;
 import cottonlock.proxy.discovery.EndpointList;
 import cottonlock.proxy.discovery.EndpointListListener;
 import cottonlock.proxy.discovery.EndpointListWatch;
@@ -22,10 +21,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -76,23 +71,11 @@
     private final Metrics metrics;
     private final RateLimitedLog log;
 
-    /**
-     * The backends in the endpoint list as discovery reported them. {@code listedIds} holds their
-     * ids for other threads.
-     */
-    private final Map<String, Endpoint> listedEndpoints = new TreeMap<>();
+    /** Set once, before the thread starts. */
+    private BackendDirectory backends;
 
-    private final AddressConflicts addressConflicts = new AddressConflicts();
-    private final Set<String> unlistedIds = new TreeSet<>();
-    private volatile Set<String> listedIds = Set.of();
     private boolean listWatchEnded;
-    private ManualEjections manualEjections;
     private final OpenRequests requests = new OpenRequests();
-    private final Map<String, BackendActor> backends = new TreeMap<>();
-
-    /** Backends removed from the list; some still have attempts in flight. */
-    private final List<BackendActor> retiredBackends = new ArrayList<>();
-
     private LoadBalancer balancer;
     private EndpointListWatch watch;
     private PeerMessenger peers;
@@ -136,7 +119,7 @@
             PeerMessenger peerMessenger,
             ManualEjections ejections) {
         balancer = loadBalancer;
-        manualEjections = ejections;
+        backends = new BackendDirectory(actorFactory, ejections);
         watch = endpointListWatch;
         peers = peerMessenger;
     }
@@ -179,8 +162,7 @@
      * it may still start some.
      */
     private void stopBackends(List<Thread> helpers) {
-        List<BackendActor> all = new ArrayList<>(retiredBackends);
-        all.addAll(backends.values());
+        List<BackendActor> all = backends.allActors();
         all.forEach(BackendActor::stop);
         Sockets.join(helpers);
         List<Thread> threads = new ArrayList<>();
@@ -202,7 +184,7 @@
             // would never fire again.
             timerAtTicks = now + TIMER_RETRY_TICKS;
             balancer.onTimer(now);
-            retireUnlisted();
+            backends.retireUnlisted(balancer::mayUse);
             updateBackendCounts();
         }
         if (shadow != null) {
@@ -340,91 +322,25 @@
     }
 
     @Override
-    public void endpointListReceived(EndpointList received, boolean cached) {
+    public void endpointListReceived(EndpointList list, boolean cached) {
         mailbox.put(
                 () -> {
-                    EndpointList list = addressConflicts.resolve(received);
-                    List<Endpoint> endpoints = new ArrayList<>();
-                    Map<String, BackendActor> absent =
-                            list.complete() ? new TreeMap<>(backends) : new TreeMap<>();
                     listWatchEnded = false;
-                    if (list.complete()) {
-                        listedEndpoints.clear();
-                    }
-                    for (EndpointList.Entry entry : list.entries()) {
-                        Endpoint endpoint = entry.endpoint();
-                        endpoints.add(manualEjections.effective(endpoint));
-                        if (endpoint.state() == Endpoint.State.GONE) {
-                            listedEndpoints.remove(endpoint.id());
-                        } else {
-                            listedEndpoints.put(endpoint.id(), endpoint);
-                        }
-                        BackendActor actor = backends.get(endpoint.id());
-                        if (endpoint.state() == Endpoint.State.GONE) {
-                            absent.put(endpoint.id(), actor);
-                            continue;
-                        }
-                        absent.remove(endpoint.id());
-                        if (actor == null && entry.address() != null) {
-                            backends.put(endpoint.id(), actorFactory.apply(entry));
-                        } else if (entry.address() != null) {
-                            actor.addressChanged(entry.address());
-                        }
-                        updateReadiness(endpoint);
-                    }
+                    List<Endpoint> endpoints = backends.update(list);
                     if (shadow != null) {
                         shadow.endpointListReceived(
                                 clock.now(), endpoints, list.complete(), cached);
                     }
                     balancer.onEndpointList(clock.now(), endpoints, list.complete(), cached);
-                    unlistedIds.addAll(absent.keySet());
-                    listedEndpoints.keySet().forEach(unlistedIds::remove);
-                    retireUnlisted();
-                    listedIds = Set.copyOf(listedEndpoints.keySet());
+                    backends.retireUnlisted(balancer::mayUse);
                     updateBackendCounts();
                 });
     }
 
-    /**
-     * Updates whether the backend's connections may send: an attempt on its way to one must not go
-     * out after the backend began to drain or was ejected manually.
-     */
-    private void updateReadiness(Endpoint endpoint) {
-        BackendActor actor = backends.get(endpoint.id());
-        if (actor != null) {
-            actor.setReady(manualEjections.effective(endpoint).state() == Endpoint.State.READY);
-        }
-    }
-
-    /**
-     * Removes backends that have left the list, except those that the load balancer may still use:
-     * where removals from the list are not binding, it may use a backend for some time after its
-     * removal.
-     */
-    private void retireUnlisted() {
-        unlistedIds.removeIf(
-                id -> {
-                    BackendActor actor = balancer.mayUse(id) ? null : backends.remove(id);
-                    if (actor != null) {
-                        actor.removedFromList();
-                        retiredBackends.removeIf(BackendActor::isTerminated);
-                        retiredBackends.add(actor);
-                    }
-                    return !balancer.mayUse(id);
-                });
-    }
-
     private void updateBackendCounts() {
         metrics.setBackendCounts(
-                listedEndpoints.size(),
-                (int)
-                                listedEndpoints.values().stream()
-                                        .filter(
-                                                endpoint ->
-                                                        manualEjections.effective(endpoint).state()
-                                                                != Endpoint.State.READY)
-                                        .count()
-                        + (int) balancer.avoidedBackendCount(clock.now()));
+                backends.listedCount(),
+                backends.unavailableCount() + (int) balancer.avoidedBackendCount(clock.now()));
     }
 
     /** When the thread last made progress, in ticks; safe for use by any thread. */
@@ -450,24 +366,14 @@
 
     /** Whether the endpoint list contains a backend with this id; safe for use by any thread. */
     boolean isListed(String id) {
-        return listedIds.contains(id);
+        return backends.isListed(id);
     }
 
     /** Handles that backends were ejected or restored manually; safe for use by any thread. */
     void manualEjectionsChanged() {
         mailbox.put(
                 () -> {
-                    List<Endpoint> endpoints = new ArrayList<>();
-                    for (Endpoint endpoint : listedEndpoints.values()) {
-                        endpoints.add(manualEjections.effective(endpoint));
-                        updateReadiness(endpoint);
-                        if (manualEjections.isEjected(endpoint.id())
-                                && backends.containsKey(endpoint.id())) {
-                            // It is about to be restarted: its idle connections would break as soon
-                            // as they are used again.
-                            backends.get(endpoint.id()).closeIdleConnections();
-                        }
-                    }
+                    List<Endpoint> endpoints = backends.updateEjections();
                     if (shadow != null) {
                         shadow.endpointListReceived(clock.now(), endpoints, false, false);
                     }
@@ -521,9 +427,9 @@
         if (shadow != null) {
             shadow.compareFirstDecision(number, backend);
         }
-        BackendActor actor = backends.get(backend);
+        BackendActor actor = backends.actor(backend);
         boolean unobservedRetry = req.clientUnobserved && attempt.number > 0;
-        if ((manualEjections.isEjected(backend) || unobservedRetry) && attempt.abandon()) {
+        if ((backends.isEjected(backend) || unobservedRetry) && attempt.abandon()) {
             // An ejection is acknowledged before the load balancer learns of it, and a client that
             // is not observed may have left.
             deferredEvents.add(() -> attemptEnded(attempt, AttemptOutcome.NOT_SENT));
@@ -605,7 +511,7 @@
 
     @Override
     public void closeIdleConnections(String backend) {
-        BackendActor actor = backends.get(backend);
+        BackendActor actor = backends.actor(backend);
         if (actor != null) {
             actor.closeIdleConnections();
         }
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -19,7 +19,6 @@
 import cottonlock.proxy.http.BufferPool;
 import cottonlock.proxy.http.HttpWriter;
 import cottonlock.proxy.http.SpillSpace;
-import cottonlock.proxy.io.DescriptorLimit;
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
 import cottonlock.setup.LoadBalancerFactory;
@@ -36,24 +35,6 @@
 
 /** A load balancer on sockets: what an embedding program starts and closes. */
 public final class Proxy {
-    /**
-     * Descriptors reserved for the process itself, its jars, discovery, peers and the listener and,
-     * for a moment, for a connection just accepted, files shared between processes and the
-     * configuration.
-     */
-    private static final int RESERVED_DESCRIPTORS = 24;
-
-    /**
-     * Share of the other sockets that backends get: clients use at most a third of all for
-     * requests.
-     */
-    private static final double BACKEND_SOCKET_SHARE = 0.375;
-
-    /** Megabytes that the process takes by itself, and client connections per further megabyte. */
-    private static final int RESERVED_MEMORY_MB = 48;
-
-    private static final int CLIENTS_PER_MB = 6;
-
     /**
      * The longest deadline that the supervisor waits for when it stops the process, and how much
      * longer it waits before it kills the process.
@@ -85,9 +66,6 @@
 
     private static final double DEFAULT_IDLE_TIMEOUT_MICROS = 15_000_000;
 
-    /** One in this many sockets is reserved for the file of a long body. */
-    private static final int SOCKETS_PER_BODY_FILE = 12;
-
     /** The longest wait for another process of this proxy to release memory, at the start. */
     private static final long MAX_START_DELAY_MILLIS = 2_500;
 
@@ -165,33 +143,15 @@
         LoadBalancerFactory factory = new LoadBalancerFactory(settings);
         log = new RateLimitedLog(System.getLogger("cottonlock"));
         SplittableRandom random = new SplittableRandom(config.seed());
-        // Management calls hold their descriptors for seconds; when they used the reserved ones,
-        // none was left for discovery.
-        int reservedDescriptors =
-                RESERVED_DESCRIPTORS + (sharesPorts ? ManagementServer.MAX_CONNECTIONS : 0);
-        int sockets = Math.max(4, allowedSockets(config) - reservedDescriptors);
-        sockets -= sockets / SOCKETS_PER_BODY_FILE;
-        int maxBackendConnections = Math.max(2, (int) (sockets * BACKEND_SOCKET_SHARE));
-        int memoryMb = config.limit("memory_mb", 192);
-        int maxClientConnections =
-                Math.min(
-                        sockets - maxBackendConnections,
-                        Math.max(16, (memoryMb - RESERVED_MEMORY_MB) * CLIENTS_PER_MB));
-        // An eighth of the memory, at most a third of the heap: one buffer for each connection, the
-        // rest for bodies.
-        long bufferBytes =
-                Math.min(((long) memoryMb << 20) / 8, Runtime.getRuntime().maxMemory() / 3);
-        int connections = maxClientConnections + maxBackendConnections;
-        buffers =
-                new BufferPool(
-                        (int) Math.max(connections, bufferBytes / BufferPool.SIZE), connections);
+        ResourceLimits limits = ResourceLimits.of(config, sharesPorts, log);
+        buffers = new BufferPool(limits.maxBuffers(), limits.maxConnections());
         Path spillDirectory =
                 stateDirectory == null
                         ? Path.of(System.getProperty("java.io.tmpdir"))
                         : stateDirectory;
         HttpWriter writer = new HttpWriter(buffers);
         WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
-        ConnectionPermits permits = new ConnectionPermits(maxBackendConnections);
+        ConnectionPermits permits = new ConnectionPermits(limits.maxBackendConnections());
         KeepAlivePolicy keepAlive = new KeepAlivePolicy();
         long connectTimeoutMillis =
                 settings.ticksRoundedDown("Limits.ConnectTimeout", DEFAULT_CONNECT_TIMEOUT_MICROS)
@@ -202,13 +162,13 @@
         Path sharedStateDirectory = sharesPorts ? stateDirectory : null;
         SharedSpillLimit spillLimit =
                 new SharedSpillLimit(
-                        (long) memoryMb << 20,
+                        limits.memoryBytes(),
                         new SharedFile(sharedStateDirectory, name, "spill", log),
                         workers::count);
         // Before the listener is open: with few megabytes, the process that is replaced may hold a
         // long body that leaves no room for the requests of this one.
         spillLimit.awaitRoomForProcess(MAX_START_DELAY_MILLIS);
-        spillSpace = new SpillSpace(spillLimit, Math.max(2, sockets / SOCKETS_PER_BODY_FILE));
+        spillSpace = new SpillSpace(spillLimit, limits.maxBodyFiles());
         BodySpillFiles spillFiles = new BodySpillFiles(spillDirectory, spillSpace);
         handover = new ProcessHandover(new SharedFile(sharedStateDirectory, name, "serving", log));
         loadBalancer =
@@ -278,7 +238,7 @@
         rules = new RequestRules(null, factory, settings, clock.now());
         rules.namesInForce().forEach(metrics::registerRequestClass);
         rules.tenantNames.forEach(metrics::registerTenant);
-        sharedIds = openSharedIds(sharedStateDirectory, name, connections);
+        sharedIds = openSharedIds(sharedStateDirectory, name, limits.maxConnections());
         validator = new RequestValidator(clock, rules, new OpenRequestIds(sharedIds));
         if (sharedIds != null) {
             sharedIds.awaitAnnounced();
@@ -288,7 +248,7 @@
                 new ClientListener(
                         listen,
                         sharesPorts,
-                        maxClientConnections,
+                        limits.maxClientConnections(),
                         () -> spillLimit.maxConnections(spillSpace.allocatedBytes()),
                         (socket, from) ->
                                 new ClientConnection(
@@ -376,22 +336,6 @@
         }
     }
 
-    /** Where the system allows fewer descriptors, further sockets would fail to open. */
-    private int allowedSockets(ProxyConfiguration config) {
-        int configured = config.limit("sockets", 1024);
-        int descriptors = DescriptorLimit.current();
-        if (descriptors < configured) {
-            log.warn(
-                    "sockets",
-                    "limits.sockets is "
-                            + configured
-                            + ", but the system allows "
-                            + descriptors
-                            + " descriptors; the lower limit is used");
-        }
-        return Math.min(configured, descriptors);
-    }
-
     /** The management commands; run by the threads of the calls. */
     private final class ManagementCommands implements ManagementOperations {
         @Override
