--- a/src/test/java/cottonlock/proxy/DrainEstimateTest.java
+++ b/src/test/java/cottonlock/proxy/DrainEstimateTest.java
@@ -48,6 +48,35 @@
         assertTrue(remainingMillis() >= 20 / 12.0 * 800, "it needs that: " + remainingMillis());
     }
 
+    /**
+     * Guards against giving up a body of 488 KiB that its backend reads steadily within 600 ms, as
+     * its system makes space for 72 KiB at a time: 720 ms more were estimated after 460 ms.
+     */
+    @Example
+    void stepsInWhichAPeerMakesSpaceDoNotMultiplyTheEstimate() {
+        write(19, 0);
+        write(1, 90);
+        write(8, 0);
+        write(1, 100);
+        write(3, 0);
+        write(1, 100);
+        write(8, 0);
+        write(1, 130);
+        write(3, 0);
+        write(1, 40);
+        write(15, 0);
+        assertTrue(remainingMillis() >= 140, "it needs that: " + remainingMillis());
+        assertTrue(remainingMillis() <= 600, "a steady peer: " + remainingMillis());
+    }
+
+    /** Guards against an average that hides how slowly a peer has read in the end. */
+    @Example
+    void aPeerThatHasBecomeSlowIsNotTakenForAFastOne() {
+        write(50, 0);
+        write(16, 100);
+        assertTrue(remainingMillis() >= 20 * 100, "160 KiB at its pace: " + remainingMillis());
+    }
+
     @Example
     void aPeerThatReadsAtOnceIsNotWaitedFor() {
         write(60, 0);
