--- a/src/main/java/cottonlock/proxy/DrainEstimate.java
+++ b/src/main/java/cottonlock/proxy/DrainEstimate.java
@@ -58,8 +58,8 @@
     /**
      * The time that the peer needs, from the last write on, to read all; 0 if nothing is known.
      *
-     * <p>The slowest pace of a short stretch is that of a peer which makes space in large steps, and
-     * of a late processor, many times over. So once the peer must have read something, its pace
+     * <p>The slowest pace of a short stretch is that of a peer which makes space in large steps,
+     * and of a late processor, many times over. So once the peer must have read something, its pace
      * since the start and its latest one count instead, the slower of both, if they are faster.
      */
     long remainingNanos() {
--- a/src/test/java/cottonlock/proxy/LongBodiesTest.java
+++ b/src/test/java/cottonlock/proxy/LongBodiesTest.java
@@ -149,7 +149,9 @@
                     chunked
                             ? "Transfer-Encoding: chunked\r\n"
                             : "Content-Length: " + length + "\r\n";
-            send(socket, request("book", id, "X-Timeout-Ms: " + TIMEOUT_MILLIS + "\r\n" + framing, ""));
+            send(
+                    socket,
+                    request("book", id, "X-Timeout-Ms: " + TIMEOUT_MILLIS + "\r\n" + framing, ""));
             OutputStream out = socket.getOutputStream();
             byte[] part = new byte[64 << 10];
             for (int sent = 0; sent < length; sent += part.length) {
