Connections that wait for a place wait side by side, not one after the other

What callers saw: with 300 clients that read answers of 4 MB slowly (96 MB, 1,024 descriptors), 110 of some 280 usual requests had no answer within 2.5 s and 4 came late. Cause: where no place was free the listener waited up to 250 ms for each new connection in turn, so that it closed four a second and those behind waited unread in the kernel's queue. Evidence: those that were answered were answered within 0.5 s; the log named "too many clients". Change: accepted connections wait in a queue of their own, as many as there are sockets for; where no more may wait and nobody gives way, the oldest is closed as soon as the kernel's queue has not been empty for 250 ms. FullListenerTest failed before: 20 connections, one closed after 5,240 ms.

--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -586,21 +586,24 @@
     /**
      * Ends the connection, unless a request is open or may be about to arrive completely. A request
      * that is not read for lack of space is refused at once.
+     *
+     * @return whether the connection ends
      */
-    void evictUnlessActive() {
+    boolean evictUnlessActive() {
         synchronized (this) {
             if (isAwaitingSpace()) {
                 spaceWaitCancelled = true;
-                return;
+                return true;
             }
             if (req != null
                     || (reading
                             && System.nanoTime() - lastActivityNanos() < PARTIAL_REQUEST_NANOS)) {
-                return;
+                return false;
             }
             closing = true;
         }
         shutDownInput();
+        return true;
     }
 
     /** Whether the client is not read because there is no space for its body. */
--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -9,14 +9,15 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
-import java.util.function.IntSupplier;
 
 /** Accepts the connections of clients and limits their number. */
 final class ClientListener implements Runnable {
@@ -35,7 +36,10 @@
     private static final long MAX_SLOT_WAIT_MILLIS = 250;
 
     /** Milliseconds between attempts to evict a connection. */
-    private static final long SLOT_CHECK_MILLIS = 5;
+    private static final int SLOT_CHECK_MILLIS = 5;
+
+    /** Connections that may wait for a slot, of the descriptors reserved for such moments. */
+    static final int MIN_WAITING = 4;
 
     /**
      * Timeout of accept in milliseconds, after which the listener checks whether it is to drain.
@@ -46,8 +50,19 @@
 
     private static final int LAST_ACCEPT_TIMEOUT_MILLIS = 1;
 
+    /** Milliseconds after which a call of accept has found that no connection was queued. */
+    private static final long QUEUE_EMPTY_MILLIS = 1;
+
+    /**
+     * A connection that waits for a slot.
+     *
+     * @param sinceNanos when it was accepted, by the monotonic clock
+     */
+    private record WaitingConnection(Socket socket, long sinceNanos) {}
+
     private final Semaphore slots;
-    private final IntSupplier maxClientsAtPresent;
+    private final ClientLimit limit;
+    private final int maxWaiting;
     private final BiFunction<Socket, ClientListener, ClientConnection> connectionFactory;
     private final ConnectionThreads workers;
     private final RateLimitedLog log;
@@ -55,23 +70,49 @@
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
     private final RunCompletion completion = new RunCompletion();
 
+    /** In the order in which they were accepted; used by the listener's thread only. */
+    private final Deque<WaitingConnection> waiting = new ArrayDeque<>();
+
+    /**
+     * When no connection was queued for the last time, by the monotonic clock; used by the
+     * listener's thread only.
+     */
+    private long queueEmptyNanos;
+
+    /** Opens the listening socket; as few connections as possible may wait for a slot. */
+    ClientListener(
+            InetSocketAddress address,
+            boolean sharesPort,
+            int maxClients,
+            ClientLimit limit,
+            BiFunction<Socket, ClientListener, ClientConnection> connectionFactory,
+            ConnectionThreads workers,
+            RateLimitedLog log)
+            throws IOException {
+        this(address, sharesPort, maxClients, MIN_WAITING, limit, connectionFactory, workers, log);
+    }
+
     /**
      * Opens the listening socket.
      *
      * @param sharesPort whether another process of this proxy may listen on the address too
-     * @param maxClientsAtPresent how many connections there is memory for at present
+     * @param maxClients how many connections there are sockets for
+     * @param maxWaiting how many more there are sockets for while they wait
+     * @param limit how many connections there is memory for at present
      */
     ClientListener(
             InetSocketAddress address,
             boolean sharesPort,
             int maxClients,
-            IntSupplier maxClientsAtPresent,
+            int maxWaiting,
+            ClientLimit limit,
             BiFunction<Socket, ClientListener, ClientConnection> connectionFactory,
             ConnectionThreads workers,
             RateLimitedLog log)
             throws IOException {
         this.slots = new Semaphore(maxClients);
-        this.maxClientsAtPresent = maxClientsAtPresent;
+        this.maxWaiting = maxWaiting;
+        this.limit = limit;
         this.connectionFactory = connectionFactory;
         this.workers = workers;
         this.log = log;
@@ -80,7 +121,6 @@
         if (sharesPort) {
             server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
-        server.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
         try {
             server.bind(address, BACKLOG);
         } catch (IOException e) {
@@ -104,38 +144,101 @@
     private void acceptAll() {
         while (!server.isClosed()) {
             try {
-                if (draining) {
-                    server.setSoTimeout(LAST_ACCEPT_TIMEOUT_MILLIS);
-                }
-                accept();
+                acceptNext();
+                admitWaiting();
             } catch (OutOfMemoryError e) {
                 // The next connection may find memory, as others end: without a listener none would
                 // be served any more.
-                evictOne();
+                makeRoom();
                 pause();
-            } catch (SocketTimeoutException e) {
-                // If it were closed before the queue is empty, the kernel would reset the
-                // connections in it.
-                if (draining) {
-                    Sockets.close(server);
-                }
             } catch (IOException e) {
                 if (!server.isClosed()) {
                     log.warn("accept failed", String.valueOf(e.getMessage()));
                     // Without free descriptors, no connection could be accepted until a client
                     // leaves.
-                    evictOne();
+                    makeRoom();
                     pause();
                 }
             }
         }
+        waiting.forEach(connection -> Sockets.close(connection.socket()));
     }
 
-    private void accept() throws IOException {
-        Socket socket = server.accept();
+    /** Accepts a connection, which is to wait for a slot; waits for a limited time for one. */
+    private void acceptNext() throws IOException {
+        int timeoutMillis = draining ? LAST_ACCEPT_TIMEOUT_MILLIS : ACCEPT_TIMEOUT_MILLIS;
+        server.setSoTimeout(
+                waiting.isEmpty() ? timeoutMillis : Math.min(timeoutMillis, SLOT_CHECK_MILLIS));
+        long calledNanos = System.nanoTime();
+        try {
+            Socket socket = server.accept();
+            long acceptedNanos = System.nanoTime();
+            if (acceptedNanos - calledNanos > TimeUnit.MILLISECONDS.toNanos(QUEUE_EMPTY_MILLIS)) {
+                queueEmptyNanos = acceptedNanos;
+            }
+            waiting.add(new WaitingConnection(socket, acceptedNanos));
+        } catch (SocketTimeoutException e) {
+            queueEmptyNanos = System.nanoTime();
+            // If it were closed before the queue is empty, the kernel would reset the connections
+            // in it.
+            if (draining && waiting.isEmpty()) {
+                Sockets.close(server);
+            }
+        }
+    }
+
+    /**
+     * Gives slots to the connections that wait, if necessary by evicting others, and closes those
+     * that have waited for too long. They wait side by side: if each were waited for in turn, those
+     * behind it would learn only after seconds that they are not served. Returns when one more may
+     * wait.
+     */
+    private void admitWaiting() {
+        while (!waiting.isEmpty() && !server.isClosed()) {
+            if (tryAcquireSlot()) {
+                register(waiting.poll().socket());
+            } else if (hasPassed(waiting.peek().sinceNanos())) {
+                closeUnread(waiting.poll());
+            } else {
+                boolean roomIsBeingMade = makeRoom();
+                if (waiting.size() < maxWaiting) {
+                    return;
+                }
+                if (!roomIsBeingMade && hasPassed(queueEmptyNanos)) {
+                    // Those that are queued in the kernel may have waited as long.
+                    closeUnread(waiting.poll());
+                } else {
+                    pause(SLOT_CHECK_MILLIS);
+                }
+            }
+        }
+    }
+
+    /** Whether a wait that began at the given time, by the monotonic clock, has been too long. */
+    private static boolean hasPassed(long sinceNanos) {
+        return System.nanoTime() - sinceNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SLOT_WAIT_MILLIS);
+    }
+
+    private void closeUnread(WaitingConnection connection) {
+        log.warn(
+                "too many clients",
+                "closed a new connection unread; " + clients.size() + " are open");
+        Sockets.close(connection.socket());
+    }
+
+    private boolean tryAcquireSlot() {
+        return clients.size() < limit.maxClients() && slots.tryAcquire();
+    }
+
+    /** Serves a connection that has acquired its slot; its socket is closed if that fails. */
+    private void register(Socket socket) {
         boolean registered = false;
         try {
-            register(socket);
+            ClientConnection client = createConnection(socket);
+            if (draining) {
+                client.closeAfterNextResponse();
+            }
+            serve(client);
             registered = true;
         } finally {
             if (!registered) {
@@ -144,24 +247,13 @@
         }
     }
 
-    private void register(Socket socket) {
-        if (!acquireSlot()) {
-            log.warn(
-                    "too many clients",
-                    "closed a new connection unread; " + clients.size() + " are open");
-            Sockets.close(socket);
-            return;
-        }
-        ClientConnection client = createConnection(socket);
-        if (draining) {
-            client.closeAfterNextResponse();
-        }
+    private void serve(ClientConnection client) {
         try {
             workers.serve(client);
         } catch (OutOfMemoryError e) {
             // No thread is available: one client less is better than no proxy.
             log.warn("no thread", "no thread is available; closed a new connection unread");
-            Sockets.close(socket);
+            client.abort();
             connectionClosed(client);
         }
     }
@@ -181,29 +273,13 @@
         }
     }
 
-    /** Acquires a slot, if necessary by evicting another connection. */
-    private boolean acquireSlot() {
-        for (long waitedMillis = 0;
-                waitedMillis <= MAX_SLOT_WAIT_MILLIS;
-                waitedMillis += SLOT_CHECK_MILLIS) {
-            try {
-                if (tryAcquireSlot(waitedMillis == 0 ? 0 : SLOT_CHECK_MILLIS)) {
-                    return true;
-                }
-            } catch (InterruptedException e) {
-                return false;
-            }
-            evictOne();
-        }
-        return false;
-    }
-
-    private boolean tryAcquireSlot(long timeoutMillis) throws InterruptedException {
-        if (clients.size() >= maxClientsAtPresent.getAsInt()) {
-            Thread.sleep(timeoutMillis);
-            return false;
+    /** Makes room for a connection; false if none of those that have a slot is ending. */
+    private boolean makeRoom() {
+        if (slots.availablePermits() > 0) {
+            // There is a socket, but no memory.
+            limit.makeRoom();
         }
-        return slots.tryAcquire(timeoutMillis, TimeUnit.MILLISECONDS);
+        return evictOne();
     }
 
     /**
@@ -212,22 +288,29 @@
      * request before one that has, then the one that has been inactive longest. A client that sends
      * part of a request and then nothing must not block others, and many clients that only check
      * the proxy's health must not displace those that send requests, however long these are idle.
+     *
+     * @return whether there is one, which ends or has begun to end
      */
-    private void evictOne() {
-        clients.stream()
+    private boolean evictOne() {
+        return clients.stream()
                 .filter(client -> !client.hasOpenRequest())
                 .min(
                         Comparator.comparing(ClientConnection::isAwaitingSpace)
                                 .thenComparing(ClientConnection::isBusy)
                                 .thenComparing(ClientConnection::hasSubmittedRequest)
                                 .thenComparingLong(ClientConnection::lastActivityNanos))
-                .ifPresent(ClientConnection::evictUnlessActive);
+                .map(ClientConnection::evictUnlessActive)
+                .orElse(false);
     }
 
     private static void pause() {
+        // Without free descriptors, accept fails at once each time.
+        pause(20);
+    }
+
+    private static void pause(long millis) {
         try {
-            // Without free descriptors, accept fails at once each time.
-            Thread.sleep(20);
+            Thread.sleep(millis);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -278,6 +361,11 @@
         List.copyOf(clients).forEach(ClientConnection::abort);
     }
 
+    /** The number of open connections. */
+    int clientCount() {
+        return clients.size();
+    }
+
     /** For tests only: the open connections. */
     Set<ClientConnection> clients() {
         return clients;
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -249,6 +249,7 @@
                         listen,
                         sharesPorts,
                         limits.maxClientConnections(),
+                        limits.maxWaitingClients(),
                         () -> spillLimit.maxConnections(spillSpace.allocatedBytes()),
                         (socket, from) ->
                                 new ClientConnection(
--- a/src/main/java/cottonlock/proxy/ResourceLimits.java
+++ b/src/main/java/cottonlock/proxy/ResourceLimits.java
@@ -11,13 +11,17 @@
  *
  * @param memoryBytes the memory limit
  * @param maxClientConnections the connections of clients
+ * @param maxWaitingClients the connections that may wait to be one of these
  * @param maxBackendConnections the connections to backends
+ * @param maxConnectionsInMemory the connections of clients and to backends that there is memory
+ *     for, together
  * @param maxBodyFiles the bodies that may be in files at a time
  * @param maxBuffers the buffers of the pool, of which each connection may need one
  */
 record ResourceLimits(
         long memoryBytes,
         int maxClientConnections,
+        int maxWaitingClients,
         int maxBackendConnections,
         int maxBodyFiles,
         int maxBuffers) {
@@ -34,11 +38,15 @@
      */
     private static final double BACKEND_SOCKET_SHARE = 0.375;
 
-    /** Megabytes that the process takes by itself, and client connections per further megabyte. */
+    /** Megabytes that the process takes by itself. */
     private static final int RESERVED_MEMORY_MB = 48;
 
+    /** Client connections per further megabyte. */
     private static final int CLIENTS_PER_MB = 6;
 
+    /** However little memory there is, so many clients may be connected. */
+    private static final int MIN_CLIENTS = 16;
+
     /** One in this many sockets is reserved for the file of a long body. */
     private static final int SOCKETS_PER_BODY_FILE = 12;
 
@@ -63,10 +71,11 @@
         int backendConnections = Math.max(2, (int) (sockets * BACKEND_SOCKET_SHARE));
         int memoryMb = config.limit("memory_mb", 192);
         long memoryBytes = (long) memoryMb << 20;
+        int freeMemoryMb = Math.max(0, memoryMb - RESERVED_MEMORY_MB);
         int clientConnections =
                 Math.min(
                         sockets - backendConnections,
-                        Math.max(16, (memoryMb - RESERVED_MEMORY_MB) * CLIENTS_PER_MB));
+                        Math.max(MIN_CLIENTS, freeMemoryMb * CLIENTS_PER_MB));
         // One buffer for each connection, the rest for bodies.
         long bufferBytes =
                 Math.min(
@@ -76,6 +85,9 @@
         return new ResourceLimits(
                 memoryBytes,
                 clientConnections,
+                Math.max(
+                        ClientListener.MIN_WAITING,
+                        sockets - backendConnections - clientConnections),
                 backendConnections,
                 Math.max(2, sockets / SOCKETS_PER_BODY_FILE),
                 (int) Math.max(connections, bufferBytes / BufferPool.SIZE));
--- /dev/null
+++ b/src/test/java/cottonlock/proxy/FullListenerTest.java
@@ -0,0 +1,90 @@
+package cottonlock.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cottonlock.proxy.io.RateLimitedLog;
+import cottonlock.proxy.io.Sockets;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.Example;
+
+/** New connections while as many clients are connected as there is room for. */
+class FullListenerTest extends ProxyFixture {
+    /** So few that a dozen clients can be connected. */
+    private static final int SOCKETS = 45;
+
+    private static final int NEW_CONNECTIONS = 20;
+
+    /** A connection that finds no room is closed after 250 ms; the rest is for a busy machine. */
+    private static final long MAX_WAIT_MILLIS = 1_500;
+
+    /**
+     * Guards against a queue in which each connection waited for the one before it, 250 ms each:
+     * with twenty of them, a client learned only after five seconds that it was not served.
+     */
+    @Example
+    void connectionsThatFindNoRoomAreClosedSoonHoweverManyThereAre() throws Exception {
+        ConnectionThreads workers = new ConnectionThreads();
+        ClientListener listener =
+                new ClientListener(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        false,
+                        SOCKETS,
+                        () -> 0,
+                        (socket, from) -> {
+                            throw new IllegalStateException("there is no room for it");
+                        },
+                        workers,
+                        new RateLimitedLog(System.getLogger("test")));
+        Thread thread = Sockets.start("listener", listener);
+        AtomicLong longestMillis = new AtomicLong();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < NEW_CONNECTIONS; i++) {
+            clients.add(Sockets.start("client", () -> awaitClose(listener.port(), longestMillis)));
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        listener.close();
+        thread.join(4_000);
+        workers.close();
+        assertTrue(
+                longestMillis.get() <= MAX_WAIT_MILLIS,
+                "one was closed after " + longestMillis + " ms");
+    }
+
+    private static void awaitClose(int port, AtomicLong longestMillis) {
+        long begun = System.nanoTime();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getInputStream().readAllBytes();
+        } catch (IOException e) {
+            // A close also ends the connection if it resets it.
+        }
+        longestMillis.accumulateAndGet((System.nanoTime() - begun) / 1_000_000, Math::max);
+    }
+
+    /** Guards against closing connections for which there is room once idle ones have ended. */
+    @Example
+    void connectionsForWhichIdleOnesGiveWayAreServed() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(SOCKETS, 1, "", backend.host("b"));
+        List<Socket> idle = new ArrayList<>();
+        for (int i = 0; i < SOCKETS; i++) {
+            idle.add(connect());
+        }
+        for (int i = 0; i < SOCKETS; i++) {
+            Socket socket = connect();
+            idle.add(socket);
+            socket.getOutputStream()
+                    .write(request("read", "r" + i, "", "").getBytes(StandardCharsets.US_ASCII));
+            assertEquals(200, status(receive(socket)), "request " + i);
+        }
+    }
+}
