Connections to backends are limited by the memory that clients leave

What callers saw: with 300 clients that read answers of 400 KB or 4 MB slowly, at 96 MB and 1,024 descriptors, the process had 111,604 and 108,684 kB of 98,304, over which it is killed. Cause: each connection costs a thread of 110 KB; the number of clients was limited by memory, that of connections to backends by sockets alone, and an answer that is passed on holds one of each. Evidence: native memory tracking, 70 MB of stacks of 654 threads, 24.6 MB of heap. An attempt that waits 20 ms for a permit no longer holds up its backend's actor, and its end counts no longer against the backend.

--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -38,6 +38,22 @@
     /** Maximum microseconds between two checks of the idle connections for expired ones. */
     private static final long IDLE_CHECK_MICROS = 500_000;
 
+    /**
+     * Nanoseconds that an attempt waits for a permit, which other actors free by closing an idle
+     * connection: far below any latency objective.
+     */
+    private static final long PERMIT_WAIT_NANOS = 20_000_000;
+
+    /** Microseconds between two checks whether a permit is free. */
+    private static final long PERMIT_CHECK_MICROS = 1_000;
+
+    /**
+     * An attempt that waits for a permit.
+     *
+     * @param endNanos when it is given up, by the monotonic clock
+     */
+    private record PermitWait(ClientRequest.Attempt attempt, long endNanos) {}
+
     private final Mailbox mailbox;
     private final ConnectionPermits permits;
     private final KeepAlivePolicy keepAlive;
@@ -59,6 +75,9 @@
      */
     private final Deque<ClientRequest.Attempt> waitingAttempts = new ArrayDeque<>();
 
+    /** Attempts that wait for a permit for a new connection, in the order in which they came. */
+    private final Deque<PermitWait> permitWaits = new ArrayDeque<>();
+
     private boolean closing;
 
     /**
@@ -172,15 +191,16 @@
         started = true;
         permits.register(this);
         try {
-            while (!closing || !connections.isEmpty() || !waitingAttempts.isEmpty()) {
-                mailbox.runNext(
-                        waitingAttempts.isEmpty()
-                                ? IDLE_CHECK_MICROS
-                                : idleConnections.nanosUntilSettled() / 1_000);
+            while (!closing
+                    || !connections.isEmpty()
+                    || !waitingAttempts.isEmpty()
+                    || !permitWaits.isEmpty()) {
+                mailbox.runNext(microsUntilNextCheck());
                 // Without a free byte in the heap this fails, and the backend still needs its
                 // thread.
                 mailbox.guard(idleConnections::closeExpired);
                 mailbox.guard(this::sendWaitingAttempts);
+                mailbox.guard(this::endPermitWaits);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -189,6 +209,14 @@
         }
     }
 
+    private long microsUntilNextCheck() {
+        long micros =
+                waitingAttempts.isEmpty()
+                        ? IDLE_CHECK_MICROS
+                        : idleConnections.nanosUntilSettled() / 1_000;
+        return permitWaits.isEmpty() ? micros : Math.min(micros, PERMIT_CHECK_MICROS);
+    }
+
     /**
      * Sets whether attempts on their way to a connection may be sent. Called by the load balancer's
      * thread.
@@ -317,15 +345,26 @@
     }
 
     private void send(ClientRequest.Attempt attempt) {
+        if (!trySend(attempt)) {
+            permitWaits.add(new PermitWait(attempt, System.nanoTime() + PERMIT_WAIT_NANOS));
+        }
+    }
+
+    /**
+     * Sends an attempt, or settles it, or has it wait for a connection to settle.
+     *
+     * @return false if it needs a permit for a new connection and none is free
+     */
+    private boolean trySend(ClientRequest.Attempt attempt) {
         if (!attempt.mayStart(clock.now())) {
             // It waited in the mailbox: for a client that has left, no connection is opened or
             // used.
             attempt.settle(AttemptOutcome.NOT_SENT);
-            return;
+            return true;
         }
         if (threadUnavailable) {
             attempt.settle(AttemptOutcome.CONNECT_FAILED);
-            return;
+            return true;
         }
         // When expired connections were closed only at intervals, some were used after the
         // backend's idle timeout, and were reset.
@@ -338,27 +377,48 @@
                 connection = idleConnections.takeSettled()) {
             if (!attempt.attach(connection)) {
                 idleConnections.putBack(connection);
-                return;
+                return true;
             }
             if (attempt.req.body.isInFile() && sendOnWorkerThread(connection, attempt)) {
-                return;
+                return true;
             }
             if (connection.send(attempt)) {
-                return;
+                return true;
             }
             if (attempt.isSettled()) {
-                return;
+                return true;
             }
         }
         if (idleConnections.size() > waitingAttempts.size()) {
             waitingAttempts.add(attempt);
-            return;
+            return true;
         }
-        if (!permits.acquire()) {
-            log.warn("out of sockets", "no permit for a connection is free; an attempt failed");
-            attempt.settle(AttemptOutcome.CONNECT_FAILED);
-            return;
+        if (!permits.tryAcquire()) {
+            return false;
         }
+        open(attempt);
+        return true;
+    }
+
+    /**
+     * Sends the attempts that wait for a permit, in their order, as soon as one or an idle
+     * connection is free. What has waited for too long is given up: the lack is this process's, so
+     * nothing is held against the backend.
+     */
+    private void endPermitWaits() {
+        for (PermitWait wait = permitWaits.peek(); wait != null; wait = permitWaits.peek()) {
+            if (!trySend(wait.attempt())) {
+                if (System.nanoTime() - wait.endNanos() < 0) {
+                    return;
+                }
+                log.warn("out of sockets", "no permit for a connection is free; an attempt failed");
+                wait.attempt().settle(AttemptOutcome.NOT_SENT);
+            }
+            permitWaits.poll();
+        }
+    }
+
+    private void open(ClientRequest.Attempt attempt) {
         BackendConnection connection =
                 new BackendConnection(
                         this,
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -151,7 +151,6 @@
                         : stateDirectory;
         HttpWriter writer = new HttpWriter(buffers);
         WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
-        ConnectionPermits permits = new ConnectionPermits(limits.maxBackendConnections());
         KeepAlivePolicy keepAlive = new KeepAlivePolicy();
         long connectTimeoutMillis =
                 settings.ticksRoundedDown("Limits.ConnectTimeout", DEFAULT_CONNECT_TIMEOUT_MICROS)
@@ -170,6 +169,14 @@
         spillLimit.awaitRoomForProcess(MAX_START_DELAY_MILLIS);
         spillSpace = new SpillSpace(spillLimit, limits.maxBodyFiles());
         BodySpillFiles spillFiles = new BodySpillFiles(spillDirectory, spillSpace);
+        ConnectionPermits permits =
+                new ConnectionPermits(
+                        limits.maxBackendConnections(),
+                        () ->
+                                Math.min(
+                                        limits.maxConnectionsInMemory(),
+                                        spillLimit.maxConnections(spillSpace.allocatedBytes())),
+                        this::clientCount);
         handover = new ProcessHandover(new SharedFile(sharedStateDirectory, name, "serving", log));
         loadBalancer =
                 new LoadBalancerActor(
@@ -250,7 +257,7 @@
                         sharesPorts,
                         limits.maxClientConnections(),
                         limits.maxWaitingClients(),
-                        () -> spillLimit.maxConnections(spillSpace.allocatedBytes()),
+                        permits,
                         (socket, from) ->
                                 new ClientConnection(
                                         socket,
@@ -321,6 +328,10 @@
         serving = true;
     }
 
+    private int clientCount() {
+        return listener.clientCount();
+    }
+
     /**
      * The table that shows open ids to the proxy's other processes; null if there are none, or if
      * there is no space for it.
--- a/src/main/java/cottonlock/proxy/ResourceLimits.java
+++ b/src/main/java/cottonlock/proxy/ResourceLimits.java
@@ -23,6 +23,7 @@
         int maxClientConnections,
         int maxWaitingClients,
         int maxBackendConnections,
+        int maxConnectionsInMemory,
         int maxBodyFiles,
         int maxBuffers) {
     /**
@@ -41,7 +42,12 @@
     /** Megabytes that the process takes by itself. */
     private static final int RESERVED_MEMORY_MB = 48;
 
-    /** Client connections per further megabyte. */
+    /**
+     * Connections per further megabyte, of clients and to backends, and how many of them clients
+     * may have: each has a thread, which takes 110 KB.
+     */
+    private static final int CONNECTIONS_PER_MB = 8;
+
     private static final int CLIENTS_PER_MB = 6;
 
     /** However little memory there is, so many clients may be connected. */
@@ -89,6 +95,7 @@
                         ClientListener.MIN_WAITING,
                         sockets - backendConnections - clientConnections),
                 backendConnections,
+                Math.max(MIN_CLIENTS * 2, freeMemoryMb * CONNECTIONS_PER_MB),
                 Math.max(2, sockets / SOCKETS_PER_BODY_FILE),
                 (int) Math.max(connections, bufferBytes / BufferPool.SIZE));
     }
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -22,11 +22,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import net.jqwik.api.Example;
 
@@ -461,9 +463,13 @@
     private record Sent(ClientRequest request, ClientRequest.Attempt attempt) {}
 
     private BackendActor actor(StandIn backend, long settleNanos) {
+        return actor(backend, settleNanos, new ConnectionPermits(4));
+    }
+
+    private BackendActor actor(StandIn backend, long settleNanos, ConnectionPermits permits) {
         return new BackendActor(
                 address(backend),
-                new ConnectionPermits(4),
+                permits,
                 new KeepAlivePolicy(),
                 workers,
                 1_000,
@@ -504,6 +510,39 @@
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
+    /**
+     * Guards against attempts that held their backend's actor up, 20 ms each, while no permit for a
+     * connection was free: all messages behind them waited.
+     */
+    @Example
+    void attemptsThatWaitForAPermitHoldUpNothingBehindThem() throws Exception {
+        StandIn backend = new StandIn(request -> FAILED);
+        BackendActor actor = actor(backend, BackendActor.SETTLE_NANOS, new ConnectionPermits(0));
+        List<Sent> waiting = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            waiting.add(attempt(actor, Long.MAX_VALUE));
+        }
+        AtomicInteger settledBefore = new AtomicInteger();
+        CountDownLatch processed = new CountDownLatch(1);
+        actor.runAfterPending(
+                () -> {
+                    waiting.forEach(
+                            sent -> settledBefore.addAndGet(sent.attempt.isSettled() ? 1 : 0));
+                    processed.countDown();
+                });
+        Thread thread = Sockets.start("backend", actor);
+        assertTrue(processed.await(4, TimeUnit.SECONDS));
+        assertTrue(settledBefore.get() < waiting.size(), "they were waited for in turn");
+        for (Sent sent : waiting) {
+            eventually(sent.attempt::isSettled, "given up");
+            assertTrue(sent.request.claim());
+        }
+        assertEquals(0, backend.requests.size());
+        actor.stop();
+        thread.join(4_000);
+        eventually(() -> buffers.available() == 16, "all buffers are back");
+    }
+
     /** Until its first attempt an actor has no thread that would process its messages. */
     @Example
     void updatesBeforeTheFirstAttemptNeitherFillTheMailboxNorAreLost() throws Exception {
