The first part of a long answer in whole chunks is held back for 1 s at most

What callers saw: an answer of 80 KB that its backend wrote over 4 s, each chunk together with its line end, ended 503 at the request's deadline of 1.4 s. Cause: the limit of 1 s was looked at only when the buffer was empty; with the line end of a chunk in it, it never was, and the size of the next chunk was waited for without a limit. Evidence: a trace of eight at once, all attempts begun and all ended TIMED_OUT by the deadline. Change: the line end is read with its chunk, and the time is looked at before each part.

--- a/src/main/java/cottonlock/proxy/http/BodyFraming.java
+++ b/src/main/java/cottonlock/proxy/http/BodyFraming.java
@@ -9,6 +9,9 @@
     /** The value of {@code remainingBytes} for a body that ends with the connection. */
     private static final long UNTIL_END_OF_STREAM = Long.MAX_VALUE;
 
+    /** The length of the line end behind the data of a chunk. */
+    private static final int CHUNK_END_BYTES = 2;
+
     private final TimedSocketInput input;
     private final ChunkParser chunks;
     private boolean chunked;
@@ -117,6 +120,13 @@
         }
     }
 
+    /** The same, if the line end is in the buffer. */
+    void endBufferedChunk() throws IOException, MalformedMessageException {
+        if (chunkEndDue && input.bufferedBytes() >= CHUNK_END_BYTES) {
+            endChunk();
+        }
+    }
+
     /** Consumes bytes of the body, which are in the buffer. */
     void consume(int count) throws IOException, MalformedMessageException {
         input.skip(count);
--- a/src/main/java/cottonlock/proxy/http/HttpReader.java
+++ b/src/main/java/cottonlock/proxy/http/HttpReader.java
@@ -287,13 +287,17 @@
     }
 
     /** Whether more of the message arrives, or the stream ends, before the given time. */
-    private boolean arrivesBefore(long endNanos) throws IOException {
-        return framing.isComplete() || hasBufferedBytes() || input.fillBefore(endNanos);
+    private boolean arrivesBefore(long endNanos) throws IOException, MalformedMessageException {
+        // The line end of a chunk is no part of what follows, for which reading may have to wait.
+        framing.endBufferedChunk();
+        return framing.isComplete()
+                || (System.nanoTime() - endNanos < 0
+                        && (hasBufferedBytes() || input.fillBefore(endNanos)));
     }
 
     /** Whether to go on reading a body. */
     private interface ReadCondition {
-        boolean holds() throws IOException;
+        boolean holds() throws IOException, MalformedMessageException;
     }
 
     private MessageBody readBody(MessageBody body, long maxBytes, boolean requireWhole)
--- a/src/test/java/cottonlock/proxy/LongAnswersTest.java
+++ b/src/test/java/cottonlock/proxy/LongAnswersTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Example;
 
 /** Long answers that backends write slowly, or that clients read slowly. */
@@ -70,6 +71,55 @@
         }
     }
 
+    /** A backend that answers usual requests at once and long ones in chunks for four seconds. */
+    private final class SlowWriter extends RawBackend {
+        SlowWriter() throws IOException {}
+
+        @Override
+        void serve(Socket socket) throws IOException, InterruptedException {
+            InputStream in = socket.getInputStream();
+            for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
+                if (!head.contains("X-Request-ID: long")) {
+                    send(socket, OK);
+                    continue;
+                }
+                send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for (int part = 0; part < PARTS; part++) {
+                    send(
+                            socket,
+                            Integer.toHexString(PART_BYTES)
+                                    + "\r\n"
+                                    + "x".repeat(PART_BYTES)
+                                    + "\r\n");
+                    Thread.sleep(PART_MILLIS);
+                }
+                send(socket, "0\r\n\r\n");
+            }
+        }
+    }
+
+    /**
+     * Guards against an answer that was held back until its request's deadline because each chunk
+     * came with its line end, so that there were always bytes to go on with.
+     */
+    @Example
+    void aLongAnswerWhoseChunksComeWithTheirLineEndsIsRelayed() throws Exception {
+        start(256, 1, "", new SlowWriter().host("b"));
+        assertEquals(200, statusOf("long"));
+    }
+
+    private int statusOf(String id) {
+        try (Socket socket = connect()) {
+            send(socket, request("read", id, LONG_TIMEOUT + "Connection: close\r\n", ""));
+            String response =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            boolean whole = response.endsWith("\r\n0\r\n\r\n");
+            return response.startsWith("HTTP/1.1 200") && !whole ? 0 : status(response);
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Guards against a short answer in chunks that can't be given by another backend any more. */
     @Example
     void aShortAnswerInChunksThatBreaksOffSoonIsGivenByAnotherBackend() throws Exception {
