A backend that has begun to respond is not silent while its answer is held back

What callers saw: of sixteen requests for long answers in chunks (eight clients, six backends) ten were told 503, and 5 of 186 usual requests beside them. Cause: the load balancer learnt of an answer only when its attempt was settled; while the first part was held back, up to 1 s, the backend showed no sign of life, so attempts were cancelled and sent again and backends kept off, and the answer counted as slow. Change: onResponseBegun tells that the head has come and more is to come; the attempt is no longer awaited nor cancelled, and its latency ends there.

--- a/src/main/java/cottonlock/decision/LoadBalancer.java
+++ b/src/main/java/cottonlock/decision/LoadBalancer.java
@@ -103,6 +103,15 @@
         attempts.onAttemptCompleted(requestId, attemptNumber, outcome, requestCompleted, nowTicks);
     }
 
+    /**
+     * A backend has begun to respond to an attempt. What it has written may be held back for a
+     * while; its outcome follows.
+     */
+    public void onResponseBegun(long nowTicks, long requestId, int attemptNumber) {
+        detectStall(nowTicks);
+        attempts.onResponseBegun(requestId, attemptNumber, nowTicks);
+    }
+
     /** The response to an attempt has begun to reach the client, so it must not be cancelled. */
     public void onResponseStarted(long nowTicks, long requestId, int attemptNumber) {
         attempts.onResponseStarted(requestId, attemptNumber);
--- a/src/main/java/cottonlock/decision/backend/Backend.java
+++ b/src/main/java/cottonlock/decision/backend/Backend.java
@@ -46,6 +46,9 @@
      */
     int inFlightOverdue;
 
+    /** Attempts in flight to which the backend has begun to respond. */
+    int inFlightResponding;
+
     /** Whether a connection to it may be open. */
     boolean connectionMayBeOpen;
 
@@ -128,7 +131,7 @@
 
     /** The number of attempts in flight whose response is still expected. */
     int inFlightAwaited() {
-        return inFlight - inFlightOverdue;
+        return inFlight - inFlightOverdue - inFlightResponding;
     }
 
     /** Its capacity relative to other backends, from the list; 1 where the list gives none. */
--- a/src/main/java/cottonlock/decision/backend/BackendRegistry.java
+++ b/src/main/java/cottonlock/decision/backend/BackendRegistry.java
@@ -275,6 +275,11 @@
         slowStart.onSent(backend, nowTicks);
     }
 
+    /** A backend has begun to respond to an attempt in flight. */
+    public void onResponseBegun(Backend backend, long nowTicks) {
+        outliers.onResponseBegun(backend, nowTicks);
+    }
+
     /** A backend was found silent with an attempt in flight; called once for each attempt. */
     public void onSilenceDetected(Backend backend, long nowTicks) {
         outliers.onSilenceDetected(backend, nowTicks);
--- a/src/main/java/cottonlock/decision/backend/CompletedAttempt.java
+++ b/src/main/java/cottonlock/decision/backend/CompletedAttempt.java
@@ -7,19 +7,15 @@
  *
  * @param backend the backend that it was sent to
  * @param request the request that it was made for
- * @param sentAtTicks when it was sent
+ * @param latencyTicks the time that the backend took to respond, or until it ended
+ * @param hadBegunToRespond whether its backend was known to have begun to respond
  * @param backendWasSilent whether its backend was found silent while it was in flight
  * @param outcome how it ended
  */
 public record CompletedAttempt(
         Backend backend,
         BackendRequest request,
-        long sentAtTicks,
+        long latencyTicks,
+        boolean hadBegunToRespond,
         boolean backendWasSilent,
-        AttemptOutcome outcome) {
-
-    /** The time since it was sent, in ticks. */
-    long latencyTicks(long nowTicks) {
-        return nowTicks - sentAtTicks;
-    }
-}
+        AttemptOutcome outcome) {}
--- a/src/main/java/cottonlock/decision/backend/LoadTracker.java
+++ b/src/main/java/cottonlock/decision/backend/LoadTracker.java
@@ -91,7 +91,7 @@
                 attempt.outcome() == AttemptOutcome.COMPLETED
                         || attempt.outcome() == AttemptOutcome.TIMED_OUT;
         if (measurable && hasLatency) {
-            long latencyTicks = attempt.latencyTicks(nowTicks);
+            long latencyTicks = attempt.latencyTicks();
             Backend backend = attempt.backend();
             latency.add(nowTicks, SINGLE_SERIES, latencyTicks);
             latencyByLane.add(nowTicks, backend.laneIndex, latencyTicks);
--- a/src/main/java/cottonlock/decision/backend/OutlierDetector.java
+++ b/src/main/java/cottonlock/decision/backend/OutlierDetector.java
@@ -115,6 +115,22 @@
         backend.lossUnreported = true;
     }
 
+    /**
+     * A backend has begun to respond to an attempt, of which nothing else is awaited: how long the
+     * rest takes tells nothing of whether the backend is alive.
+     */
+    void onResponseBegun(Backend backend, long nowTicks) {
+        recordSignOfLife(backend, nowTicks);
+        backend.inFlightResponding++;
+    }
+
+    private static void recordSignOfLife(Backend backend, long nowTicks) {
+        backend.responseGaps.add(nowTicks, 1);
+        backend.responseGapTicks.add(
+                nowTicks, (nowTicks - backend.lastSignOfLifeTicks) * backend.inFlightAwaited());
+        backend.lastSignOfLifeTicks = nowTicks;
+    }
+
     /**
      * A peer has found a backend lost. This counts as a failure unless the backend has answered
      * here recently.
@@ -135,11 +151,11 @@
     void onCompleted(CompletedAttempt attempt, boolean measurable, long nowTicks) {
         Backend backend = attempt.backend();
         AttemptOutcome outcome = attempt.outcome();
-        if (isSignOfLife(outcome)) {
-            backend.responseGaps.add(nowTicks, 1);
-            backend.responseGapTicks.add(
-                    nowTicks, (nowTicks - backend.lastSignOfLifeTicks) * backend.inFlightAwaited());
+        if (attempt.hadBegunToRespond()) {
+            backend.inFlightResponding--;
             backend.lastSignOfLifeTicks = nowTicks;
+        } else if (isSignOfLife(outcome)) {
+            recordSignOfLife(backend, nowTicks);
         }
         if (attempt.backendWasSilent()) {
             backend.inFlightOverdue--;
@@ -166,7 +182,7 @@
     private void recordSuccess(CompletedAttempt attempt, boolean measurable, long nowTicks) {
         Backend backend = attempt.backend();
         int classNumber = attempt.request().requestClass().number();
-        long latencyTicks = attempt.latencyTicks(nowTicks);
+        long latencyTicks = attempt.latencyTicks();
         boolean typicalLatencyKnown =
                 logLatencyByClass.count(nowTicks, classNumber) >= PRIOR_LATENCY_SAMPLES;
         // A backend that has slowed down still answers. Counted as successes, its slow responses
--- a/src/main/java/cottonlock/decision/request/Attempt.java
+++ b/src/main/java/cottonlock/decision/request/Attempt.java
@@ -11,6 +11,8 @@
     private boolean cancellable = true;
     private boolean backendWasSilent;
     private boolean neverExecuted;
+    private boolean responding;
+    private long respondedAtTicks;
 
     Attempt(Backend backend, long sentAtTicks) {
         this.backend = backend;
@@ -45,6 +47,16 @@
         return backendWasSilent;
     }
 
+    /** Whether its backend has begun to respond; the response may still be incomplete. */
+    public boolean isResponding() {
+        return responding;
+    }
+
+    /** The time that its backend took to respond, until now if it has not, in ticks. */
+    public long latencyTicks(long nowTicks) {
+        return (responding ? respondedAtTicks : nowTicks) - sentAtTicks;
+    }
+
     /** Whether its outcome proves that the backend did not execute it. */
     boolean isNeverExecuted() {
         return neverExecuted;
@@ -61,6 +73,13 @@
         cancellable = false;
     }
 
+    /** Records that its backend has begun to respond, so that it is not cancelled. */
+    public void onResponseBegun(long nowTicks) {
+        responding = true;
+        respondedAtTicks = nowTicks;
+        cancellable = false;
+    }
+
     /** Records that its backend was found silent. */
     public void onBackendSilent() {
         backendWasSilent = true;
--- a/src/main/java/cottonlock/decision/retry/AttemptTracker.java
+++ b/src/main/java/cottonlock/decision/retry/AttemptTracker.java
@@ -107,7 +107,8 @@
                 new CompletedAttempt(
                         attempt.backend(),
                         request,
-                        attempt.sentAtTicks(),
+                        attempt.latencyTicks(nowTicks),
+                        attempt.isResponding(),
                         attempt.backendWasSilent(),
                         outcome),
                 nowTicks);
@@ -115,7 +116,7 @@
                 outcome != AttemptOutcome.CANCELLED && outcome != AttemptOutcome.NOT_SENT;
         // Latencies measured right after a stall of this process include the stall.
         if (!registry.isResumingFromStall(nowTicks) && answeredOrFailed) {
-            admission.onAttemptCompleted(request, outcome, nowTicks - attempt.sentAtTicks());
+            admission.onAttemptCompleted(request, outcome, attempt.latencyTicks(nowTicks));
         }
     }
 
@@ -127,6 +128,19 @@
         }
     }
 
+    /** A backend has begun to respond to an attempt: neither is silent. */
+    public void onResponseBegun(long requestId, int attemptNumber, long nowTicks) {
+        Request request = requests.get(requestId);
+        if (request == null || attemptNumber >= request.attemptCount()) {
+            return;
+        }
+        Attempt attempt = request.attempt(attemptNumber);
+        if (attempt.isInFlight() && !attempt.isResponding() && !attempt.backendWasSilent()) {
+            attempt.onResponseBegun(nowTicks);
+            registry.onResponseBegun(attempt.backend(), nowTicks);
+        }
+    }
+
     /** Makes an attempt whose response has begun to reach the client uncancellable. */
     public void onResponseStarted(long requestId, int attemptNumber) {
         Request request = requests.get(requestId);
@@ -177,7 +191,7 @@
                         .isOverdue(request, nowTicks - attempt.sentAtTicks(), nowTicks)) {
             admission.releaseCapacity(request);
         }
-        if (backendSilent && !attempt.backendWasSilent()) {
+        if (backendSilent && !attempt.backendWasSilent() && !attempt.isResponding()) {
             attempt.onBackendSilent();
             registry.onSilenceDetected(attempt.backend(), nowTicks);
             if (retryPolicy.tryCancel(request, fewBackendsSilent, nowTicks)) {
--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -265,6 +265,9 @@
     private boolean exchange(HttpReader reader) throws IOException, MalformedMessageException {
         reader.setTimeout(0);
         MessageHead head = reader.readResponseHead(RESPONSE_PAUSE_MILLIS);
+        if (!reader.isBodyBuffered()) {
+            reportResponseBegun();
+        }
         MessageBody body = reader.readBodyStart(buffers, System.nanoTime() + maxHoldBackNanos());
         try {
             ClientRequest.Attempt attempt;
@@ -297,6 +300,16 @@
         }
     }
 
+    /**
+     * Reports that the backend has begun to respond: until its response has been read or is passed
+     * on, it would be taken for silent.
+     */
+    private synchronized void reportResponseBegun() {
+        if (current != null) {
+            current.responseBegun();
+        }
+    }
+
     /**
      * How long the first part of a response of unknown length may be held back: the client must
      * have its beginning in time. Only while it is held back, another attempt can be made.
--- a/src/main/java/cottonlock/proxy/ClientRequest.java
+++ b/src/main/java/cottonlock/proxy/ClientRequest.java
@@ -249,6 +249,11 @@
             return !settled;
         }
 
+        /** Records that the backend has begun to respond; the attempt is settled later. */
+        void responseBegun() {
+            loadBalancer.responseBegun(this);
+        }
+
         /**
          * Settles the attempt. The first outcome counts and is reported to the load balancer; true
          * for that one.
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -296,6 +296,12 @@
                 });
     }
 
+    /** Handles that a backend has begun to respond to an attempt, which is not settled yet. */
+    void responseBegun(ClientRequest.Attempt attempt) {
+        mailbox.put(
+                () -> balancer.onResponseBegun(clock.now(), attempt.req.number, attempt.number));
+    }
+
     /** Handles an attempt that was settled by the thread that saw how it ended. */
     void attemptSettled(ClientRequest.Attempt attempt, AttemptOutcome outcome) {
         mailbox.put(() -> attemptEnded(attempt, outcome));
--- a/src/main/java/cottonlock/proxy/http/BodyFraming.java
+++ b/src/main/java/cottonlock/proxy/http/BodyFraming.java
@@ -80,6 +80,11 @@
         return bodyComplete;
     }
 
+    /** Whether all of the body is in the buffer; not known of chunks. */
+    boolean isBuffered() {
+        return bodyComplete || (!chunked && remainingBytes == bufferedBytes());
+    }
+
     /** The number of the body's bytes that are in the buffer, without a gap. */
     int bufferedBytes() {
         return (int) Math.min(remainingBytes, input.bufferedBytes());
--- a/src/main/java/cottonlock/proxy/http/HttpReader.java
+++ b/src/main/java/cottonlock/proxy/http/HttpReader.java
@@ -227,6 +227,11 @@
         return framing.declaredLength();
     }
 
+    /** Whether all of the body has been received, though perhaps not been read from the buffer. */
+    public boolean isBodyBuffered() {
+        return framing.isBuffered();
+    }
+
     /** Whether all of the body has been read. */
     public boolean isBodyComplete() {
         return framing.isComplete();
--- a/src/test/java/cottonlock/proxy/LongAnswersTest.java
+++ b/src/test/java/cottonlock/proxy/LongAnswersTest.java
@@ -3,11 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cottonlock.proxy.io.Sockets;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import net.jqwik.api.Example;
 
 /** Long answers that backends write slowly, or that clients read slowly. */
@@ -17,6 +22,9 @@
     private static final int PARTS = 40;
     private static final long PART_MILLIS = 100;
 
+    /** So many that some backends write two of them. */
+    private static final int LONG_ANSWERS = 8;
+
     private static final int SLOWLY_READ_BYTES = 12 << 20;
     private static final int READ_BYTES = 32 << 10;
     private static final long READ_MILLIS = 500;
@@ -108,6 +116,32 @@
         assertEquals(200, statusOf("long"));
     }
 
+    /**
+     * Guards against backends that passed for silent while the beginnings of their long answers
+     * were held back: of several at once most were cancelled, and their requests rejected.
+     */
+    @Example
+    void backendsThatWriteLongAnswersAreNotTakenForSilent() throws Exception {
+        String[] hosts = new String[6];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = new SlowWriter().host("b" + i);
+        }
+        start(256, 1, "", hosts);
+        for (int i = 0; i < 200; i++) {
+            assertEquals(200, status(call(request("read", "usual" + i, LONG_TIMEOUT, ""))));
+        }
+        List<Integer> statuses = new CopyOnWriteArrayList<>();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < LONG_ANSWERS; i++) {
+            String id = "long" + i;
+            clients.add(Sockets.start("client", () -> statuses.add(statusOf(id))));
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        assertEquals(Collections.nCopies(LONG_ANSWERS, 200), statuses);
+    }
+
     private int statusOf(String id) {
         try (Socket socket = connect()) {
             send(socket, request("read", id, LONG_TIMEOUT + "Connection: close\r\n", ""));
