A connection waits for its turn while places become free, for 1 s at most

Change: 250 ms count from when a place was last given; while places are given a connection waits 1 s at most.

--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -35,6 +35,9 @@
      */
     private static final long MAX_SLOT_WAIT_MILLIS = 250;
 
+    /** The same while slots become free; a client waits for its turn then. */
+    private static final long MAX_TURN_WAIT_MILLIS = 1_000;
+
     /** Milliseconds between attempts to evict a connection. */
     private static final int SLOT_CHECK_MILLIS = 5;
 
@@ -79,6 +82,9 @@
      */
     private long queueEmptyNanos;
 
+    /** When a slot was last given, by the monotonic clock; used by the listener's thread only. */
+    private long slotGivenNanos = System.nanoTime();
+
     /** Opens the listening socket; as few connections as possible may wait for a slot. */
     ClientListener(
             InetSocketAddress address,
@@ -196,15 +202,16 @@
     private void admitWaiting() {
         while (!waiting.isEmpty() && !server.isClosed()) {
             if (tryAcquireSlot()) {
+                slotGivenNanos = System.nanoTime();
                 register(waiting.poll().socket());
-            } else if (hasPassed(waiting.peek().sinceNanos())) {
+            } else if (isTooLong(waiting.peek().sinceNanos())) {
                 closeUnread(waiting.poll());
             } else {
                 boolean roomIsBeingMade = makeRoom();
                 if (waiting.size() < maxWaiting) {
                     return;
                 }
-                if (!roomIsBeingMade && hasPassed(queueEmptyNanos)) {
+                if (!roomIsBeingMade && isTooLong(queueEmptyNanos)) {
                     // Those that are queued in the kernel may have waited as long.
                     closeUnread(waiting.poll());
                 } else {
@@ -214,9 +221,16 @@
         }
     }
 
-    /** Whether a wait that began at the given time, by the monotonic clock, has been too long. */
-    private static boolean hasPassed(long sinceNanos) {
-        return System.nanoTime() - sinceNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SLOT_WAIT_MILLIS);
+    /**
+     * Whether a wait that began at the given time, by the monotonic clock, has been too long:
+     * sooner if no slot has been given meanwhile.
+     */
+    private boolean isTooLong(long sinceNanos) {
+        long nowNanos = System.nanoTime();
+        long waitedNanos = nowNanos - sinceNanos;
+        long withoutSlotNanos = Math.min(waitedNanos, nowNanos - slotGivenNanos);
+        return withoutSlotNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SLOT_WAIT_MILLIS)
+                || waitedNanos > TimeUnit.MILLISECONDS.toNanos(MAX_TURN_WAIT_MILLIS);
     }
 
     private void closeUnread(WaitingConnection connection) {
