The first connections of a process wait for room instead of being closed at once

What callers saw: where more connections came than there was room for before the listener had once waited for one, as after a restart, all but those that may wait were closed unread at once. Cause: the time at which the kernel's queue was last seen empty began as zero, so the queue was taken to have been full since long. Change: it begins when the listener is made.

--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -80,7 +80,7 @@
      * When no connection was queued for the last time, by the monotonic clock; used by the
      * listener's thread only.
      */
-    private long queueEmptyNanos;
+    private long queueEmptyNanos = System.nanoTime();
 
     /** When a slot was last given, by the monotonic clock; used by the listener's thread only. */
     private long slotGivenNanos = System.nanoTime();
--- a/src/test/java/cottonlock/proxy/FullListenerTest.java
+++ b/src/test/java/cottonlock/proxy/FullListenerTest.java
@@ -11,8 +11,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
 import net.jqwik.api.Example;
 
 /** New connections while as many clients are connected as there is room for. */
@@ -22,6 +22,9 @@
 
     private static final int NEW_CONNECTIONS = 20;
 
+    /** A connection waits for so long at least, as others may end meanwhile. */
+    private static final long MIN_WAIT_MILLIS = 200;
+
     /** A connection that finds no room is closed after 250 ms; the rest is for a busy machine. */
     private static final long MAX_WAIT_MILLIS = 1_500;
 
@@ -31,6 +34,29 @@
      */
     @Example
     void connectionsThatFindNoRoomAreClosedSoonHoweverManyThereAre() throws Exception {
+        List<Long> waits = waitsWithoutRoom();
+        assertTrue(
+                waits.get(waits.size() - 1) <= MAX_WAIT_MILLIS,
+                () -> "closed after these milliseconds: " + waits);
+    }
+
+    /**
+     * Guards against closing the first connections of a process at once: the queue behind them was
+     * taken to be full since long before the start.
+     */
+    @Example
+    void connectionsThatFindNoRoomRightAfterTheStartWaitForIt() throws Exception {
+        List<Long> waits = waitsWithoutRoom();
+        assertTrue(
+                waits.get(0) >= MIN_WAIT_MILLIS, () -> "closed after these milliseconds: " + waits);
+    }
+
+    /**
+     * Connects to a listener that has no room, before it begins to accept.
+     *
+     * @return the milliseconds after which it closed the connections, the shortest first
+     */
+    private static List<Long> waitsWithoutRoom() throws Exception {
         ConnectionThreads workers = new ConnectionThreads();
         ClientListener listener =
                 new ClientListener(
@@ -43,11 +69,15 @@
                         },
                         workers,
                         new RateLimitedLog(System.getLogger("test")));
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < NEW_CONNECTIONS; i++) {
+            sockets.add(new Socket(InetAddress.getLoopbackAddress(), listener.port()));
+        }
         Thread thread = Sockets.start("listener", listener);
-        AtomicLong longestMillis = new AtomicLong();
+        List<Long> waits = Collections.synchronizedList(new ArrayList<>());
         List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < NEW_CONNECTIONS; i++) {
-            clients.add(Sockets.start("client", () -> awaitClose(listener.port(), longestMillis)));
+        for (Socket socket : sockets) {
+            clients.add(Sockets.start("client", () -> waits.add(millisUntilClosed(socket))));
         }
         for (Thread client : clients) {
             client.join();
@@ -55,19 +85,19 @@
         listener.close();
         thread.join(4_000);
         workers.close();
-        assertTrue(
-                longestMillis.get() <= MAX_WAIT_MILLIS,
-                "one was closed after " + longestMillis + " ms");
+        assertEquals(NEW_CONNECTIONS, waits.size());
+        Collections.sort(waits);
+        return waits;
     }
 
-    private static void awaitClose(int port, AtomicLong longestMillis) {
+    private static long millisUntilClosed(Socket socket) {
         long begun = System.nanoTime();
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        try (socket) {
             socket.getInputStream().readAllBytes();
         } catch (IOException e) {
             // A close also ends the connection if it resets it.
         }
-        longestMillis.accumulateAndGet((System.nanoTime() - begun) / 1_000_000, Math::max);
+        return (System.nanoTime() - begun) / 1_000_000;
     }
 
     /** Guards against closing connections for which there is room once idle ones have ended. */
