A connection is not evicted before its first request could be read

What callers saw: with all places taken, a client that had just been given one and sent its request 10 to 20 ms later found its connection closed unread. Cause: a place is made by ending an idle connection, one that has never asked first; a connection was idle until its thread had read the first byte, and was ended within 5 ms. Change: no connection is evicted while bytes of its client are unread, nor in its first 100 ms. Evidence: traces of each place given.

--- a/src/main/java/cottonlock/proxy/ClientConnection.java
+++ b/src/main/java/cottonlock/proxy/ClientConnection.java
@@ -15,6 +15,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A connection of a client. Its thread keeps reading while a request is under way, so that a
@@ -40,11 +41,10 @@
     private static final long MIN_BODY_BYTES_PER_SECOND = 48 << 10;
 
     /**
-     * Nanoseconds of silence after which a connection with an incomplete request may be evicted.
-     * With one second, many incomplete requests held all slots, and new connections were closed
-     * unread.
+     * Milliseconds of silence after which a connection with an incomplete request may be evicted:
+     * many of them must not hold all slots.
      */
-    private static final long PARTIAL_REQUEST_NANOS = 250_000_000L;
+    static final long PARTIAL_REQUEST_MILLIS = 250;
 
     /**
      * Nanoseconds after connecting within which the first request begins: the round trip of a
@@ -52,6 +52,12 @@
      */
     private static final long FIRST_REQUEST_NANOS = 300_000_000L;
 
+    /**
+     * Nanoseconds after connecting within which a connection is not evicted: a client that sends
+     * its request at once may be scheduled late.
+     */
+    private static final long MIN_LIFETIME_NANOS = 100_000_000L;
+
     /**
      * Milliseconds between reads of a connection on which a pipelined request waits for the
      * response before it, and how long each of them waits for input.
@@ -595,9 +601,7 @@
                 spaceWaitCancelled = true;
                 return true;
             }
-            if (req != null
-                    || (reading
-                            && System.nanoTime() - lastActivityNanos() < PARTIAL_REQUEST_NANOS)) {
+            if (isActive()) {
                 return false;
             }
             closing = true;
@@ -606,6 +610,23 @@
         return true;
     }
 
+    private synchronized boolean isActive() {
+        long idleNanos = System.nanoTime() - lastActivityNanos();
+        boolean isNew = !firstRequestStarted && !inputShutDown && idleNanos < MIN_LIFETIME_NANOS;
+        boolean isPartRecent =
+                reading && idleNanos < TimeUnit.MILLISECONDS.toNanos(PARTIAL_REQUEST_MILLIS);
+        return req != null || isNew || isPartRecent || hasUnreadInput();
+    }
+
+    /** Whether bytes have arrived that are not read yet; none count once the input is shut down. */
+    private boolean hasUnreadInput() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Whether the client is not read because there is no space for its body. */
     synchronized boolean isAwaitingSpace() {
         return inputReader != null && inputReader.isAwaitingSpace();
--- a/src/test/java/cottonlock/proxy/FullListenerTest.java
+++ b/src/test/java/cottonlock/proxy/FullListenerTest.java
@@ -25,6 +25,9 @@
     /** A connection waits for so long at least, as others may end meanwhile. */
     private static final long MIN_WAIT_MILLIS = 200;
 
+    /** How long after its connection a first request is sent. */
+    private static final long FIRST_REQUEST_DELAY_MILLIS = 10;
+
     /** A connection that finds no room is closed after 250 ms; the rest is for a busy machine. */
     private static final long MAX_WAIT_MILLIS = 1_500;
 
@@ -117,4 +120,25 @@
             assertEquals(200, status(receive(socket)), "request " + i);
         }
     }
+
+    /**
+     * Guards against evicting a connection, for one that waits, before its first request has been
+     * read: its client found it closed although it had been given room.
+     */
+    @Example
+    void newConnectionsHaveTimeForTheirFirstRequest() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(SOCKETS, 1, "", backend.host("b"));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < SOCKETS; i++) {
+            clients.add(connect());
+        }
+        Thread.sleep(FIRST_REQUEST_DELAY_MILLIS);
+        for (int i = 0; i < SOCKETS; i++) {
+            send(clients.get(i), request("read", "r" + i, "", ""));
+        }
+        for (int i = 0; i < SOCKETS; i++) {
+            assertEquals(200, status(receive(clients.get(i))), "request " + i);
+        }
+    }
 }
