Connections that wait are not closed just before partial requests give way

Change: the wait is 100 ms longer than the time after which half-sent requests may be evicted, and nobody is closed while a connection is ending, unless its turn takes more than 1 s.

--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -29,11 +29,16 @@
 
     private final ServerSocket server;
 
+    /** Milliseconds within which a connection that may be evicted is read, evicted and ends. */
+    private static final long EVICTION_MARGIN_MILLIS = 100;
+
     /**
-     * Milliseconds to wait for a slot; a client that waits longer is better served by another
+     * Milliseconds to wait for a slot: until a request that was sent in part, after the last slot
+     * had been given, has been evicted. A client that waits longer is better served by another
      * proxy.
      */
-    private static final long MAX_SLOT_WAIT_MILLIS = 250;
+    private static final long MAX_SLOT_WAIT_MILLIS =
+            ClientConnection.PARTIAL_REQUEST_MILLIS + EVICTION_MARGIN_MILLIS;
 
     /** The same while slots become free; a client waits for its turn then. */
     private static final long MAX_TURN_WAIT_MILLIS = 1_000;
@@ -204,33 +209,38 @@
             if (tryAcquireSlot()) {
                 slotGivenNanos = System.nanoTime();
                 register(waiting.poll().socket());
-            } else if (isTooLong(waiting.peek().sinceNanos())) {
+                continue;
+            }
+            boolean roomIsBeingMade = makeRoom();
+            if (isTooLong(waiting.peek().sinceNanos(), roomIsBeingMade)) {
+                closeUnread(waiting.poll());
+            } else if (waiting.size() < maxWaiting) {
+                return;
+            } else if (!roomIsBeingMade && isTooLong(queueEmptyNanos, false)) {
+                // Those that are queued in the kernel may have waited as long.
                 closeUnread(waiting.poll());
             } else {
-                boolean roomIsBeingMade = makeRoom();
-                if (waiting.size() < maxWaiting) {
-                    return;
-                }
-                if (!roomIsBeingMade && isTooLong(queueEmptyNanos)) {
-                    // Those that are queued in the kernel may have waited as long.
-                    closeUnread(waiting.poll());
-                } else {
-                    pause(SLOT_CHECK_MILLIS);
-                }
+                pause(SLOT_CHECK_MILLIS);
             }
         }
     }
 
     /**
-     * Whether a wait that began at the given time, by the monotonic clock, has been too long:
-     * sooner if no slot has been given meanwhile.
+     * Whether a wait has been too long: sooner if no slot has been given meanwhile and none is
+     * about to become free.
+     *
+     * @param sinceNanos when it began, by the monotonic clock
+     * @param roomIsBeingMade whether a connection is ending
      */
-    private boolean isTooLong(long sinceNanos) {
+    private boolean isTooLong(long sinceNanos, boolean roomIsBeingMade) {
         long nowNanos = System.nanoTime();
         long waitedNanos = nowNanos - sinceNanos;
+        if (waitedNanos > TimeUnit.MILLISECONDS.toNanos(MAX_TURN_WAIT_MILLIS)) {
+            return true;
+        }
         long withoutSlotNanos = Math.min(waitedNanos, nowNanos - slotGivenNanos);
-        return withoutSlotNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SLOT_WAIT_MILLIS)
-                || waitedNanos > TimeUnit.MILLISECONDS.toNanos(MAX_TURN_WAIT_MILLIS);
+        return !roomIsBeingMade
+                && withoutSlotNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SLOT_WAIT_MILLIS);
     }
 
     private void closeUnread(WaitingConnection connection) {
--- a/src/test/java/cottonlock/proxy/FullListenerTest.java
+++ b/src/test/java/cottonlock/proxy/FullListenerTest.java
@@ -22,13 +22,19 @@
 
     private static final int NEW_CONNECTIONS = 20;
 
+    /** More than can be connected. */
+    private static final int PARTIAL_REQUESTS = 15;
+
+    /** How long after the first part of a partial request its second part is sent. */
+    private static final long SECOND_PART_DELAY_MILLIS = 60;
+
     /** A connection waits for so long at least, as others may end meanwhile. */
     private static final long MIN_WAIT_MILLIS = 200;
 
     /** How long after its connection a first request is sent. */
     private static final long FIRST_REQUEST_DELAY_MILLIS = 10;
 
-    /** A connection that finds no room is closed after 250 ms; the rest is for a busy machine. */
+    /** A connection that finds no room is closed after 350 ms; the rest is for a busy machine. */
     private static final long MAX_WAIT_MILLIS = 1_500;
 
     /**
@@ -121,6 +127,27 @@
         }
     }
 
+    /**
+     * Guards against closing all connections that wait at the moment at which partial requests may
+     * be evicted: both counted 250 ms, and the wait began first.
+     */
+    @Example
+    void connectionsForWhichPartialRequestsGiveWayAreServed() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        start(SOCKETS, 1, "", backend.host("b"));
+        List<Socket> partial = new ArrayList<>();
+        for (int i = 0; i < PARTIAL_REQUESTS; i++) {
+            Socket socket = connect();
+            send(socket, "GET /read HTTP/1.1\r\n");
+            partial.add(socket);
+        }
+        Thread.sleep(SECOND_PART_DELAY_MILLIS);
+        for (Socket socket : partial) {
+            send(socket, "Host: x\r\nX-Req");
+        }
+        assertEquals(200, status(call(request("read", "whole", "", ""))));
+    }
+
     /**
      * Guards against evicting a connection, for one that waits, before its first request has been
      * read: its client found it closed although it had been given room.
