A replaced process gives back the threads that it no longer needs

What was seen: 300 clients that read answers of 400 KB, 192 MB, the process replaced under way: both processes together took 204,708 to 215,812 kB of 196,608. Cause: a draining process kept the thread of each client that had left for 3 s and each idle connection to a backend, 547 of 566 threads after 2.3 s, while the new one needed as many again. Change: once another process serves, a draining one ends threads after 50 ms without a connection and closes idle connections to backends.

--- a/src/main/java/cottonlock/proxy/ConnectionThreads.java
+++ b/src/main/java/cottonlock/proxy/ConnectionThreads.java
@@ -20,6 +20,9 @@
      */
     private static final long KEEP_ALIVE_MILLIS = 3_000;
 
+    /** The same while few connections are still to come. */
+    private static final long SHORT_KEEP_ALIVE_MILLIS = 50;
+
     private final ThreadPoolExecutor threads =
             new ThreadPoolExecutor(
                     0,
@@ -47,6 +50,11 @@
         return threads.getPoolSize();
     }
 
+    /** Keeps threads only shortly for the next connection from now on: few are still to come. */
+    void endIdleThreadsSoon() {
+        threads.setKeepAliveTime(SHORT_KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Runs a connection; throws an OutOfMemoryError when no thread is available. */
     void serve(Runnable connection) {
         threads.execute(connection);
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -103,6 +103,7 @@
     private final LoadBalancerActor loadBalancer;
     private final EndpointListWatch watch;
     private final ConnectionThreads workers = new ConnectionThreads();
+    private final ConnectionPermits permits;
     private final BufferPool buffers;
     private final SpillSpace spillSpace;
 
@@ -169,7 +170,7 @@
         spillLimit.awaitRoomForProcess(MAX_START_DELAY_MILLIS);
         spillSpace = new SpillSpace(spillLimit, limits.maxBodyFiles());
         BodySpillFiles spillFiles = new BodySpillFiles(spillDirectory, spillSpace);
-        ConnectionPermits permits =
+        permits =
                 new ConnectionPermits(
                         limits.maxBackendConnections(),
                         () ->
@@ -478,7 +479,9 @@
             // Another process accepts new connections: this one answers the requests it has, and
             // one more on each connection.
             listener.drain();
-            awaitNoClients(endNanos, () -> {});
+            // What this process no longer needs is memory for the other one.
+            workers.endIdleThreadsSoon();
+            awaitNoClients(endNanos, permits::makeRoom);
         } else {
             Thread.sleep(
                     Math.max(
