--- a/src/test/java/cottonlock/proxy/ManyClientsMemoryTest.java
+++ b/src/test/java/cottonlock/proxy/ManyClientsMemoryTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
@@ -20,6 +21,10 @@
     private static final int CLIENTS = 300;
     private static final int FIELDS = 1_500;
     private static final long PLAY_NANOS = 12_000_000_000L;
+
+    /** How long both processes of a replacement serve before the first one is told to end. */
+    private static final long BESIDE_NANOS = 1_500_000_000L;
+
     private static final int BACKENDS = 4;
     private static final int RESPONSE_BYTES = 400 << 10;
 
@@ -69,6 +74,30 @@
         assertStaysWithinLimit(hosts, ManyClientsMemoryTest::readSlowly);
     }
 
+    /**
+     * Guards against two processes of a replacement that each hold as many connections as the
+     * memory limit allows one process.
+     */
+    @Example
+    void processesOfAReplacementStayWithinTheLimitTogether() throws Exception {
+        StandIn backend = new StandIn(request -> OK);
+        int[] ports = freePorts(3);
+        Path folder = Files.createTempDirectory("replacement");
+        Process old = launchWithLimit(folder, ports[0], ports[1], backend.host("b"));
+        long endNanos = System.nanoTime() + PLAY_NANOS;
+        AtomicInteger requests = new AtomicInteger();
+        List<Thread> clients =
+                startClients(endNanos, ports[0], requests, ManyClientsMemoryTest::sendHalfARequest);
+        eventually(() -> requests.get() >= CLIENTS, "clients came");
+        Process next = launchWithLimit(folder, ports[0], ports[2], backend.host("b"));
+        long mostBytes = mostBytesUntil(System.nanoTime() + BESIDE_NANOS, old, next);
+        old.destroy();
+        mostBytes = Math.max(mostBytes, mostBytesUntil(endNanos, old, next));
+        join(clients);
+        assertTrue(next.isAlive());
+        assertWithinLimit(mostBytes);
+    }
+
     /** What a client does on a connection. */
     private interface Play {
         void run(Socket socket, String id) throws IOException, InterruptedException;
@@ -76,32 +105,60 @@
 
     private void assertStaysWithinLimit(String[] hosts, Play play) throws Exception {
         int[] ports = freePorts(2);
-        String settings =
-                settings(SOCKETS, 1, "\"mgmt\":\"127.0.0.1:" + ports[1] + "\",", hosts)
-                        .replace("127.0.0.1:0", "127.0.0.1:" + ports[0])
-                        .replace("\"memory_mb\":64", "\"memory_mb\":" + MEMORY_MEGABYTES);
         Path folder = Files.createTempDirectory("clients");
-        Process process = launch(folder, config(settings), ports[1], deployedOptions());
+        Process process = launchWithLimit(folder, ports[0], ports[1], hosts);
         long endNanos = System.nanoTime() + PLAY_NANOS;
         AtomicInteger requests = new AtomicInteger();
+        List<Thread> clients = startClients(endNanos, ports[0], requests, play);
+        long mostBytes = mostBytesUntil(endNanos, process);
+        join(clients);
+        assertTrue(process.isAlive());
+        assertTrue(requests.get() >= CLIENTS, "clients came: " + requests);
+        assertWithinLimit(mostBytes);
+    }
+
+    private Process launchWithLimit(Path folder, int listen, int mgmt, String... hosts)
+            throws Exception {
+        String more = "\"name\":\"p\",\"mgmt\":\"127.0.0.1:" + mgmt + "\",";
+        String settings =
+                settings(SOCKETS, 1, more, hosts)
+                        .replace("127.0.0.1:0", "127.0.0.1:" + listen)
+                        .replace("\"memory_mb\":64", "\"memory_mb\":" + MEMORY_MEGABYTES);
+        return launch(folder, config(settings), mgmt, deployedOptions());
+    }
+
+    private static List<Thread> startClients(
+            long endNanos, int port, AtomicInteger requests, Play play) {
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
-            clients.add(
-                    Sockets.start("client", () -> playUntil(endNanos, ports[0], requests, play)));
+            clients.add(Sockets.start("client", () -> playUntil(endNanos, port, requests, play)));
         }
+        return clients;
+    }
+
+    private static void join(List<Thread> clients) throws InterruptedException {
+        for (Thread client : clients) {
+            client.join(8_000);
+        }
+    }
+
+    /** The most that processes take together until a time of the monotonic clock, in bytes. */
+    private static long mostBytesUntil(long endNanos, Process... processes)
+            throws InterruptedException {
         long mostBytes = 0;
         while (System.nanoTime() < endNanos) {
-            mostBytes = Math.max(mostBytes, ownMemoryBytes(process));
+            long bytes =
+                    Arrays.stream(processes).mapToLong(ManyClientsMemoryTest::ownMemoryBytes).sum();
+            mostBytes = Math.max(mostBytes, bytes);
             Thread.sleep(20);
         }
-        for (Thread client : clients) {
-            client.join(8_000);
-        }
-        assertTrue(process.isAlive());
-        assertTrue(requests.get() >= CLIENTS, "clients came: " + requests);
+        return mostBytes;
+    }
+
+    private static void assertWithinLimit(long bytes) {
         assertTrue(
-                mostBytes <= (long) MEMORY_MEGABYTES << 20,
-                "it took " + (mostBytes >> 10) + " kB of " + (MEMORY_MEGABYTES << 10));
+                bytes <= (long) MEMORY_MEGABYTES << 20,
+                "it took " + (bytes >> 10) + " kB of " + (MEMORY_MEGABYTES << 10));
     }
 
     private static void playUntil(long endNanos, int port, AtomicInteger requests, Play play) {
