--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -1,33 +1,26 @@
 package cottonlock.proxy;
 
-import cottonlock.admin.Metrics;
 import cottonlock.decision.api.AttemptOutcome;
-import cottonlock.proxy.concurrent.Mailbox;
-import cottonlock.proxy.concurrent.TickClock;
-import cottonlock.proxy.http.BufferPool;
-import cottonlock.proxy.http.HttpWriter;
+import cottonlock.proxy.concurrent.ActorTimer;
+import cottonlock.proxy.concurrent.FaultLog;
+import cottonlock.proxy.concurrent.SerialMailbox;
 import cottonlock.proxy.io.RateLimitedLog;
-import cottonlock.proxy.io.Sockets;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashSet;
-import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A backend's actor: the only owner of the connections to it. It uses idle connections before it
- * opens new ones.
+ * A backend's actor: the only one that gives attempts to the connections to it. It uses idle
+ * connections before it opens new ones. Lists name thousands of backends, so it has a thread only
+ * while it runs messages, and a timer only while an attempt waits or a connection is idle.
  */
-final class BackendActor implements Runnable {
-    /** Exceeds the number of sockets, so that a message from a connection always fits. */
+final class BackendActor {
+    /** Attempts that may be pending: far more than there are sockets. */
     private static final int MAILBOX_CAPACITY = 4_096;
 
-    /**
-     * Fraction of the idle timeout after which a connection is closed, before the backend does it.
-     */
-    private static final double IDLE_TIMEOUT_FRACTION = 0.8;
-
     /**
      * Nanoseconds after a response within which a duplicate of it may arrive, some milliseconds
      * late. If the connection were used again at once, the duplicate would be taken for the
@@ -35,17 +28,20 @@
      */
     static final long SETTLE_NANOS = 5_000_000;
 
-    /** Maximum microseconds between two checks of the idle connections for expired ones. */
-    private static final long IDLE_CHECK_MICROS = 500_000;
-
     /**
-     * Nanoseconds that an attempt waits for a permit, which other actors free by closing an idle
-     * connection: far below any latency objective.
+     * Nanoseconds that an attempt waits for a permit, which is freed by closing an idle connection:
+     * far below any latency objective.
      */
     private static final long PERMIT_WAIT_NANOS = 20_000_000;
 
-    /** Microseconds between two checks whether a permit is free. */
-    private static final long PERMIT_CHECK_MICROS = 1_000;
+    /** Nanoseconds between two checks whether a permit is free. */
+    private static final long PERMIT_CHECK_NANOS = 1_000_000;
+
+    /**
+     * Nanoseconds by which an idle connection may be closed later than it could be, so that many
+     * are closed by one event.
+     */
+    private static final long IDLE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /**
      * An attempt that waits for a permit.
@@ -54,47 +50,23 @@
      */
     private record PermitWait(ClientRequest.Attempt attempt, long endNanos) {}
 
-    private final Mailbox mailbox;
-    private final ConnectionPermits permits;
-    private final KeepAlivePolicy keepAlive;
-    private final ConnectionThreads workers;
-    private final int connectTimeoutMillis;
-    private final BufferPool buffers;
-    private final HttpWriter writer;
-    private final WriteTimeoutWatchdog watchdog;
-    private final TickClock clock;
-    private final Metrics metrics;
+    private final BackendResources resources;
     private final RateLimitedLog log;
-    private InetSocketAddress address;
+    private final SerialMailbox mailbox;
+    private final ActorTimer timer;
     private final IdleBackendConnections idleConnections;
-    private final Set<BackendConnection> connections = new HashSet<>();
 
     /**
      * Attempts that wait for a connection to settle: that takes less time than a new connection,
      * which also costs more.
      */
-    private final Deque<ClientRequest.Attempt> waitingAttempts = new ArrayDeque<>();
+    private final Deque<ClientRequest.Attempt> waitingAttempts = new ArrayDeque<>(1);
 
     /** Attempts that wait for a permit for a new connection, in the order in which they came. */
-    private final Deque<PermitWait> permitWaits = new ArrayDeque<>();
+    private final Deque<PermitWait> permitWaits = new ArrayDeque<>(1);
 
-    private boolean closing;
-
-    /**
-     * Whether the backend has a thread or is being given one, which its first attempt causes: many
-     * lists name hundreds of backends of which a load balancer needs a few. Until then the load
-     * balancer's thread owns the state of this actor.
-     */
-    private volatile boolean started;
-
-    /** Set by the thread that started it; null before that. */
-    private volatile Thread thread;
-
-    /**
-     * Set while the thread that failed to start the backend's thread runs the pending messages
-     * itself, so that their attempts fail.
-     */
-    private boolean threadUnavailable;
+    /** Written by the load balancer's thread. */
+    private volatile InetSocketAddress address;
 
     /**
      * Whether the endpoint list and the manual ejections allow new requests; written by the load
@@ -102,119 +74,52 @@
      */
     private volatile boolean ready = true;
 
-    /** Times are in milliseconds, except {@code settleNanos}. */
-    BackendActor(
-            InetSocketAddress address,
-            ConnectionPermits permits,
-            KeepAlivePolicy keepAlive,
-            ConnectionThreads workers,
-            long connectTimeoutMillis,
-            long idleTimeoutMillis,
-            long settleNanos,
-            BufferPool buffers,
-            HttpWriter writer,
-            WriteTimeoutWatchdog watchdog,
-            TickClock clock,
-            Metrics metrics,
-            RateLimitedLog log) {
-        this.address = address;
-        this.permits = permits;
-        this.keepAlive = keepAlive;
-        this.workers = workers;
-        this.connectTimeoutMillis =
-                (int) Math.max(1, Math.min(Integer.MAX_VALUE, connectTimeoutMillis));
-        long idleTimeoutNanos = (long) (idleTimeoutMillis * IDLE_TIMEOUT_FRACTION * 1_000_000);
-        this.idleConnections = new IdleBackendConnections(settleNanos, idleTimeoutNanos);
-        this.buffers = buffers;
-        this.writer = writer;
-        this.watchdog = watchdog;
-        this.clock = clock;
-        this.metrics = metrics;
-        this.log = log;
-        this.mailbox = new Mailbox(MAILBOX_CAPACITY, log);
-    }
+    /** Whether the endpoint list no longer names the backend; written as {@code ready} is. */
+    private volatile boolean removed;
 
-    /**
-     * Marks the thread as started, after an attempt was offered; true if the caller must have it
-     * started. Called by the load balancer's thread.
-     */
-    boolean markStarted() {
-        boolean firstCall = !started;
-        started = true;
-        return firstCall;
-    }
+    /** The open connections, and those that are being opened. */
+    private final AtomicInteger connectionCount = new AtomicInteger();
 
-    /**
-     * Reverts {@link #markStarted} when the thread was not started after all. Called by the load
-     * balancer's thread.
-     */
-    void clearStarted() {
-        started = false;
-    }
+    /** Whether a message that closes the idle connections is pending. */
+    private final AtomicBoolean idleClosePending = new AtomicBoolean();
 
-    /**
-     * Starts the backend's thread. Not called by the load balancer's thread, which would wait for
-     * it.
-     */
-    void startThread() {
-        try {
-            Thread backendThread = Sockets.thread("backend", this);
-            backendThread.start();
-            thread = backendThread;
-        } catch (OutOfMemoryError e) {
-            // No thread is available: these attempts fail and the next one tries again; the proxy
-            // must not end.
-            log.warn("no thread", "no thread is available for a backend; its attempts failed");
-            started = false;
-            threadUnavailable = true;
-            mailbox.drain();
-            threadUnavailable = false;
-        }
+    BackendActor(InetSocketAddress address, BackendResources resources) {
+        this.address = address;
+        this.resources = resources;
+        this.log = resources.log();
+        this.mailbox =
+                new SerialMailbox(MAILBOX_CAPACITY, resources.actorExecutor(), this::process);
+        this.timer = new ActorTimer(resources.timers(), () -> mailbox.put(this::timerFired));
+        this.idleConnections =
+                new IdleBackendConnections(
+                        resources.open(),
+                        resources.timeouts().settleNanos(),
+                        resources.timeouts().maxIdleNanos());
     }
 
-    /** The backend's thread, if it has been started. */
-    Optional<Thread> thread() {
-        return Optional.ofNullable(thread);
+    /** Runs a message, and then what has become due. */
+    private void process(Runnable message) {
+        FaultLog.guard(message, log);
+        // Without a free byte in the heap one of them fails, and the others are still needed.
+        FaultLog.guard(idleConnections::closeExpired, log);
+        FaultLog.guard(this::sendWaitingAttempts, log);
+        FaultLog.guard(this::endPermitWaits, log);
+        FaultLog.guard(() -> timer.set(nanosUntilNextCheck()), log);
     }
 
-    /**
-     * Whether no thread runs this actor any more. Called by the load balancer's thread, after
-     * {@link #removedFromList}.
-     */
-    boolean isTerminated() {
-        Thread backendThread = thread;
-        return !started || (backendThread != null && !backendThread.isAlive());
+    private void timerFired() {
+        timer.fired();
     }
 
-    @Override
-    public void run() {
-        started = true;
-        permits.register(this);
-        try {
-            while (!closing
-                    || !connections.isEmpty()
-                    || !waitingAttempts.isEmpty()
-                    || !permitWaits.isEmpty()) {
-                mailbox.runNext(microsUntilNextCheck());
-                // Without a free byte in the heap this fails, and the backend still needs its
-                // thread.
-                mailbox.guard(idleConnections::closeExpired);
-                mailbox.guard(this::sendWaitingAttempts);
-                mailbox.guard(this::endPermitWaits);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            permits.unregister(this);
+    private long nanosUntilNextCheck() {
+        long nanos = ActorTimer.NEVER;
+        if (idleConnections.size() > 0) {
+            nanos = Math.max(IDLE_CHECK_NANOS, idleConnections.nanosUntilExpired());
         }
-    }
-
-    private long microsUntilNextCheck() {
-        long micros =
-                waitingAttempts.isEmpty()
-                        ? IDLE_CHECK_MICROS
-                        : idleConnections.nanosUntilSettled() / 1_000;
-        return permitWaits.isEmpty() ? micros : Math.min(micros, PERMIT_CHECK_MICROS);
+        if (!waitingAttempts.isEmpty()) {
+            nanos = Math.min(nanos, Math.max(0, idleConnections.nanosUntilSettled()));
+        }
+        return permitWaits.isEmpty() ? nanos : Math.min(nanos, PERMIT_CHECK_NANOS);
     }
 
     /**
@@ -238,28 +143,12 @@
         return mailbox.offer(() -> send(attempt));
     }
 
-    /**
-     * Offers a message if there is a thread to run it; without a thread there are no connections
-     * either. Called by the load balancer's thread.
-     */
-    private void offerIfStarted(Runnable message) {
-        if (started) {
-            mailbox.offer(message);
-        }
-    }
-
     /** Sets the address that the endpoint list gives. Called by the load balancer's thread. */
     void addressChanged(InetSocketAddress newAddress) {
-        if (!started) {
+        if (!newAddress.equals(address)) {
             address = newAddress;
+            closeIdleConnections();
         }
-        offerIfStarted(
-                () -> {
-                    if (!newAddress.equals(address)) {
-                        address = newAddress;
-                        idleConnections.closeAll();
-                    }
-                });
     }
 
     /**
@@ -268,39 +157,27 @@
      */
     void removedFromList() {
         ready = false;
-        offerIfStarted(
-                () -> {
-                    closing = true;
-                    idleConnections.closeAll();
-                });
+        removed = true;
+        closeIdleConnections();
     }
 
     /**
      * Closes the idle connections, because the load balancer finds that they cost more than they
-     * save, or because the backend was ejected manually. Called by the load balancer's thread.
+     * save, or because they lead to where the backend is no longer. At most one message is pending,
+     * however often it is called, and none for the many backends without a connection. Called by
+     * the load balancer's thread.
      */
     void closeIdleConnections() {
-        offerIfStarted(idleConnections::closeAll);
-    }
-
-    /**
-     * Closes the connection that has been idle longest, because no permit is free. Called by the
-     * actor of a backend that needs one.
-     */
-    void closeOldestIdle() {
-        mailbox.offer(idleConnections::closeOldest);
-    }
-
-    /** Closes all connections without waiting for attempts in flight: the proxy closes. */
-    void stop() {
-        offerIfStarted(
-                () -> {
-                    closing = true;
-                    connections.forEach(BackendConnection::closeNow);
-                });
+        if (connectionCount.get() > 0 && idleClosePending.compareAndSet(false, true)) {
+            mailbox.put(
+                    () -> {
+                        idleClosePending.set(false);
+                        idleConnections.closeAll();
+                    });
+        }
     }
 
-    /** For tests only: runs a task on the actor's thread, after all messages sent so far. */
+    /** For tests only: runs a task as a message of the actor, after all messages sent so far. */
     void runAfterPending(Runnable task) {
         mailbox.put(task);
     }
@@ -309,33 +186,39 @@
     void onIdle(BackendConnection connection) {
         mailbox.put(
                 () -> {
-                    if (closing
-                            || !connection.address().equals(address)
-                            || !keepAlive.isReuseAllowed()) {
-                        connection.closeNow();
-                    } else {
+                    if (mayBeReused(connection)) {
                         idleConnections.add(connection);
+                    } else {
+                        connection.closeNow();
                     }
                 });
     }
 
+    private boolean mayBeReused(BackendConnection connection) {
+        return !removed
+                && connection.address().equals(address)
+                && resources.keepAlive().isReuseAllowed();
+    }
+
     /**
      * Called by a connection that broke during an attempt that was not its first.
      *
      * @param nanosAfterSend the time since the attempt was sent
      */
     void reusedConnectionBroke(long nanosAfterSend) {
-        keepAlive.reusedConnectionBroke(nanosAfterSend);
+        resources.keepAlive().reusedConnectionBroke(nanosAfterSend);
     }
 
     /** Called by a connection that has released all its resources. */
     void connectionClosed(BackendConnection connection) {
-        permits.release();
-        mailbox.put(
-                () -> {
-                    connections.remove(connection);
-                    idleConnections.remove(connection);
-                });
+        release(connection);
+        mailbox.put(() -> idleConnections.remove(connection));
+    }
+
+    private void release(BackendConnection connection) {
+        resources.open().remove(connection);
+        resources.permits().release();
+        connectionCount.decrementAndGet();
     }
 
     private void sendWaitingAttempts() {
@@ -347,6 +230,7 @@
     private void send(ClientRequest.Attempt attempt) {
         if (!trySend(attempt)) {
             permitWaits.add(new PermitWait(attempt, System.nanoTime() + PERMIT_WAIT_NANOS));
+            resources.permits().beginWait();
         }
     }
 
@@ -356,25 +240,41 @@
      * @return false if it needs a permit for a new connection and none is free
      */
     private boolean trySend(ClientRequest.Attempt attempt) {
-        if (!attempt.mayStart(clock.now())) {
+        if (!attempt.mayStart(resources.clock().now())) {
             // It waited in the mailbox: for a client that has left, no connection is opened or
             // used.
             attempt.settle(AttemptOutcome.NOT_SENT);
             return true;
         }
-        if (threadUnavailable) {
-            attempt.settle(AttemptOutcome.CONNECT_FAILED);
-            return true;
-        }
         // When expired connections were closed only at intervals, some were used after the
         // backend's idle timeout, and were reset.
         idleConnections.closeExpired();
-        if (!keepAlive.isReuseAllowed()) {
+        if (!resources.keepAlive().isReuseAllowed()) {
             idleConnections.closeAll();
         }
+        if (sendOnIdleConnection(attempt)) {
+            return true;
+        }
+        if (idleConnections.size() > waitingAttempts.size()) {
+            waitingAttempts.add(attempt);
+            return true;
+        }
+        if (!resources.permits().tryAcquire()) {
+            return false;
+        }
+        open(attempt);
+        return true;
+    }
+
+    /** Sends an attempt on an idle connection, or settles it; false if that is not possible. */
+    private boolean sendOnIdleConnection(ClientRequest.Attempt attempt) {
         for (BackendConnection connection = idleConnections.takeSettled();
                 connection != null;
                 connection = idleConnections.takeSettled()) {
+            if (!connection.address().equals(address)) {
+                connection.closeNow();
+                continue;
+            }
             if (!attempt.attach(connection)) {
                 idleConnections.putBack(connection);
                 return true;
@@ -382,22 +282,11 @@
             if (attempt.req.body.isInFile() && sendOnWorkerThread(connection, attempt)) {
                 return true;
             }
-            if (connection.send(attempt)) {
-                return true;
-            }
-            if (attempt.isSettled()) {
+            if (connection.send(attempt) || attempt.isSettled()) {
                 return true;
             }
         }
-        if (idleConnections.size() > waitingAttempts.size()) {
-            waitingAttempts.add(attempt);
-            return true;
-        }
-        if (!permits.tryAcquire()) {
-            return false;
-        }
-        open(attempt);
-        return true;
+        return false;
     }
 
     /**
@@ -409,36 +298,33 @@
         for (PermitWait wait = permitWaits.peek(); wait != null; wait = permitWaits.peek()) {
             if (!trySend(wait.attempt())) {
                 if (System.nanoTime() - wait.endNanos() < 0) {
+                    resources.permits().makeRoomForWaiting();
                     return;
                 }
                 log.warn("out of sockets", "no permit for a connection is free; an attempt failed");
                 wait.attempt().settle(AttemptOutcome.NOT_SENT);
             }
             permitWaits.poll();
+            resources.permits().endWait();
         }
     }
 
+    /** Opens a connection for an attempt, which has a permit. */
     private void open(ClientRequest.Attempt attempt) {
-        BackendConnection connection =
-                new BackendConnection(
-                        this,
-                        address,
-                        connectTimeoutMillis,
-                        buffers,
-                        writer,
-                        watchdog,
-                        clock,
-                        metrics,
-                        log,
-                        attempt);
-        connections.add(connection);
+        BackendConnection connection = new BackendConnection(this, address, resources, attempt);
+        connectionCount.incrementAndGet();
+        if (!resources.open().add(connection)) {
+            // The proxy is closing.
+            release(connection);
+            attempt.settle(AttemptOutcome.NOT_SENT);
+            return;
+        }
         try {
-            workers.serve(connection);
+            resources.workers().serve(connection);
         } catch (OutOfMemoryError e) {
             // No thread is available: this attempt fails; the proxy must not end.
             log.warn("no thread", "no thread is available for a connection; an attempt failed");
-            connections.remove(connection);
-            permits.release();
+            release(connection);
             attempt.settle(AttemptOutcome.CONNECT_FAILED);
         }
     }
@@ -450,12 +336,14 @@
     private boolean sendOnWorkerThread(
             BackendConnection connection, ClientRequest.Attempt attempt) {
         try {
-            workers.serve(
-                    () -> {
-                        if (!connection.send(attempt) && !attempt.isSettled()) {
-                            mailbox.put(() -> send(attempt));
-                        }
-                    });
+            resources
+                    .workers()
+                    .serve(
+                            () -> {
+                                if (!connection.send(attempt) && !attempt.isSettled()) {
+                                    mailbox.put(() -> send(attempt));
+                                }
+                            });
             return true;
         } catch (OutOfMemoryError e) {
             return false;
--- a/src/main/java/cottonlock/proxy/BackendConnection.java
+++ b/src/main/java/cottonlock/proxy/BackendConnection.java
@@ -1,12 +1,9 @@
 package cottonlock.proxy;
 
-import cottonlock.admin.Metrics;
 import cottonlock.core.Ticks;
 import cottonlock.decision.api.AttemptOutcome;
 import cottonlock.proxy.concurrent.TickClock;
-import cottonlock.proxy.http.BufferPool;
 import cottonlock.proxy.http.HttpReader;
-import cottonlock.proxy.http.HttpWriter;
 import cottonlock.proxy.http.MalformedMessageException;
 import cottonlock.proxy.http.MessageBody;
 import cottonlock.proxy.http.MessageHead;
@@ -42,12 +39,8 @@
 
     private final BackendActor backend;
     private final InetSocketAddress address;
-    private final int connectTimeoutMillis;
-    private final BufferPool buffers;
-    private final HttpWriter writer;
-    private final WriteTimeoutWatchdog watchdog;
+    private final BackendResources resources;
     private final TickClock clock;
-    private final Metrics metrics;
     private final RateLimitedLog log;
     private final Socket socket = new Socket();
     private final ClientRequest.Attempt firstAttempt;
@@ -67,23 +60,13 @@
     BackendConnection(
             BackendActor backend,
             InetSocketAddress address,
-            int connectTimeoutMillis,
-            BufferPool buffers,
-            HttpWriter writer,
-            WriteTimeoutWatchdog watchdog,
-            TickClock clock,
-            Metrics metrics,
-            RateLimitedLog log,
+            BackendResources resources,
             ClientRequest.Attempt firstAttempt) {
         this.backend = backend;
         this.address = address;
-        this.connectTimeoutMillis = connectTimeoutMillis;
-        this.buffers = buffers;
-        this.writer = writer;
-        this.watchdog = watchdog;
-        this.clock = clock;
-        this.metrics = metrics;
-        this.log = log;
+        this.resources = resources;
+        this.clock = resources.clock();
+        this.log = resources.log();
         this.firstAttempt = firstAttempt;
     }
 
@@ -98,8 +81,8 @@
             if (firstAttempt.attach(this)) {
                 current = firstAttempt;
                 socket.setTcpNoDelay(true);
-                socket.connect(address, connectTimeoutMillis);
-                buffer = buffers.take();
+                socket.connect(address, resources.timeouts().socketConnectMillis());
+                buffer = resources.buffers().take();
                 HttpReader reader = new HttpReader(socket, buffer);
                 if (send(firstAttempt)) {
                     while (reader.awaitSingleByte() && isResponseExpected() && exchange(reader)) {
@@ -120,7 +103,7 @@
     private void closeAndSettle(byte[] buffer) {
         Sockets.close(socket);
         if (buffer != null) {
-            buffers.give(buffer);
+            resources.buffers().give(buffer);
         }
         ClientRequest.Attempt unfinished = null;
         long nanosAfterSend;
@@ -222,11 +205,13 @@
                 limitUnreadBytes();
             }
             long remainingTicks = Math.max(0, attempt.sendByTicks - clock.now());
-            watchdog.write(
-                    socket,
-                    Ticks.toMillis(remainingTicks),
-                    out -> writeRequest(out, attempt, holdsBack));
-            metrics.attemptSent();
+            resources
+                    .watchdog()
+                    .write(
+                            socket,
+                            Ticks.toMillis(remainingTicks),
+                            out -> writeRequest(out, attempt, holdsBack));
+            resources.metrics().attemptSent();
             return null;
         } catch (AttemptOutputStream.GivenUpException e) {
             return AttemptOutcome.NOT_SENT;
@@ -244,11 +229,13 @@
             throws IOException {
         String host = address.getHostString() + ":" + address.getPort();
         AttemptOutputStream request = new AttemptOutputStream(out, attempt, clock, holdsBack);
-        writer.writeRequest(
-                request,
-                attempt.req.outbound(),
-                host,
-                () -> Math.max(1, (attempt.req.deadlineTicks - clock.now()) / 10));
+        resources
+                .writer()
+                .writeRequest(
+                        request,
+                        attempt.req.outbound(),
+                        host,
+                        () -> Math.max(1, (attempt.req.deadlineTicks - clock.now()) / 10));
         request.finish();
     }
 
@@ -268,7 +255,8 @@
         if (!reader.isBodyBuffered()) {
             reportResponseBegun();
         }
-        MessageBody body = reader.readBodyStart(buffers, System.nanoTime() + maxHoldBackNanos());
+        MessageBody body =
+                reader.readBodyStart(resources.buffers(), System.nanoTime() + maxHoldBackNanos());
         try {
             ClientRequest.Attempt attempt;
             boolean keepAlive = head.keepsAlive(head.responseVersion());
--- a/src/main/java/cottonlock/proxy/BackendDirectory.java
+++ b/src/main/java/cottonlock/proxy/BackendDirectory.java
@@ -33,9 +33,6 @@
     /** Backends that have left the list and may have to be retired. */
     private final Set<String> unlistedIds = new TreeSet<>();
 
-    /** Backends removed from the list; some still have attempts in flight. */
-    private final List<BackendActor> retired = new ArrayList<>();
-
     BackendDirectory(
             Function<EndpointList.Entry, BackendActor> actorFactory,
             ManualEjections manualEjections) {
@@ -122,8 +119,6 @@
                     BackendActor actor = mayUse.test(id) ? null : actors.remove(id);
                     if (actor != null) {
                         actor.removedFromList();
-                        retired.removeIf(BackendActor::isTerminated);
-                        retired.add(actor);
                     }
                     return !mayUse.test(id);
                 });
@@ -134,13 +129,6 @@
         return actors.get(id);
     }
 
-    /** The actors of all backends that may have connections. */
-    List<BackendActor> allActors() {
-        List<BackendActor> all = new ArrayList<>(retired);
-        all.addAll(actors.values());
-        return all;
-    }
-
     /** Whether the endpoint list contains a backend with this id; safe for use by any thread. */
     boolean isListed(String id) {
         return listedIds.contains(id);
--- a/src/main/java/cottonlock/proxy/ClientLimit.java
+++ b/src/main/java/cottonlock/proxy/ClientLimit.java
@@ -4,6 +4,10 @@
 interface ClientLimit {
     int maxClients();
 
-    /** Called when so many are connected and one more waits: frees what is held without need. */
-    default void makeRoom() {}
+    /**
+     * Called when so many are connected and more wait: frees what is held without need.
+     *
+     * @param count how many wait
+     */
+    default void makeRoom(int count) {}
 }
--- a/src/main/java/cottonlock/proxy/ClientListener.java
+++ b/src/main/java/cottonlock/proxy/ClientListener.java
@@ -71,7 +71,7 @@
     private final ClientLimit limit;
     private final int maxWaiting;
     private final BiFunction<Socket, ClientListener, ClientConnection> connectionFactory;
-    private final ConnectionThreads workers;
+    private final WorkerThreads workers;
     private final RateLimitedLog log;
     private volatile boolean draining;
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
@@ -96,7 +96,7 @@
             int maxClients,
             ClientLimit limit,
             BiFunction<Socket, ClientListener, ClientConnection> connectionFactory,
-            ConnectionThreads workers,
+            WorkerThreads workers,
             RateLimitedLog log)
             throws IOException {
         this(address, sharesPort, maxClients, MIN_WAITING, limit, connectionFactory, workers, log);
@@ -117,7 +117,7 @@
             int maxWaiting,
             ClientLimit limit,
             BiFunction<Socket, ClientListener, ClientConnection> connectionFactory,
-            ConnectionThreads workers,
+            WorkerThreads workers,
             RateLimitedLog log)
             throws IOException {
         this.slots = new Semaphore(maxClients);
@@ -298,11 +298,12 @@
 
     /** Makes room for those that wait; false if none of those that have a slot is ending. */
     private boolean makeRoom() {
+        int count = Math.max(1, waiting.size());
         if (slots.availablePermits() > 0) {
             // There is a socket, but no memory.
-            limit.makeRoom();
+            limit.makeRoom(count);
         }
-        return evict(Math.max(1, waiting.size()));
+        return evict(count);
     }
 
     /**
--- a/src/main/java/cottonlock/proxy/ConnectionPermits.java
+++ b/src/main/java/cottonlock/proxy/ConnectionPermits.java
@@ -1,7 +1,5 @@
 package cottonlock.proxy;
 
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
 
@@ -18,11 +16,15 @@
     private final IntSupplier maxWithClients;
     private final IntSupplier clientCount;
     private final AtomicInteger inUse = new AtomicInteger();
-    private final List<BackendActor> backends = new CopyOnWriteArrayList<>();
+
+    /** The attempts that wait for a permit, at any backend. */
+    private final AtomicInteger waiting = new AtomicInteger();
+
+    private final OpenBackendConnections open;
 
     /** A limit that does not depend on clients. */
-    ConnectionPermits(int maxConnections) {
-        this(maxConnections, () -> Integer.MAX_VALUE, () -> 0);
+    ConnectionPermits(int maxConnections, OpenBackendConnections open) {
+        this(maxConnections, () -> Integer.MAX_VALUE, () -> 0, open);
     }
 
     /**
@@ -31,32 +33,41 @@
      * @param maxConnections the connections to backends at most
      * @param maxWithClients the connections to backends and of clients at most, at present
      * @param clientCount the connections of clients at present
+     * @param open the connections to backends, of which idle ones are closed to make room
      */
-    ConnectionPermits(int maxConnections, IntSupplier maxWithClients, IntSupplier clientCount) {
+    ConnectionPermits(
+            int maxConnections,
+            IntSupplier maxWithClients,
+            IntSupplier clientCount,
+            OpenBackendConnections open) {
         this.maxConnections = maxConnections;
         this.maxWithClients = maxWithClients;
         this.clientCount = clientCount;
+        this.open = open;
+    }
+
+    /** Takes a permit, without waiting; false when all are in use. */
+    boolean tryAcquire() {
+        int max = maxAtPresent();
+        return inUse.getAndUpdate(n -> n < max ? n + 1 : n) < max;
     }
 
-    void register(BackendActor actor) {
-        backends.add(actor);
+    /** Records that an attempt begins to wait for a permit. */
+    void beginWait() {
+        waiting.incrementAndGet();
     }
 
-    void unregister(BackendActor actor) {
-        backends.remove(actor);
+    /** Records that an attempt no longer waits for a permit. */
+    void endWait() {
+        waiting.decrementAndGet();
     }
 
     /**
-     * Takes a permit, without waiting; false when all are in use. Connections without an attempt
-     * are closed then, so that one may soon be free.
+     * Closes idle connections, one for each attempt that waits: those at some backends must not
+     * prevent attempts at the others.
      */
-    boolean tryAcquire() {
-        int max = maxAtPresent();
-        if (inUse.getAndUpdate(n -> n < max ? n + 1 : n) < max) {
-            return true;
-        }
-        makeRoom();
-        return false;
+    void makeRoomForWaiting() {
+        open.makeRoom(waiting.get());
     }
 
     private int maxAtPresent() {
@@ -75,8 +86,7 @@
     }
 
     @Override
-    public void makeRoom() {
-        // Idle connections to some backends must not prevent attempts at the others.
-        backends.forEach(BackendActor::closeOldestIdle);
+    public void makeRoom(int count) {
+        open.makeRoom(count);
     }
 }
--- a/src/main/java/cottonlock/proxy/IdleBackendConnections.java
+++ b/src/main/java/cottonlock/proxy/IdleBackendConnections.java
@@ -4,19 +4,26 @@
 import java.util.Deque;
 import java.util.Iterator;
 
-/** The idle connections to one backend, in the order in which they became idle. One thread. */
+/**
+ * The idle connections to one backend, in the order in which they became idle. Used by the
+ * backend's actor only; other threads may take connections from {@link OpenBackendConnections} and
+ * close them meanwhile, and they are skipped here then.
+ */
 final class IdleBackendConnections {
+    private final OpenBackendConnections open;
     private final long settleNanos;
     private final long timeoutNanos;
-    private final Deque<BackendConnection> connections = new ArrayDeque<>();
+    private final Deque<BackendConnection> connections = new ArrayDeque<>(1);
 
     /**
      * No connections.
      *
+     * @param open the connections to all backends
      * @param settleNanos the time after a response within which a connection is not used again
      * @param timeoutNanos the time after which a connection is closed
      */
-    IdleBackendConnections(long settleNanos, long timeoutNanos) {
+    IdleBackendConnections(OpenBackendConnections open, long settleNanos, long timeoutNanos) {
+        this.open = open;
         this.settleNanos = settleNanos;
         this.timeoutNanos = timeoutNanos;
     }
@@ -28,25 +35,37 @@
     /** Adds a connection that has become idle. */
     void add(BackendConnection connection) {
         connection.idleSinceNanos = System.nanoTime();
-        connections.addLast(connection);
+        putBack(connection);
     }
 
     /** Puts a connection back that was taken and not used. */
     void putBack(BackendConnection connection) {
         connections.addLast(connection);
+        open.addIdle(connection);
     }
 
+    /** Removes a connection that has ended; it may have become idle just before. */
     void remove(BackendConnection connection) {
         connections.remove(connection);
+        open.takeIdle(connection);
     }
 
     /**
      * Nanoseconds until the connection that has been idle longest has settled; 0 if none is idle.
      */
     long nanosUntilSettled() {
-        return connections.isEmpty()
-                ? 0
-                : settleNanos - (System.nanoTime() - connections.peekFirst().idleSinceNanos);
+        return connections.isEmpty() ? 0 : settleNanos - oldestIdleNanos();
+    }
+
+    /**
+     * Nanoseconds until {@link #closeExpired} has a connection to close; a large number if none.
+     */
+    long nanosUntilExpired() {
+        return connections.isEmpty() ? Long.MAX_VALUE : timeoutNanos - oldestIdleNanos();
+    }
+
+    private long oldestIdleNanos() {
+        return System.nanoTime() - connections.peekFirst().idleSinceNanos;
     }
 
     /** Takes the most recently used of the connections that have settled; null if there is none. */
@@ -57,7 +76,9 @@
             BackendConnection connection = iterator.next();
             if (now - connection.idleSinceNanos >= settleNanos) {
                 iterator.remove();
-                return connection;
+                if (open.takeIdle(connection)) {
+                    return connection;
+                }
             }
         }
         return null;
@@ -65,23 +86,19 @@
 
     /** Closes the connections that have been idle for too long. */
     void closeExpired() {
-        long now = System.nanoTime();
-        while (!connections.isEmpty()
-                && now - connections.peekFirst().idleSinceNanos > timeoutNanos) {
-            connections.pollFirst().closeNow();
-        }
-    }
-
-    /** Closes the connection that has been idle longest, if there is one. */
-    void closeOldest() {
-        BackendConnection oldest = connections.pollFirst();
-        if (oldest != null) {
-            oldest.closeNow();
+        while (!connections.isEmpty() && oldestIdleNanos() > timeoutNanos) {
+            close(connections.pollFirst());
         }
     }
 
     void closeAll() {
-        connections.forEach(BackendConnection::closeNow);
+        connections.forEach(this::close);
         connections.clear();
     }
+
+    private void close(BackendConnection connection) {
+        if (open.takeIdle(connection)) {
+            connection.closeNow();
+        }
+    }
 }
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -18,7 +18,6 @@
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -54,12 +53,6 @@
      */
     private final Mailbox ioMailbox;
 
-    /**
-     * Starts the threads of backends. Starting a thread blocks until the thread has been scheduled
-     * for the first time, and the load balancer's thread must not wait.
-     */
-    private final Mailbox threadStarter;
-
     /**
      * Outcomes of attempts that the load balancer's own actions ended; reported after the call that
      * made them.
@@ -106,7 +99,6 @@
         this.log = log;
         this.mailbox = new Mailbox(MAILBOX_CAPACITY, log);
         this.ioMailbox = new Mailbox(MAILBOX_CAPACITY, log);
-        this.threadStarter = new Mailbox(MAILBOX_CAPACITY, log);
     }
 
     /**
@@ -135,7 +127,6 @@
     @Override
     public void run() {
         Thread ioThread = Sockets.start("clerk", ioMailbox);
-        Thread starterThread = Sockets.start("starter", threadStarter);
         mailbox.guard(() -> balancer.start(clock.now()));
         if (shadow != null) {
             shadow.start(clock.now());
@@ -152,26 +143,10 @@
             }
         } catch (InterruptedException e) {
             ioThread.interrupt();
-            starterThread.interrupt();
-            stopBackends(List.of(ioThread, starterThread));
+            Sockets.join(List.of(ioThread));
         }
     }
 
-    /**
-     * Returns when the threads of all backends have ended. The starter's thread is joined first, as
-     * it may still start some.
-     */
-    private void stopBackends(List<Thread> helpers) {
-        List<BackendActor> all = backends.allActors();
-        all.forEach(BackendActor::stop);
-        Sockets.join(helpers);
-        List<Thread> threads = new ArrayList<>();
-        for (BackendActor backend : all) {
-            backend.thread().ifPresent(threads::add);
-        }
-        Sockets.join(threads);
-    }
-
     private long ticksUntilNextEvent() {
         return requests.earliestDeadline(timerAtTicks) - clock.now();
     }
@@ -439,24 +414,11 @@
             // An ejection is acknowledged before the load balancer learns of it, and a client that
             // is not observed may have left.
             deferredEvents.add(() -> attemptEnded(attempt, AttemptOutcome.NOT_SENT));
-        } else if ((actor == null || !actor.offer(attempt) || !ensureStarted(actor))
-                && attempt.abandon()) {
+        } else if ((actor == null || !actor.offer(attempt)) && attempt.abandon()) {
             deferredEvents.add(() -> attemptEnded(attempt, AttemptOutcome.CONNECT_FAILED));
         }
     }
 
-    /**
-     * Has the backend's thread started if it has none; false when the starter's mailbox is full, so
-     * that it would never be started.
-     */
-    private boolean ensureStarted(BackendActor actor) {
-        if (actor.markStarted() && !threadStarter.offer(actor::startThread)) {
-            actor.clearStarted();
-            return false;
-        }
-        return true;
-    }
-
     @Override
     public void cancelAttempt(long number, int attempt) {
         ClientRequest req = requests.get(number);
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -3,6 +3,8 @@
 import cottonlock.admin.ManagementOperations;
 import cottonlock.admin.ManagementServer;
 import cottonlock.admin.Metrics;
+import cottonlock.core.Ticks;
+import cottonlock.proxy.concurrent.ActorTimers;
 import cottonlock.proxy.concurrent.TickClock;
 import cottonlock.proxy.control.ManualEjections;
 import cottonlock.proxy.control.PeerMessenger;
@@ -102,8 +104,12 @@
 
     private final LoadBalancerActor loadBalancer;
     private final EndpointListWatch watch;
-    private final ConnectionThreads workers = new ConnectionThreads();
-    private final ConnectionPermits permits;
+    private final WorkerThreads workers;
+    private final OpenBackendConnections backendConnections = new OpenBackendConnections();
+
+    /** Has a thread from the first timer on. */
+    private final ActorTimers timers = new ActorTimers();
+
     private final BufferPool buffers;
     private final SpillSpace spillSpace;
 
@@ -143,6 +149,7 @@
         Settings settings = config.settings();
         LoadBalancerFactory factory = new LoadBalancerFactory(settings);
         log = new RateLimitedLog(System.getLogger("cottonlock"));
+        workers = new WorkerThreads(log);
         SplittableRandom random = new SplittableRandom(config.seed());
         ResourceLimits limits = ResourceLimits.of(config, sharesPorts, log);
         buffers = new BufferPool(limits.maxBuffers(), limits.maxConnections());
@@ -152,12 +159,6 @@
                         : stateDirectory;
         HttpWriter writer = new HttpWriter(buffers);
         WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
-        KeepAlivePolicy keepAlive = new KeepAlivePolicy();
-        long connectTimeoutMillis =
-                settings.ticksRoundedDown("Limits.ConnectTimeout", DEFAULT_CONNECT_TIMEOUT_MICROS)
-                        / 10;
-        long idleTimeoutMillis =
-                settings.ticksRoundedDown("Limits.ConnIdle", DEFAULT_IDLE_TIMEOUT_MICROS) / 10;
         String name = config.text("name", "proxy") + "-" + config.text("listen", "");
         Path sharedStateDirectory = sharesPorts ? stateDirectory : null;
         SharedSpillLimit spillLimit =
@@ -170,33 +171,35 @@
         spillLimit.awaitRoomForProcess(MAX_START_DELAY_MILLIS);
         spillSpace = new SpillSpace(spillLimit, limits.maxBodyFiles());
         BodySpillFiles spillFiles = new BodySpillFiles(spillDirectory, spillSpace);
-        permits =
+        ConnectionPermits permits =
                 new ConnectionPermits(
                         limits.maxBackendConnections(),
                         () ->
                                 Math.min(
                                         limits.maxConnectionsInMemory(),
                                         spillLimit.maxConnections(spillSpace.allocatedBytes())),
-                        this::clientCount);
+                        this::clientCount,
+                        backendConnections);
+        BackendResources backendResources =
+                new BackendResources(
+                        connectionTimeouts(settings),
+                        permits,
+                        backendConnections,
+                        new KeepAlivePolicy(),
+                        workers,
+                        workers,
+                        timers,
+                        buffers,
+                        writer,
+                        watchdog,
+                        clock,
+                        metrics,
+                        log);
         handover = new ProcessHandover(new SharedFile(sharedStateDirectory, name, "serving", log));
         loadBalancer =
                 new LoadBalancerActor(
                         clock,
-                        entry ->
-                                new BackendActor(
-                                        entry.address(),
-                                        permits,
-                                        keepAlive,
-                                        workers,
-                                        connectTimeoutMillis,
-                                        idleTimeoutMillis,
-                                        BackendActor.SETTLE_NANOS,
-                                        buffers,
-                                        writer,
-                                        watchdog,
-                                        clock,
-                                        metrics,
-                                        log),
+                        entry -> new BackendActor(entry.address(), backendResources),
                         metrics,
                         log);
         manualEjections =
@@ -286,6 +289,7 @@
             metrics.addSource(rollout::metrics);
             rollout.begin();
         }
+        threads.add(Sockets.start("starter", workers));
         threads.add(Sockets.start("module", loadBalancer));
         threads.add(Sockets.start("watchdog", watchdog));
         threads.add(Sockets.start("list", watch));
@@ -329,6 +333,16 @@
         serving = true;
     }
 
+    private static BackendResources.ConnectionTimeouts connectionTimeouts(Settings settings) {
+        return new BackendResources.ConnectionTimeouts(
+                Ticks.toMillis(
+                        settings.ticksRoundedDown(
+                                "Limits.ConnectTimeout", DEFAULT_CONNECT_TIMEOUT_MICROS)),
+                Ticks.toMillis(
+                        settings.ticksRoundedDown("Limits.ConnIdle", DEFAULT_IDLE_TIMEOUT_MICROS)),
+                BackendActor.SETTLE_NANOS);
+    }
+
     private int clientCount() {
         return listener.clientCount();
     }
@@ -481,7 +495,7 @@
             listener.drain();
             // What this process no longer needs is memory for the other one.
             workers.endIdleThreadsSoon();
-            awaitNoClients(endNanos, permits::makeRoom);
+            awaitNoClients(endNanos, backendConnections::closeAllIdle);
         } else {
             Thread.sleep(
                     Math.max(
@@ -534,7 +548,9 @@
         if (rollout != null) {
             rollout.close();
         }
+        backendConnections.close();
         List<Thread> unfinished = Sockets.join(threads);
+        timers.close();
         workers.close();
         if (sharedIds != null) {
             sharedIds.close();
--- a/src/main/java/cottonlock/proxy/concurrent/Mailbox.java
+++ b/src/main/java/cottonlock/proxy/concurrent/Mailbox.java
@@ -44,21 +44,9 @@
         }
     }
 
-    /** Runs all messages that are in the mailbox. Called by the actor's thread. */
-    public void drain() {
-        for (Runnable message = messages.poll(); message != null; message = messages.poll()) {
-            guard(message);
-        }
-    }
-
     /** Runs a message and logs any exception or error that it throws. */
     public void guard(Runnable message) {
-        try {
-            message.run();
-        } catch (RuntimeException | Error e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            log.warn("fault", e + (trace.length > 0 ? " at " + trace[0] : ""));
-        }
+        FaultLog.guard(message, log);
     }
 
     /** The loop of an actor that only runs its messages; ends when interrupted. */
--- a/src/test/java/cottonlock/proxy/AddressAfterCloseTest.java
+++ b/src/test/java/cottonlock/proxy/AddressAfterCloseTest.java
@@ -139,7 +139,7 @@
 
     private void openAndCloseClientListener(InetSocketAddress address) throws IOException {
         ClientListener listener =
-                new ClientListener(address, false, 1, () -> 1, null, new ConnectionThreads(), log);
+                new ClientListener(address, false, 1, () -> 1, null, new WorkerThreads(log), log);
         startAndPause(listener);
         listener.close();
     }
--- a/src/test/java/cottonlock/proxy/BackendThreadsTest.java
+++ b/src/test/java/cottonlock/proxy/BackendThreadsTest.java
@@ -3,16 +3,22 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.FutureTask;
 import net.jqwik.api.Example;
 
-/** A backend's thread is started with its first attempt, and not by the load balancer's thread. */
+/** Backends have threads while they have work, which the load balancer's thread never starts. */
 class BackendThreadsTest extends ProxyFixture {
-    private static final int BACKENDS = 60;
+    private static final int BACKENDS = 200;
+    private static final int USED_BACKENDS = 100;
+    private static final int MAX_REQUESTS = 2_000;
+    private static final int MAX_THREADS = 1_000;
+    private static final int SOCKETS = 64;
+
+    /** Connections to backends that so many sockets allow at most. */
+    private static final int BACKEND_CONNECTIONS = SOCKETS * 3 / 8;
 
     /**
      * The creator of each thread of the proxy; recorded as the threads inherit the thread-local.
@@ -39,43 +45,37 @@
                 new FutureTask<>(
                         () -> {
                             TRACKED.set(true);
-                            start(256, 1, "", hosts);
+                            start(SOCKETS, 1, "", hosts);
                             return null;
                         });
         new Thread(group, building, "builder").start();
         building.get();
     }
 
-    private long threads(String name) {
-        Thread[] all = new Thread[4 * BACKENDS];
-        return Arrays.stream(all, 0, group.enumerate(all))
-                .filter(t -> t.getName().equals(name))
-                .count();
+    private int threads() {
+        return group.enumerate(new Thread[MAX_THREADS]);
     }
 
     private static long createdBy(String name) {
         return Collections.frequency(CREATORS, name);
     }
 
-    /** The first response shows that the list has been processed. */
+    /**
+     * Guards against a thread that each backend keeps from its first attempt on. The threads that
+     * are left are those of idle connections, of which there are sockets for a few only.
+     */
     @Example
-    void aBackendsThreadStartsWithItsFirstAttempt() throws Exception {
-        StandIn backend = new StandIn(request -> OK);
-        String[] hosts = new String[BACKENDS];
-        for (int i = 0; i < BACKENDS; i++) {
-            hosts[i] = backend.host("b" + i);
-        }
-        startInGroup(hosts);
-        assertEquals(200, status(call(request("once", "first", "", "body"))));
-        assertEquals(1, threads("backend"), "the other backends have no thread");
-        for (int i = 0; i < BACKENDS; i++) {
+    void backendsWithoutWorkHaveNoThread() throws Exception {
+        ManyBackends backends = new ManyBackends();
+        open.add(backends);
+        startInGroup(backends.hosts(BACKENDS));
+        int threadsWithoutWork = threads();
+        for (int i = 0; backends.used() < USED_BACKENDS && i < MAX_REQUESTS; i++) {
             assertEquals(200, status(call(request("once", "next" + i, "", "body"))));
         }
-        long started = threads("backend");
-        assertTrue(
-                started > 1 && started <= BACKENDS,
-                started + " of " + BACKENDS + " backends have a thread");
-        assertEquals(started, createdBy("starter"), "each started once");
-        assertEquals(2, createdBy("module"), "only the threads for I/O and for starting threads");
+        assertTrue(backends.used() >= USED_BACKENDS, backends.used() + " backends were used");
+        int threadsLeft = threadsWithoutWork + BACKEND_CONNECTIONS + 1;
+        eventually(() -> threads() <= threadsLeft, "only idle connections and timers have threads");
+        assertEquals(1, createdBy("module"), "only the thread for I/O");
     }
 }
--- a/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
+++ b/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
@@ -42,11 +42,12 @@
     /** The stack of a thread that waits on an idle connection to a backend. */
     private static final String IDLE_CONNECTION = "NioSocketImpl.*HttpReader.awaitSingleByte";
 
-    private final RateLimitedLog log = new RateLimitedLog(System.getLogger("test"));
-    private final TickClock clock = new TickClock();
-    private final Metrics metrics = new Metrics();
-    private final BufferPool buffers = new BufferPool(16, 4);
-    private final ConnectionThreads workers = new ConnectionThreads();
+    private final BackendActors backends = new BackendActors(8_000);
+    private final RateLimitedLog log = backends.log;
+    private final TickClock clock = backends.clock;
+    private final Metrics metrics = backends.metrics;
+    private final BufferPool buffers = backends.buffers;
+    private final WorkerThreads workers = backends.workers;
     private final WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
 
     /** Its thread is never started: messages stay in its mailbox. */
@@ -71,38 +72,11 @@
         return new Sent(request, attempt);
     }
 
-    private static InetSocketAddress address(StandIn at) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), at.server.getLocalPort());
-    }
-
-    private BackendActor actor(StandIn backend, long settleNanos) {
-        return new BackendActor(
-                address(backend),
-                new ConnectionPermits(4),
-                new KeepAlivePolicy(),
-                workers,
-                8_000,
-                60_000,
-                settleNanos,
-                buffers,
-                new HttpWriter(buffers),
-                watchdog,
-                clock,
-                metrics,
-                log);
-    }
-
     private BackendConnection connection(StandIn backend, Sent first) {
         return new BackendConnection(
-                actor(backend, 0),
-                address(backend),
-                8_000,
-                buffers,
-                new HttpWriter(buffers),
-                watchdog,
-                clock,
-                metrics,
-                log,
+                backends.actor(backend, 0),
+                BackendActors.address(backend),
+                backends.resources(0, 0),
                 first.attempt);
     }
 
@@ -304,17 +278,16 @@
     @Example
     void inTheMailboxOfItsBackend() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, 0);
+        BackendActor actor = backends.actor(backend, 0);
         Sent gone = attempt(actor);
         Sent stays = attempt(actor);
         assertTrue(gone.request.claim());
-        Thread thread = Sockets.start("backend", actor);
+        backends.executor.release();
         eventually(() -> gone.attempt.isSettled() && stays.attempt.isSettled(), "settled");
         assertEquals(1, backend.requests.size());
         assertEquals(
                 1, backend.sockets.size(), "no connection was opened for a client that had left");
-        actor.stop();
-        thread.join(4_000);
+        backends.open.close();
         assertTrue(stays.request.claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
@@ -350,8 +323,8 @@
     @Example
     void whileAConnectionSettles() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, 8_000_000_000L);
-        Thread thread = Sockets.start("backend", actor);
+        BackendActor actor = backends.actor(backend, 8_000_000_000L);
+        backends.executor.release();
         Sent first = attempt(actor);
         eventually(
                 () -> first.attempt.isSettled() && anyThreadIn(IDLE_CONNECTION),
@@ -366,8 +339,7 @@
         assertEquals(1, backend.requests.size());
         assertEquals(
                 1, backend.sockets.size(), "no connection was opened for a client that had left");
-        actor.stop();
-        thread.join(4_000);
+        backends.open.close();
         assertTrue(first.request.claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
@@ -573,7 +545,7 @@
     @Example
     void afterAFloodTheFirstAttemptStartsSoonOrNotAtAll() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, 0);
+        BackendActor actor = backends.actor(backend, 0);
         Sent unobserved = attempt(actor);
         loadBalancer.clientUnobserved(unobserved.request, 0);
         long startUntilTicks = unobserved.request.observedUntilTicks;
@@ -582,11 +554,10 @@
                 "within 0.1 s of when it was last observed");
         eventually(() -> clock.now() >= startUntilTicks, "that time is over");
         Sent stays = attempt(actor);
-        Thread thread = Sockets.start("backend", actor);
+        backends.executor.release();
         eventually(() -> unobserved.attempt.isSettled() && stays.attempt.isSettled(), "settled");
         assertEquals(1, backend.requests.size());
-        actor.stop();
-        thread.join(4_000);
+        backends.open.close();
         assertTrue(unobserved.request.claim() && stays.request.claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
--- a/src/test/java/cottonlock/proxy/ConnectionPermitsTest.java
+++ b/src/test/java/cottonlock/proxy/ConnectionPermitsTest.java
@@ -12,7 +12,8 @@
 
     private final AtomicInteger clients = new AtomicInteger();
     private final ConnectionPermits permits =
-            new ConnectionPermits(SOCKETS, () -> TOGETHER, clients::get);
+            new ConnectionPermits(
+                    SOCKETS, () -> TOGETHER, clients::get, new OpenBackendConnections());
 
     private int takeAll() {
         int taken = 0;
--- a/src/test/java/cottonlock/proxy/FullListenerTest.java
+++ b/src/test/java/cottonlock/proxy/FullListenerTest.java
@@ -71,7 +71,7 @@
      * @return the milliseconds after which it closed the connections, the shortest first
      */
     private static List<Long> waitsWithoutRoom() throws Exception {
-        ConnectionThreads workers = new ConnectionThreads();
+        WorkerThreads workers = new WorkerThreads(new RateLimitedLog(System.getLogger("test")));
         ClientListener listener =
                 new ClientListener(
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/src/test/java/cottonlock/proxy/ListsTest.java
+++ b/src/test/java/cottonlock/proxy/ListsTest.java
@@ -286,19 +286,7 @@
                         clock,
                         entry ->
                                 new BackendActor(
-                                        entry.address(),
-                                        new ConnectionPermits(4),
-                                        new KeepAlivePolicy(),
-                                        new ConnectionThreads(),
-                                        1_000,
-                                        60_000,
-                                        BackendActor.SETTLE_NANOS,
-                                        new BufferPool(16, 4),
-                                        null,
-                                        null,
-                                        clock,
-                                        null,
-                                        log),
+                                        entry.address(), new BackendActors(1_000).resources(0, 4)),
                         new Metrics(),
                         log);
         LoadBalancerFactory factory =
--- a/src/test/java/cottonlock/proxy/ManyClientsMemoryTest.java
+++ b/src/test/java/cottonlock/proxy/ManyClientsMemoryTest.java
@@ -33,14 +33,6 @@
 
     private static final long READ_PAUSE_MILLIS = 100;
 
-    /** The options that the program is deployed with, but for the archive, which tests lack. */
-    private static String[] deployedOptions() throws IOException {
-        return Files.readAllLines(Path.of("deploy", "jvm.options")).stream()
-                .filter(line -> line.startsWith("-"))
-                .filter(line -> !line.contains("SharedArchiveFile"))
-                .toArray(String[]::new);
-    }
-
     /** Half of a request: a head of very many short fields and half of a body. */
     private static String halfRequest(String id) {
         StringBuilder fields = new StringBuilder("Content-Length: 60000\r\n");
--- a/src/test/java/cottonlock/proxy/ProxyFixture.java
+++ b/src/test/java/cottonlock/proxy/ProxyFixture.java
@@ -396,6 +396,24 @@
         return process;
     }
 
+    /** The options that the program is deployed with, but for the archive, which tests lack. */
+    static String[] deployedOptions() throws IOException {
+        return Files.readAllLines(Path.of("deploy", "jvm.options")).stream()
+                .filter(line -> line.startsWith("-"))
+                .filter(line -> !line.contains("SharedArchiveFile"))
+                .toArray(String[]::new);
+    }
+
+    /** The number of threads of a process. */
+    static int threadCount(Process process) throws IOException {
+        Path status = Path.of("/proc/" + process.pid() + "/status");
+        return Files.readAllLines(status).stream()
+                .filter(line -> line.startsWith("Threads:"))
+                .mapToInt(line -> Integer.parseInt(line.replaceAll("[^0-9]", "")))
+                .findFirst()
+                .orElse(0);
+    }
+
     /** A process's own memory in bytes, without mapped files; 0 if it has ended. */
     static long ownMemoryBytes(Process process) {
         try {
--- a/src/test/java/cottonlock/proxy/ProxyTest.java
+++ b/src/test/java/cottonlock/proxy/ProxyTest.java
@@ -277,7 +277,7 @@
 
     @Example
     void successiveConnectionsShareAThread() throws Exception {
-        ConnectionThreads workers = new ConnectionThreads();
+        WorkerThreads workers = new WorkerThreads(new RateLimitedLog(System.getLogger("test")));
         Set<Thread> threads = ConcurrentHashMap.newKeySet();
         for (int i = 0; i < 20; i++) {
             AtomicInteger done = new AtomicInteger();
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -40,21 +40,18 @@
     private static final String STRAY = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
     private static final String FAILED = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
 
-    private final RateLimitedLog log = new RateLimitedLog(System.getLogger("test"));
-    private final TickClock clock = new TickClock();
-    private final Metrics metrics = new Metrics();
-    private final BufferPool buffers = new BufferPool(16, 4);
-    private final ConnectionThreads workers = new ConnectionThreads();
+    private final BackendActors backends = new BackendActors(1_000);
+    private final RateLimitedLog log = backends.log;
+    private final TickClock clock = backends.clock;
+    private final Metrics metrics = backends.metrics;
+    private final BufferPool buffers = backends.buffers;
+    private final WorkerThreads workers = backends.workers;
     private final WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
 
     /** Its thread is never started: messages stay in its mailbox. */
     private final LoadBalancerActor loadBalancer =
             new LoadBalancerActor(clock, entry -> null, metrics, log);
 
-    private static InetSocketAddress address(StandIn at) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), at.server.getLocalPort());
-    }
-
     private static boolean anyConnectionThreadBlocked() {
         return Thread.getAllStackTraces().keySet().stream()
                 .anyMatch(
@@ -367,7 +364,7 @@
     private EndpointListWatch watch(StandIn at, long silenceTimeoutMillis) throws IOException {
         EndpointListWatch watch =
                 new EndpointListWatch(
-                        address(at),
+                        BackendActors.address(at),
                         new EndpointListParser(log, List.of("z"), List.of("k")),
                         new EndpointListWatch.Options(7, true, silenceTimeoutMillis),
                         loadBalancer,
@@ -394,7 +391,7 @@
         assertTrue(old.requests.get(0).get(0).contains("index=7 "));
         // Refused there, it waits until the load balancer asks again.
         eventually(watch::awaitsRequest, "between two watches");
-        watch.move(address(now));
+        watch.move(BackendActors.address(now));
         eventually(() -> now.requests.size() == 1, "the new address is asked");
         assertTrue(now.requests.get(0).get(0).contains("index=0 "), now.requests.get(0).get(0));
     }
@@ -462,34 +459,14 @@
 
     private record Sent(ClientRequest request, ClientRequest.Attempt attempt) {}
 
-    private BackendActor actor(StandIn backend, long settleNanos) {
-        return actor(backend, settleNanos, new ConnectionPermits(4));
-    }
-
-    private BackendActor actor(StandIn backend, long settleNanos, ConnectionPermits permits) {
-        return new BackendActor(
-                address(backend),
-                permits,
-                new KeepAlivePolicy(),
-                workers,
-                1_000,
-                60_000,
-                settleNanos,
-                buffers,
-                new HttpWriter(buffers),
-                watchdog,
-                clock,
-                metrics,
-                log);
-    }
-
-    /** The attempt is held in the mailbox until the actor's thread is started. */
+    /** The attempt is held in the mailbox until the actor is given a thread. */
     @Example
     void aQueuedAttemptIsWrittenOnlyIfItStillMayBe() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         long later = clock.now() + 100_000;
         for (int kind = 0; kind < 4; kind++) {
-            BackendActor actor = actor(backend, BackendActor.SETTLE_NANOS);
+            BackendActors own = new BackendActors(1_000);
+            BackendActor actor = own.actor(backend, BackendActor.SETTLE_NANOS);
             Sent sent = attempt(actor, kind == 1 ? clock.now() : later);
             if (kind == 2) {
                 actor.setReady(false);
@@ -498,11 +475,11 @@
                 // Its client has left.
                 assertTrue(sent.request.claim());
             }
-            Thread thread = Sockets.start("backend", actor);
+            own.executor.release();
             eventually(sent.attempt::isSettled, "settled");
             assertEquals(1, backend.requests.size(), "only the first may be sent");
-            actor.stop();
-            thread.join(4_000);
+            own.open.close();
+            eventually(() -> own.buffers.available() == 16, "all its buffers are back");
             if (kind != 3) {
                 assertTrue(sent.request.claim());
             }
@@ -517,7 +494,7 @@
     @Example
     void attemptsThatWaitForAPermitHoldUpNothingBehindThem() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, BackendActor.SETTLE_NANOS, new ConnectionPermits(0));
+        BackendActor actor = backends.actor(backend, BackendActor.SETTLE_NANOS, 0);
         List<Sent> waiting = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
             waiting.add(attempt(actor, Long.MAX_VALUE));
@@ -530,7 +507,7 @@
                             sent -> settledBefore.addAndGet(sent.attempt.isSettled() ? 1 : 0));
                     processed.countDown();
                 });
-        Thread thread = Sockets.start("backend", actor);
+        backends.executor.release();
         assertTrue(processed.await(4, TimeUnit.SECONDS));
         assertTrue(settledBefore.get() < waiting.size(), "they were waited for in turn");
         for (Sent sent : waiting) {
@@ -538,8 +515,7 @@
             assertTrue(sent.request.claim());
         }
         assertEquals(0, backend.requests.size());
-        actor.stop();
-        thread.join(4_000);
+        backends.open.close();
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -548,19 +524,17 @@
     void updatesBeforeTheFirstAttemptNeitherFillTheMailboxNorAreLost() throws Exception {
         StandIn old = new StandIn(request -> CLOSE);
         StandIn now = new StandIn(request -> FAILED);
-        BackendActor actor = actor(old, BackendActor.SETTLE_NANOS);
+        BackendActor actor = backends.actor(old, BackendActor.SETTLE_NANOS);
         for (int i = 0; i < 5_000; i++) {
             actor.closeIdleConnections();
-            actor.addressChanged(address(i % 2 == 0 ? old : now));
+            actor.addressChanged(BackendActors.address(i % 2 == 0 ? old : now));
         }
         Sent sent = attempt(actor, Long.MAX_VALUE);
-        assertTrue(actor.markStarted(), "it has no thread yet");
-        assertFalse(actor.markStarted(), "its thread is being started");
-        actor.startThread();
+        backends.executor.release();
         eventually(sent.attempt::isSettled, "settled");
         assertEquals(1, now.requests.size());
         assertEquals(0, old.requests.size());
-        actor.stop();
+        backends.open.close();
         assertTrue(sent.request.claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
@@ -570,19 +544,13 @@
     @Example
     void anUnsolicitedResponseIsNotTakenForThatOfTheNextAttempt() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, BackendActor.SETTLE_NANOS);
+        BackendActor actor = backends.actor(backend, BackendActor.SETTLE_NANOS);
         Sent first = attempt(null, Long.MAX_VALUE);
         BackendConnection connection =
                 new BackendConnection(
                         actor,
-                        address(backend),
-                        1_000,
-                        buffers,
-                        new HttpWriter(buffers),
-                        watchdog,
-                        clock,
-                        metrics,
-                        log,
+                        BackendActors.address(backend),
+                        backends.resources(BackendActor.SETTLE_NANOS, 0),
                         first.attempt);
         Thread thread = Sockets.thread("connection", connection);
         thread.start();
@@ -615,8 +583,8 @@
     @Example
     void aLateDuplicateResponseIsNotTakenForThatOfTheNextAttempt() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        BackendActor actor = actor(backend, 8_000_000_000L);
-        Thread thread = Sockets.start("backend", actor);
+        BackendActor actor = backends.actor(backend, 8_000_000_000L);
+        backends.executor.release();
         Sent first = attempt(actor, Long.MAX_VALUE);
         eventually(
                 () ->
@@ -639,8 +607,7 @@
         eventually(next.attempt::isSettled, "sent, as no connection is settling any more");
         assertEquals(2, backend.requests.size());
         assertEquals(2, backend.sockets.size(), "each on a connection of its own");
-        actor.stop();
-        thread.join(4_000);
+        backends.open.close();
         assertTrue(first.request.claim() && next.request.claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
--- a/src/test/java/cottonlock/proxy/RefusedRequestsTest.java
+++ b/src/test/java/cottonlock/proxy/RefusedRequestsTest.java
@@ -86,7 +86,7 @@
     void aConnectionWithoutMemoryDoesNotEndTheListener() throws Exception {
         AtomicInteger connections = new AtomicInteger();
         AtomicReference<Socket> served = new AtomicReference<>();
-        ConnectionThreads workers = new ConnectionThreads();
+        WorkerThreads workers = new WorkerThreads(new RateLimitedLog(System.getLogger("test")));
         ClientListener listener =
                 new ClientListener(
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/src/test/java/cottonlock/proxy/ReplacedProcessTest.java
+++ b/src/test/java/cottonlock/proxy/ReplacedProcessTest.java
@@ -105,13 +105,4 @@
             return -1;
         }
     }
-
-    private static int threadCount(Process process) throws IOException {
-        Path status = Path.of("/proc/" + process.pid() + "/status");
-        return Files.readAllLines(status).stream()
-                .filter(line -> line.startsWith("Threads:"))
-                .mapToInt(line -> Integer.parseInt(line.replaceAll("[^0-9]", "")))
-                .findFirst()
-                .orElse(0);
-    }
 }
--- a/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
+++ b/src/test/java/cottonlock/proxy/ThreadsAfterCloseTest.java
@@ -29,13 +29,13 @@
                     "module",
                     "clerk",
                     "starter",
+                    "timers",
                     "watchdog",
                     "list",
                     "peers",
                     "listener",
                     "management",
                     "bans",
-                    "backend",
                     "connection");
 
     private final SplittableRandom random = new SplittableRandom(1);
--- a/src/test/java/cottonlock/proxy/concurrent/MailboxTest.java
+++ b/src/test/java/cottonlock/proxy/concurrent/MailboxTest.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import net.jqwik.api.Example;
 
-/** The proxy has a mailbox for each listed backend, most of which never receive a message. */
+/** The mailbox of an actor with a thread of its own. */
 class MailboxTest {
     private static final int CAPACITY = 4_096;
 
@@ -52,7 +52,9 @@
         mailbox.runNext(0);
         assertEquals(List.of(0), numbers);
         assertTrue(mailbox.offer(() -> numbers.add(3)));
-        mailbox.drain();
+        for (int i = 0; i < 3; i++) {
+            mailbox.runNext(0);
+        }
         assertEquals(List.of(0, 1, 2, 3), numbers);
     }
 }
