A backend's thread stays while an attempt waits for milliseconds

Cause: an attempt that waits until a connection has settled went from the timers' thread to one of the pool, two switches of threads instead of one. Change: while an attempt waits, for milliseconds, that is work under way, and the thread stays (SerialMailbox.Actor.nanosToStay); timers are for idle connections only.

--- a/src/main/java/cottonlock/proxy/BackendActor.java
+++ b/src/main/java/cottonlock/proxy/BackendActor.java
@@ -15,9 +15,9 @@
 /**
  * A backend's actor: the only one that gives attempts to the connections to it. It uses idle
  * connections before it opens new ones. Lists name thousands of backends, so it has a thread only
- * while it runs messages, and a timer only while an attempt waits or a connection is idle.
+ * while it runs messages or an attempt waits, and a timer only while a connection is idle.
  */
-final class BackendActor {
+final class BackendActor implements SerialMailbox.Actor {
     /** Attempts that may be pending: far more than there are sockets. */
     private static final int MAILBOX_CAPACITY = 4_096;
 
@@ -87,9 +87,8 @@
         this.address = address;
         this.resources = resources;
         this.log = resources.log();
-        this.mailbox =
-                new SerialMailbox(MAILBOX_CAPACITY, resources.actorExecutor(), this::process);
-        this.timer = new ActorTimer(resources.timers(), () -> mailbox.put(this::timerFired));
+        this.mailbox = new SerialMailbox(MAILBOX_CAPACITY, resources.actorExecutor(), this);
+        this.timer = new ActorTimer(resources.timers(), this::timerFired);
         this.idleConnections =
                 new IdleBackendConnections(
                         resources.open(),
@@ -97,29 +96,37 @@
                         resources.timeouts().maxIdleNanos());
     }
 
-    /** Runs a message, and then what has become due. */
-    private void process(Runnable message) {
+    @Override
+    public void process(Runnable message) {
         FaultLog.guard(message, log);
         // Without a free byte in the heap one of them fails, and the others are still needed.
         FaultLog.guard(idleConnections::closeExpired, log);
         FaultLog.guard(this::sendWaitingAttempts, log);
         FaultLog.guard(this::endPermitWaits, log);
-        FaultLog.guard(() -> timer.set(nanosUntilNextCheck()), log);
+        FaultLog.guard(this::setTimer, log);
     }
 
+    /** Called by the timers' thread. */
     private void timerFired() {
-        timer.fired();
+        mailbox.put(timer::fired);
     }
 
-    private long nanosUntilNextCheck() {
-        long nanos = ActorTimer.NEVER;
-        if (idleConnections.size() > 0) {
-            nanos = Math.max(IDLE_CHECK_NANOS, idleConnections.nanosUntilExpired());
-        }
+    private void setTimer() {
+        timer.set(
+                idleConnections.size() == 0
+                        ? ActorTimer.NEVER
+                        : Math.max(IDLE_CHECK_NANOS, idleConnections.nanosUntilExpired()));
+    }
+
+    /** Attempts that wait are sent within milliseconds, or given up. */
+    @Override
+    public long nanosToStay() {
+        long nanos = permitWaits.isEmpty() ? Long.MAX_VALUE : PERMIT_CHECK_NANOS;
         if (!waitingAttempts.isEmpty()) {
-            nanos = Math.min(nanos, Math.max(0, idleConnections.nanosUntilSettled()));
+            // It may have settled just now.
+            nanos = Math.min(nanos, Math.max(1, idleConnections.nanosUntilSettled()));
         }
-        return permitWaits.isEmpty() ? nanos : Math.min(nanos, PERMIT_CHECK_NANOS);
+        return nanos == Long.MAX_VALUE ? 0 : nanos;
     }
 
     /**
--- a/src/main/java/cottonlock/proxy/OpenBackendConnections.java
+++ b/src/main/java/cottonlock/proxy/OpenBackendConnections.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * The open connections to all backends, and which of them are idle. Whoever takes an idle
- * connection out, to use or to close it, is the only one who may. Thread-safe.
+ * The open connections to all backends, and which of them are idle. An idle connection is taken
+ * out, to be used or to be closed, by one thread only. Thread-safe.
  */
 final class OpenBackendConnections {
     private final Set<BackendConnection> open = new HashSet<>();
--- a/src/test/java/cottonlock/proxy/concurrent/SerialMailboxTest.java
+++ b/src/test/java/cottonlock/proxy/concurrent/SerialMailboxTest.java
@@ -31,6 +31,23 @@
     private final List<Integer> numbers = new ArrayList<>();
     private final Deque<Runnable> tasks = new ArrayDeque<>();
 
+    /** Runs messages, and has a thread stay as a test says. */
+    private static final class Processor implements SerialMailbox.Actor {
+        private volatile long nanosToStay;
+        private final AtomicInteger processed = new AtomicInteger();
+
+        @Override
+        public void process(Runnable message) {
+            processed.incrementAndGet();
+            message.run();
+        }
+
+        @Override
+        public long nanosToStay() {
+            return nanosToStay;
+        }
+    }
+
     private void runTasks() {
         for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
             task.run();
@@ -43,11 +60,11 @@
         long threadId = Thread.currentThread().getId();
         List<SerialMailbox> mailboxes = new ArrayList<>(1_100);
         for (int i = 0; i < 100; i++) {
-            mailboxes.add(new SerialMailbox(CAPACITY, tasks::add, Runnable::run));
+            mailboxes.add(new SerialMailbox(CAPACITY, tasks::add, new Processor()));
         }
         long bytesBefore = threads.getThreadAllocatedBytes(threadId);
         for (int i = 0; i < 1_000; i++) {
-            mailboxes.add(new SerialMailbox(CAPACITY, tasks::add, Runnable::run));
+            mailboxes.add(new SerialMailbox(CAPACITY, tasks::add, new Processor()));
         }
         long bytesEach = (threads.getThreadAllocatedBytes(threadId) - bytesBefore) / 1_000;
         assertTrue(bytesEach < MAX_EMPTY_BYTES, "a mailbox takes " + bytesEach + " bytes");
@@ -56,7 +73,7 @@
 
     @Example
     void messagesAreHeldInOrderUpToTheCapacity() {
-        SerialMailbox mailbox = new SerialMailbox(3, tasks::add, Runnable::run);
+        SerialMailbox mailbox = new SerialMailbox(3, tasks::add, new Processor());
         for (int i = 0; i < 3; i++) {
             int number = i;
             assertTrue(mailbox.offer(() -> numbers.add(number)));
@@ -75,7 +92,7 @@
     @Example
     void messagesOfManyThreadsRunOneAtATimeAndNoneIsLost() throws InterruptedException {
         ExecutorService executor = Executors.newCachedThreadPool();
-        SerialMailbox mailbox = new SerialMailbox(CAPACITY, executor, Runnable::run);
+        SerialMailbox mailbox = new SerialMailbox(CAPACITY, executor, new Processor());
         CountDownLatch all = new CountDownLatch(SENDERS * MESSAGES_EACH);
         AtomicInteger running = new AtomicInteger();
         AtomicInteger overlaps = new AtomicInteger();
@@ -100,7 +117,7 @@
     /** Guards against an actor that never runs again because a fault could not even be logged. */
     @Example
     void aMessageThatFailsDoesNotEndTheOnesBehindIt() {
-        SerialMailbox mailbox = new SerialMailbox(CAPACITY, tasks::add, Runnable::run);
+        SerialMailbox mailbox = new SerialMailbox(CAPACITY, tasks::add, new Processor());
         mailbox.put(
                 () -> {
                     throw new OutOfMemoryError("for this test");
@@ -126,10 +143,32 @@
                             }
                             tasks.add(task);
                         },
-                        Runnable::run);
+                        new Processor());
         assertThrows(OutOfMemoryError.class, () -> mailbox.put(() -> numbers.add(1)));
         mailbox.put(() -> numbers.add(2));
         runTasks();
         assertEquals(List.of(1, 2), numbers);
     }
+
+    /** What falls due soon needs no message. */
+    @Example
+    void aThreadStaysForWhatFallsDueSoonAndIsWokenByMessages() throws InterruptedException {
+        ExecutorService executor = Executors.newCachedThreadPool();
+        Processor actor = new Processor();
+        actor.nanosToStay = TimeUnit.MILLISECONDS.toNanos(1);
+        SerialMailbox mailbox = new SerialMailbox(CAPACITY, executor, actor);
+        mailbox.put(() -> {});
+        while (actor.processed.get() < 5) {
+            Thread.sleep(1);
+        }
+        actor.nanosToStay = TimeUnit.SECONDS.toNanos(60);
+        Thread.sleep(20);
+        CountDownLatch run = new CountDownLatch(1);
+        mailbox.put(run::countDown);
+        assertTrue(run.await(20, TimeUnit.SECONDS), "the thread that stays was woken");
+        actor.nanosToStay = 0;
+        mailbox.put(() -> {});
+        executor.shutdown();
+        assertTrue(executor.awaitTermination(20, TimeUnit.SECONDS), "the thread was let go");
+    }
 }
