Connections take only the memory that the list of backends leaves

What callers could see: at 96 MB with 3,200 backends the proxy was 3 MB below its limit with idle connections alone (95,308 kB of 98,304 in a trial). Cause: the 48 MB that a process takes by itself were counted as with a short list; one of 3,200 takes 9 MB more (37,292 kB after the start, 27,952 with 200). Change: what each backend beyond 256 takes, 3 KB, is not given to connections, nor to clients'.

--- a/src/main/java/cottonlock/proxy/BackendDirectory.java
+++ b/src/main/java/cottonlock/proxy/BackendDirectory.java
@@ -15,7 +15,7 @@
 
 /**
  * The backends that discovery names, each with its actor, and what the operators have ejected of
- * them. Owned by the load balancer's thread, except {@link #isListed}.
+ * them. Owned by the load balancer's thread, except {@link #isListed} and {@link #listedCount}.
  */
 final class BackendDirectory {
     private final Function<EndpointList.Entry, BackendActor> actorFactory;
@@ -139,9 +139,9 @@
         return manualEjections.isEjected(id);
     }
 
-    /** The number of backends in the list. */
+    /** The number of backends in the list; safe for use by any thread. */
     int listedCount() {
-        return listedEndpoints.size();
+        return listedIds.size();
     }
 
     /** The number of backends in the list that drain or were ejected manually. */
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -350,6 +350,11 @@
         return backends.isListed(id);
     }
 
+    /** The number of backends in the endpoint list; safe for use by any thread. */
+    int listedCount() {
+        return backends.listedCount();
+    }
+
     /** Handles that backends were ejected or restored manually; safe for use by any thread. */
     void manualEjectionsChanged() {
         mailbox.put(
--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -176,7 +176,7 @@
                         limits.maxBackendConnections(),
                         () ->
                                 Math.min(
-                                        limits.maxConnectionsInMemory(),
+                                        limits.maxConnectionsInMemory(listedBackends()),
                                         spillLimit.maxConnections(spillSpace.allocatedBytes())),
                         this::clientCount,
                         backendConnections);
@@ -343,6 +343,10 @@
                 BackendActor.SETTLE_NANOS);
     }
 
+    private int listedBackends() {
+        return loadBalancer.listedCount();
+    }
+
     private int clientCount() {
         return listener.clientCount();
     }
--- a/src/main/java/cottonlock/proxy/ResourceLimits.java
+++ b/src/main/java/cottonlock/proxy/ResourceLimits.java
@@ -13,8 +13,7 @@
  * @param maxClientConnections the connections of clients
  * @param maxWaitingClients the connections that may wait to be one of these
  * @param maxBackendConnections the connections to backends
- * @param maxConnectionsInMemory the connections of clients and to backends that there is memory
- *     for, together
+ * @param connectionMemoryBytes the memory for connections, where the list of backends is short
  * @param maxBodyFiles the bodies that may be in files at a time
  * @param maxBuffers the buffers of the pool, of which each connection may need one
  */
@@ -23,7 +22,7 @@
         int maxClientConnections,
         int maxWaitingClients,
         int maxBackendConnections,
-        int maxConnectionsInMemory,
+        long connectionMemoryBytes,
         int maxBodyFiles,
         int maxBuffers) {
     /**
@@ -39,9 +38,14 @@
      */
     private static final double BACKEND_SOCKET_SHARE = 0.375;
 
-    /** Megabytes that the process takes by itself. */
+    /** Megabytes that the process takes by itself, with a list of so many backends. */
     private static final int RESERVED_MEMORY_MB = 48;
 
+    private static final int BACKENDS_IN_RESERVED_MEMORY = 256;
+
+    /** What each further backend takes: its entry, what is learned of it and its actor. */
+    private static final long BYTES_PER_BACKEND = 3 << 10;
+
     /**
      * Connections per further megabyte, of clients and to backends, and how many of them clients
      * may have: each has a thread, which takes 110 KB.
@@ -50,6 +54,8 @@
 
     private static final int CLIENTS_PER_MB = 6;
 
+    private static final long BYTES_PER_CONNECTION = (1 << 20) / CONNECTIONS_PER_MB;
+
     /** However little memory there is, so many clients may be connected. */
     private static final int MIN_CLIENTS = 16;
 
@@ -95,7 +101,7 @@
                         ClientListener.MIN_WAITING,
                         sockets - backendConnections - clientConnections),
                 backendConnections,
-                Math.max(MIN_CLIENTS * 2, freeMemoryMb * CONNECTIONS_PER_MB),
+                (long) freeMemoryMb << 20,
                 Math.max(2, sockets / SOCKETS_PER_BODY_FILE),
                 (int) Math.max(connections, bufferBytes / BufferPool.SIZE));
     }
@@ -120,4 +126,15 @@
     int maxConnections() {
         return maxClientConnections + maxBackendConnections;
     }
+
+    /**
+     * The connections of clients and to backends that there is memory for, together.
+     *
+     * @param listedBackends the backends that the list names at present
+     */
+    int maxConnectionsInMemory(int listedBackends) {
+        int furtherBackends = Math.max(0, listedBackends - BACKENDS_IN_RESERVED_MEMORY);
+        long bytes = connectionMemoryBytes - furtherBackends * BYTES_PER_BACKEND;
+        return (int) Math.max(MIN_CLIENTS * 2, bytes / BYTES_PER_CONNECTION);
+    }
 }
