A change of one entry no longer costs work for the whole list of backends

Cause: at each line the load balancer sorted all backends for each tenant's lane, with a rendezvous hash at each comparison, copied the set of ids and counted what drains. Evidence: 23 of 30 dumps of its thread were in ReadyBackends.refresh. Change: ready lists and lanes are made when next needed; a hash is computed once for a tenant and backend; ids and the count of what drains follow changes.

--- a/src/main/java/cottonlock/decision/backend/BackendRegistry.java
+++ b/src/main/java/cottonlock/decision/backend/BackendRegistry.java
@@ -62,7 +62,7 @@
         this.actions = actions;
         this.topology = topology;
         this.slowStartConfig = slowStartConfig;
-        ready = new ReadyBackends(tenants, topology);
+        ready = new ReadyBackends(tenants, topology, backendsById.values());
         listFreshness = new EndpointListFreshness(actions, random, topology);
         peerExchange = new PeerExchange(actions, topology);
         outliers = new OutlierDetector(topology, random);
@@ -176,7 +176,7 @@
                 delist(backend, nowTicks);
             }
         }
-        refreshReady();
+        removeLeft();
         listFreshness.onList(cached);
     }
 
@@ -199,9 +199,9 @@
         return backend.successes.sum(nowTicks) > 0;
     }
 
-    private void refreshReady() {
+    private void removeLeft() {
         backendsById.values().removeIf(backend -> backend.isLeaving() && backend.inFlight == 0);
-        ready.refresh(backendsById.values());
+        ready.onChange();
     }
 
     /** A subscription to the endpoint list has failed or ended. */
@@ -242,7 +242,7 @@
         List<Backend> delisted = ready.all().stream().filter(backend -> backend.delisted).toList();
         if (delisted.stream().anyMatch(backend -> !hasRecentSuccess(backend, nowTicks))) {
             delisted.forEach(backend -> delist(backend, nowTicks));
-            refreshReady();
+            removeLeft();
         }
     }
 
@@ -287,6 +287,8 @@
 
     /** An attempt has ended. */
     public void onAttemptCompleted(CompletedAttempt attempt, long nowTicks) {
+        // Latencies are counted for the lane that the backend is in now.
+        ready.refreshIfStale();
         boolean measurable = !isResumingFromStall(nowTicks);
         outliers.onCompleted(attempt, measurable, nowTicks);
         load.onCompleted(attempt, measurable, nowTicks);
--- a/src/main/java/cottonlock/decision/lane/LaneAssignment.java
+++ b/src/main/java/cottonlock/decision/lane/LaneAssignment.java
@@ -18,6 +18,9 @@
     /** A deficit below this is a rounding error, in backends. */
     private static final double MIN_DEFICIT = 1e-9;
 
+    /** A backend with its rank in a lane, which would take long to compute at each comparison. */
+    private record Ranked<T>(T backend, long hash) {}
+
     /**
      * Assigns backends to lanes: in the order of the tenants, each gets those with its highest
      * rendezvous hashes among the backends that are still unassigned.
@@ -31,10 +34,7 @@
         List<T> free = new ArrayList<>(backends);
         List<List<T>> lanes = new ArrayList<>();
         for (int t = 0; t < tenants.size(); t++) {
-            int tenant = t;
-            free.sort(
-                    Comparator.comparingLong((T b) -> RendezvousHash.of(tenant, id.apply(b)))
-                            .reversed());
+            free = rankedFor(t, free, id);
             List<T> taken = free.subList(0, sizes[t]);
             lanes.add(new ArrayList<>(taken));
             taken.clear();
@@ -42,6 +42,20 @@
         return new LaneAssignment<>(lanes, free);
     }
 
+    /** Backends in the order of their rank for a tenant, the highest hash first. */
+    private static <T> List<T> rankedFor(int tenant, List<T> backends, Function<T, String> id) {
+        List<Ranked<T>> ranked = new ArrayList<>(backends.size());
+        for (T backend : backends) {
+            ranked.add(new Ranked<>(backend, RendezvousHash.of(tenant, id.apply(backend))));
+        }
+        ranked.sort(Comparator.comparingLong((Ranked<T> r) -> r.hash).reversed());
+        List<T> sorted = new ArrayList<>(backends.size());
+        for (Ranked<T> r : ranked) {
+            sorted.add(r.backend);
+        }
+        return sorted;
+    }
+
     /**
      * The number of backends in the lane of each tenant: its share of them, rounded, and at least
      * one if there are enough backends.
--- a/src/main/java/cottonlock/decision/request/Request.java
+++ b/src/main/java/cottonlock/decision/request/Request.java
@@ -201,7 +201,12 @@
 
     @Override
     public boolean hasTried(Backend backend) {
-        return attempts.stream().anyMatch(attempt -> attempt.backend() == backend);
+        for (Attempt attempt : attempts) {
+            if (attempt.backend() == backend) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The first attempt that may have been executed, in flight or not; null if there is none. */
--- a/src/main/java/cottonlock/proxy/BackendDirectory.java
+++ b/src/main/java/cottonlock/proxy/BackendDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -18,6 +19,8 @@
  * them. Owned by the load balancer's thread, except {@link #isListed} and {@link #listedCount}.
  */
 final class BackendDirectory {
+    private static final int NOT_COUNTED = -1;
+
     private final Function<EndpointList.Entry, BackendActor> actorFactory;
     private final ManualEjections manualEjections;
     private final AddressConflicts addressConflicts = new AddressConflicts();
@@ -26,7 +29,10 @@
     private final Map<String, Endpoint> listedEndpoints = new TreeMap<>();
 
     /** The ids of these backends, for other threads. */
-    private volatile Set<String> listedIds = Set.of();
+    private final Set<String> listedIds = ConcurrentHashMap.newKeySet();
+
+    /** The backends in the list that drain or were ejected; negative while it is not counted. */
+    private int unavailableCount = NOT_COUNTED;
 
     private final Map<String, BackendActor> actors = new TreeMap<>();
 
@@ -49,26 +55,35 @@
         EndpointList list = addressConflicts.resolve(message);
         List<Endpoint> endpoints = new ArrayList<>();
         if (list.complete()) {
-            listedEndpoints.clear();
             unlistedIds.addAll(actors.keySet());
+            listedEndpoints.clear();
         }
         for (EndpointList.Entry entry : list.entries()) {
             endpoints.add(manualEjections.effective(entry.endpoint()));
             if (entry.endpoint().state() == Endpoint.State.GONE) {
-                listedEndpoints.remove(entry.endpoint().id());
-                unlistedIds.add(entry.endpoint().id());
+                removeListed(entry.endpoint().id());
             } else {
                 updateListed(entry);
             }
         }
-        listedEndpoints.keySet().forEach(unlistedIds::remove);
-        listedIds = Set.copyOf(listedEndpoints.keySet());
+        if (list.complete()) {
+            listedIds.retainAll(listedEndpoints.keySet());
+        }
+        unavailableCount = NOT_COUNTED;
         return endpoints;
     }
 
+    private void removeListed(String id) {
+        listedEndpoints.remove(id);
+        listedIds.remove(id);
+        unlistedIds.add(id);
+    }
+
     private void updateListed(EndpointList.Entry entry) {
         String id = entry.endpoint().id();
         listedEndpoints.put(id, entry.endpoint());
+        listedIds.add(id);
+        unlistedIds.remove(id);
         BackendActor actor = actors.get(id);
         if (actor == null && entry.address() != null) {
             actors.put(id, actorFactory.apply(entry));
@@ -95,6 +110,7 @@
      * @return all backends in the list, as the load balancer is to treat them
      */
     List<Endpoint> updateEjections() {
+        unavailableCount = NOT_COUNTED;
         List<Endpoint> endpoints = new ArrayList<>();
         for (Endpoint endpoint : listedEndpoints.values()) {
             endpoints.add(manualEjections.effective(endpoint));
@@ -146,10 +162,14 @@
 
     /** The number of backends in the list that drain or were ejected manually. */
     int unavailableCount() {
-        return (int)
-                listedEndpoints.values().stream()
-                        .map(manualEjections::effective)
-                        .filter(endpoint -> endpoint.state() != Endpoint.State.READY)
-                        .count();
+        if (unavailableCount == NOT_COUNTED) {
+            unavailableCount =
+                    (int)
+                            listedEndpoints.values().stream()
+                                    .map(manualEjections::effective)
+                                    .filter(endpoint -> endpoint.state() != Endpoint.State.READY)
+                                    .count();
+        }
+        return unavailableCount;
     }
 }
--- a/src/main/java/cottonlock/proxy/LoadBalancerActor.java
+++ b/src/main/java/cottonlock/proxy/LoadBalancerActor.java
@@ -314,10 +314,16 @@
                     }
                     balancer.onEndpointList(clock.now(), endpoints, list.complete(), cached);
                     backends.retireUnlisted(balancer::mayUse);
-                    updateBackendCounts();
+                    if (list.complete()) {
+                        updateBackendCounts();
+                    }
                 });
     }
 
+    /**
+     * Looks at each backend. A change of the list leaves it to the timer: while a large fleet is
+     * replaced, changes come at a much higher rate.
+     */
     private void updateBackendCounts() {
         metrics.setBackendCounts(
                 backends.listedCount(),
--- a/src/test/java/cottonlock/proxy/ProxyFixture.java
+++ b/src/test/java/cottonlock/proxy/ProxyFixture.java
@@ -181,6 +181,10 @@
             }
         }
 
+        int port() {
+            return server.getLocalPort();
+        }
+
         String host(String id) {
             return listEntry(id, server.getLocalPort());
         }
