--- a/src/main/java/cottonlock/proxy/ConnectionPermits.java
+++ b/src/main/java/cottonlock/proxy/ConnectionPermits.java
@@ -12,6 +12,9 @@
     /** Part of all connections that are open to backends however many clients are connected. */
     private static final int BACKEND_PART_DIVISOR = 4;
 
+    /** Part of the permits that idle connections do not keep. */
+    private static final int SPARE_PART_DIVISOR = 32;
+
     private final int maxConnections;
     private final IntSupplier maxWithClients;
     private final IntSupplier clientCount;
@@ -46,10 +49,17 @@
         this.open = open;
     }
 
-    /** Takes a permit, without waiting; false when all are in use. */
+    /**
+     * Takes a permit, without waiting; false when all are in use. When few are left, a connection
+     * that is idle is closed, so that the next attempt need not wait for one.
+     */
     boolean tryAcquire() {
         int max = maxAtPresent();
-        return inUse.getAndUpdate(n -> n < max ? n + 1 : n) < max;
+        int usedBefore = inUse.getAndUpdate(n -> n < max ? n + 1 : n);
+        if (usedBefore >= max - max / SPARE_PART_DIVISOR) {
+            makeRoom(1);
+        }
+        return usedBefore < max;
     }
 
     /** Records that an attempt begins to wait for a permit. */
--- a/src/test/java/cottonlock/proxy/OpenBackendConnectionsTest.java
+++ b/src/test/java/cottonlock/proxy/OpenBackendConnectionsTest.java
@@ -89,6 +89,23 @@
         assertFalse(open.takeIdle(connections.get(2)), "it was closed after the first one's end");
     }
 
+    /** Guards against attempts that each wait for a permit while idle connections keep all. */
+    @Example
+    void aFewPermitsAreKeptFreeWhereConnectionsAreIdle() {
+        ConnectionPermits permits = new ConnectionPermits(64, open);
+        BackendConnection idle = connection();
+        open.addIdle(idle);
+        for (int i = 0; i < 62; i++) {
+            assertTrue(permits.tryAcquire());
+        }
+        assertTrue(open.takeIdle(idle), "it is kept while more than two permits are free");
+        open.addIdle(idle);
+        assertTrue(permits.tryAcquire());
+        assertFalse(open.takeIdle(idle), "it was closed");
+        assertTrue(permits.tryAcquire());
+        assertFalse(permits.tryAcquire());
+    }
+
     @Example
     void noneIsOpenedWhenAllHaveBeenClosed() {
         open.close();
