Management commands are a class of their own; attempts of tests stand once

Change: ManagementCommands is what Proxy.ManagementCommands was, with what it needs as parameters; BackendActors.attempt serves RacesTest, ClientsThatLeaveTest and OpenBackendConnectionsTest. No check changes.

--- a/src/main/java/cottonlock/proxy/Proxy.java
+++ b/src/main/java/cottonlock/proxy/Proxy.java
@@ -1,6 +1,5 @@
 package cottonlock.proxy;
 
-import cottonlock.admin.ManagementOperations;
 import cottonlock.admin.ManagementServer;
 import cottonlock.admin.Metrics;
 import cottonlock.core.Ticks;
@@ -319,7 +318,12 @@
             management =
                     new ManagementServer(
                             ProxyConfiguration.address("mgmt", managementAddress),
-                            new ManagementCommands());
+                            new ManagementCommands(
+                                    this::isServing,
+                                    metrics,
+                                    this::membersReport,
+                                    loadBalancer,
+                                    manualEjections));
             threads.add(Sockets.start("management", management));
             threads.add(Sockets.start("bans", manualEjections));
         }
@@ -367,43 +371,13 @@
         }
     }
 
-    /** The management commands; run by the threads of the calls. */
-    private final class ManagementCommands implements ManagementOperations {
-        @Override
-        public boolean isServing() {
-            return serving;
-        }
-
-        @Override
-        public String metricsJson() {
-            return metrics.toJson();
-        }
-
-        @Override
-        public String membersReport() {
-            return membership == null ? null : membership.service().statusLines();
-        }
-
-        @Override
-        public String ejectBackend(String id) {
-            return setEjected(id, true);
-        }
-
-        @Override
-        public String restoreBackend(String id) {
-            return setEjected(id, false);
-        }
+    private boolean isServing() {
+        return serving;
+    }
 
-        private String setEjected(String id, boolean ejected) {
-            if (!loadBalancer.isListed(id) && !manualEjections.isEjected(id)) {
-                return "no backend has that id";
-            }
-            if (!manualEjections.setEjected(id, ejected)) {
-                return "too many backends are out";
-            }
-            manualEjections.awaitPropagation();
-            return null;
-        }
+    /** The members as text, one a line; null if membership is not configured. */
+    private String membersReport() {
+        return membership == null ? null : membership.service().statusLines();
     }
 
     /**
--- a/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
+++ b/src/test/java/cottonlock/proxy/ClientsThatLeaveTest.java
@@ -9,7 +9,6 @@
 import cottonlock.proxy.control.ProxyConfiguration;
 import cottonlock.proxy.http.BufferPool;
 import cottonlock.proxy.http.HttpWriter;
-import cottonlock.proxy.http.MessageBody;
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
 import cottonlock.setup.LoadBalancerFactory;
@@ -51,33 +50,18 @@
     private final WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
 
     /** Its thread is never started: messages stay in its mailbox. */
-    private final LoadBalancerActor loadBalancer =
-            new LoadBalancerActor(clock, entry -> null, metrics, log);
-
-    private record Sent(ClientRequest request, ClientRequest.Attempt attempt) {}
-
-    private Sent attempt(BackendActor actor) throws Exception {
-        MessageBody body = new MessageBody(buffers);
-        body.add("body".getBytes(StandardCharsets.ISO_8859_1), 0, 4);
-        ClientRequest request =
-                new ClientRequest(
-                        null,
-                        validatedHead("acme"),
-                        body,
-                        clock.now() + 100_000,
-                        new OpenRequestIds());
-        ClientRequest.Attempt attempt =
-                new ClientRequest.Attempt(request, 0, Long.MAX_VALUE, loadBalancer);
-        assertTrue(actor == null || actor.offer(attempt));
-        return new Sent(request, attempt);
+    private final LoadBalancerActor loadBalancer = backends.loadBalancer;
+
+    private BackendActors.Sent attempt(BackendActor actor) throws Exception {
+        return backends.attempt(actor, Long.MAX_VALUE);
     }
 
-    private BackendConnection connection(StandIn backend, Sent first) {
+    private BackendConnection connection(StandIn backend, BackendActors.Sent first) {
         return new BackendConnection(
                 backends.actor(backend, 0),
                 BackendActors.address(backend),
                 backends.resources(0, 0),
-                first.attempt);
+                first.attempt());
     }
 
     private static boolean anyThreadIn(String where) {
@@ -279,16 +263,16 @@
     void inTheMailboxOfItsBackend() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = backends.actor(backend, 0);
-        Sent gone = attempt(actor);
-        Sent stays = attempt(actor);
-        assertTrue(gone.request.claim());
+        BackendActors.Sent gone = attempt(actor);
+        BackendActors.Sent stays = attempt(actor);
+        assertTrue(gone.request().claim());
         backends.executor.release();
-        eventually(() -> gone.attempt.isSettled() && stays.attempt.isSettled(), "settled");
+        eventually(() -> gone.attempt().isSettled() && stays.attempt().isSettled(), "settled");
         assertEquals(1, backend.requests.size());
         assertEquals(
                 1, backend.sockets.size(), "no connection was opened for a client that had left");
         backends.open.close();
-        assertTrue(stays.request.claim());
+        assertTrue(stays.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -299,7 +283,7 @@
     void whileItsConnectionIsBeingOpened() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         for (boolean leaves : new boolean[] {true, false}) {
-            Sent sent = attempt(null);
+            BackendActors.Sent sent = attempt(null);
             List<byte[]> taken = new ArrayList<>();
             while (buffers.available() > 0) {
                 taken.add(buffers.take());
@@ -307,14 +291,14 @@
             Thread thread = Sockets.start("connection", connection(backend, sent));
             eventually(() -> anyThreadIn("BufferPool.take.*BackendConnection.run"), "connected");
             if (leaves) {
-                assertTrue(sent.request.claim());
+                assertTrue(sent.request().claim());
             }
             taken.forEach(buffers::give);
-            eventually(sent.attempt::isSettled, "settled");
+            eventually(sent.attempt()::isSettled, "settled");
             assertEquals(leaves ? 0 : 1, backend.requests.size());
             backend.sockets.forEach(Sockets::close);
             thread.join(4_000);
-            assertTrue(leaves || sent.request.claim());
+            assertTrue(leaves || sent.request().claim());
         }
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
@@ -325,22 +309,22 @@
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = backends.actor(backend, 8_000_000_000L);
         backends.executor.release();
-        Sent first = attempt(actor);
+        BackendActors.Sent first = attempt(actor);
         eventually(
-                () -> first.attempt.isSettled() && anyThreadIn(IDLE_CONNECTION),
+                () -> first.attempt().isSettled() && anyThreadIn(IDLE_CONNECTION),
                 "the connection is idle");
-        Sent next = attempt(actor);
+        BackendActors.Sent next = attempt(actor);
         CountDownLatch queued = new CountDownLatch(1);
         actor.runAfterPending(queued::countDown);
         assertTrue(awaitLatch(queued), "the attempt has been processed");
-        assertTrue(next.request.claim());
+        assertTrue(next.request().claim());
         send(backend.sockets.get(0), FAILED);
-        eventually(next.attempt::isSettled, "settled, as no connection is settling any more");
+        eventually(next.attempt()::isSettled, "settled, as no connection is settling any more");
         assertEquals(1, backend.requests.size());
         assertEquals(
                 1, backend.sockets.size(), "no connection was opened for a client that had left");
         backends.open.close();
-        assertTrue(first.request.claim());
+        assertTrue(first.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -349,32 +333,32 @@
     void whileItsWriteWaitsForABuffer() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         for (boolean leaves : new boolean[] {true, false}) {
-            Sent first = attempt(null);
+            BackendActors.Sent first = attempt(null);
             BackendConnection connection = connection(backend, first);
             Thread thread = Sockets.start("connection", connection);
             eventually(
-                    () -> first.attempt.isSettled() && anyThreadIn(IDLE_CONNECTION),
+                    () -> first.attempt().isSettled() && anyThreadIn(IDLE_CONNECTION),
                     "the connection is idle");
             int before = backend.requests.size();
-            Sent next = attempt(null);
-            assertTrue(next.attempt.attach(connection));
+            BackendActors.Sent next = attempt(null);
+            assertTrue(next.attempt().attach(connection));
             List<byte[]> taken = new ArrayList<>();
             while (buffers.available() > 0) {
                 taken.add(buffers.take());
             }
-            Thread writer = Sockets.start("writer", () -> connection.send(next.attempt));
+            Thread writer = Sockets.start("writer", () -> connection.send(next.attempt()));
             eventually(
                     () -> anyThreadIn("BufferPool.take.*HttpWriter.send"), "its write has begun");
             if (leaves) {
-                assertTrue(next.request.claim());
+                assertTrue(next.request().claim());
             }
             taken.forEach(buffers::give);
             writer.join(4_000);
-            eventually(next.attempt::isSettled, "settled");
+            eventually(next.attempt()::isSettled, "settled");
             assertEquals(before + (leaves ? 0 : 1), backend.requests.size());
             backend.sockets.forEach(Sockets::close);
             thread.join(4_000);
-            assertTrue(first.request.claim() && (leaves || next.request.claim()));
+            assertTrue(first.request().claim() && (leaves || next.request().claim()));
         }
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
@@ -386,28 +370,28 @@
     @Example
     void beforeTheFirstCheckOfItsClient() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        Sent first = attempt(null);
+        BackendActors.Sent first = attempt(null);
         BackendConnection connection = connection(backend, first);
         Thread thread = Sockets.start("connection", connection);
         eventually(
-                () -> first.attempt.isSettled() && anyThreadIn(IDLE_CONNECTION),
+                () -> first.attempt().isSettled() && anyThreadIn(IDLE_CONNECTION),
                 "the connection is idle");
-        Sent next = attempt(null);
-        assertTrue(next.attempt.attach(connection));
-        Thread writer = Sockets.thread("writer", () -> connection.send(next.attempt));
-        synchronized (next.request) {
+        BackendActors.Sent next = attempt(null);
+        assertTrue(next.attempt().attach(connection));
+        Thread writer = Sockets.thread("writer", () -> connection.send(next.attempt()));
+        synchronized (next.request()) {
             writer.start();
             eventually(
                     () -> writer.getState() == Thread.State.BLOCKED,
                     "its write waits for the check");
-            assertTrue(next.request.claim());
+            assertTrue(next.request().claim());
         }
         writer.join(4_000);
-        eventually(next.attempt::isSettled, "settled");
+        eventually(next.attempt()::isSettled, "settled");
         assertEquals(1, backend.requests.size());
         backend.sockets.forEach(Sockets::close);
         thread.join(4_000);
-        assertTrue(first.request.claim());
+        assertTrue(first.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -546,19 +530,20 @@
     void afterAFloodTheFirstAttemptStartsSoonOrNotAtAll() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = backends.actor(backend, 0);
-        Sent unobserved = attempt(actor);
-        loadBalancer.clientUnobserved(unobserved.request, 0);
-        long startUntilTicks = unobserved.request.observedUntilTicks;
+        BackendActors.Sent unobserved = attempt(actor);
+        loadBalancer.clientUnobserved(unobserved.request(), 0);
+        long startUntilTicks = unobserved.request().observedUntilTicks;
         assertTrue(
                 startUntilTicks <= clock.now() + 1_000,
                 "within 0.1 s of when it was last observed");
         eventually(() -> clock.now() >= startUntilTicks, "that time is over");
-        Sent stays = attempt(actor);
+        BackendActors.Sent stays = attempt(actor);
         backends.executor.release();
-        eventually(() -> unobserved.attempt.isSettled() && stays.attempt.isSettled(), "settled");
+        eventually(
+                () -> unobserved.attempt().isSettled() && stays.attempt().isSettled(), "settled");
         assertEquals(1, backend.requests.size());
         backends.open.close();
-        assertTrue(unobserved.request.claim() && stays.request.claim());
+        assertTrue(unobserved.request().claim() && stays.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -746,23 +731,23 @@
     @Example
     void timeSpentWaitingForABufferIsDeducted() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
-        Sent first = attempt(null);
+        BackendActors.Sent first = attempt(null);
         BackendConnection connection = connection(backend, first);
         Thread thread = Sockets.start("connection", connection);
         eventually(
-                () -> first.attempt.isSettled() && anyThreadIn(IDLE_CONNECTION),
+                () -> first.attempt().isSettled() && anyThreadIn(IDLE_CONNECTION),
                 "the connection is idle");
-        Sent next = attempt(null);
-        assertTrue(next.attempt.attach(connection));
+        BackendActors.Sent next = attempt(null);
+        assertTrue(next.attempt().attach(connection));
         List<byte[]> taken = new ArrayList<>();
         while (buffers.available() > 0) {
             taken.add(buffers.take());
         }
-        Thread writer = Sockets.start("writer", () -> connection.send(next.attempt));
+        Thread writer = Sockets.start("writer", () -> connection.send(next.attempt()));
         eventually(() -> anyThreadIn("BufferPool.take.*HttpWriter.send"), "its write has begun");
         long since = clock.now();
         eventually(() -> clock.now() - since >= 1_000, "some time is spent");
-        long left = (next.request.deadlineTicks - clock.now()) / 10;
+        long left = (next.request().deadlineTicks - clock.now()) / 10;
         taken.forEach(buffers::give);
         eventually(() -> backend.requests.size() == 2, "written");
         long sentMillis = Long.parseLong(field(backend.requests.get(1), "X-Timeout-Ms", ""));
@@ -770,7 +755,7 @@
         backend.sockets.forEach(Sockets::close);
         writer.join(4_000);
         thread.join(4_000);
-        assertTrue(first.request.claim() && next.request.claim());
+        assertTrue(first.request().claim() && next.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 }
--- a/src/test/java/cottonlock/proxy/OpenBackendConnectionsTest.java
+++ b/src/test/java/cottonlock/proxy/OpenBackendConnectionsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cottonlock.proxy.http.MessageBody;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -18,8 +17,6 @@
 
     private final BackendActors backends = new BackendActors(4_000);
     private final OpenBackendConnections open = backends.open;
-    private final LoadBalancerActor loadBalancer =
-            new LoadBalancerActor(backends.clock, entry -> null, backends.metrics, backends.log);
 
     private BackendConnection connection() {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
@@ -28,17 +25,6 @@
         return new BackendConnection(actor, address, resources, null);
     }
 
-    private ClientRequest.Attempt attempt() throws Exception {
-        ClientRequest request =
-                new ClientRequest(
-                        null,
-                        validatedHead("acme"),
-                        new MessageBody(backends.buffers),
-                        backends.clock.now() + 100_000,
-                        new OpenRequestIds());
-        return new ClientRequest.Attempt(request, 0, Long.MAX_VALUE, loadBalancer);
-    }
-
     /** Guards against an attempt that is written to a connection that is being closed for room. */
     @Example
     void anIdleConnectionIsTakenByOneOnly() {
@@ -125,11 +111,10 @@
             StandIn standIn = new StandIn(request -> FAILED);
             standIns.add(standIn);
             BackendActor actor = new BackendActor(BackendActors.address(standIn), resources);
-            ClientRequest.Attempt attempt = attempt();
-            assertTrue(actor.offer(attempt));
-            eventually(attempt::isSettled, "settled");
+            BackendActors.Sent sent = backends.attempt(actor, Long.MAX_VALUE);
+            eventually(sent.attempt()::isSettled, "settled");
             assertEquals(1, standIn.requests.size(), "sent to backend " + i);
-            assertTrue(attempt.req.claim());
+            assertTrue(sent.request().claim());
         }
         eventually(() -> isClosed(standIns.get(0)), "the first one's connection is closed");
         for (StandIn other : standIns.subList(1, BACKENDS)) {
--- a/src/test/java/cottonlock/proxy/RacesTest.java
+++ b/src/test/java/cottonlock/proxy/RacesTest.java
@@ -10,7 +10,6 @@
 import cottonlock.proxy.discovery.EndpointListWatch;
 import cottonlock.proxy.http.BufferPool;
 import cottonlock.proxy.http.HttpWriter;
-import cottonlock.proxy.http.MessageBody;
 import cottonlock.proxy.io.RateLimitedLog;
 import cottonlock.proxy.io.Sockets;
 import java.io.IOException;
@@ -49,8 +48,7 @@
     private final WriteTimeoutWatchdog watchdog = new WriteTimeoutWatchdog();
 
     /** Its thread is never started: messages stay in its mailbox. */
-    private final LoadBalancerActor loadBalancer =
-            new LoadBalancerActor(clock, entry -> null, metrics, log);
+    private final LoadBalancerActor loadBalancer = backends.loadBalancer;
 
     private static boolean anyConnectionThreadBlocked() {
         return Thread.getAllStackTraces().keySet().stream()
@@ -442,23 +440,6 @@
 
     // Attempts under way
 
-    private Sent attempt(BackendActor actor, long sendBy) throws Exception {
-        MessageBody body = new MessageBody(buffers);
-        body.add("body".getBytes(StandardCharsets.ISO_8859_1), 0, 4);
-        ClientRequest request =
-                new ClientRequest(
-                        null,
-                        validatedHead("acme"),
-                        body,
-                        clock.now() + 100_000,
-                        new OpenRequestIds());
-        ClientRequest.Attempt attempt = new ClientRequest.Attempt(request, 0, sendBy, loadBalancer);
-        assertTrue(actor == null || actor.offer(attempt));
-        return new Sent(request, attempt);
-    }
-
-    private record Sent(ClientRequest request, ClientRequest.Attempt attempt) {}
-
     /** The attempt is held in the mailbox until the actor is given a thread. */
     @Example
     void aQueuedAttemptIsWrittenOnlyIfItStillMayBe() throws Exception {
@@ -467,21 +448,21 @@
         for (int kind = 0; kind < 4; kind++) {
             BackendActors own = new BackendActors(1_000);
             BackendActor actor = own.actor(backend, BackendActor.SETTLE_NANOS);
-            Sent sent = attempt(actor, kind == 1 ? clock.now() : later);
+            BackendActors.Sent sent = backends.attempt(actor, kind == 1 ? clock.now() : later);
             if (kind == 2) {
                 actor.setReady(false);
             }
             if (kind == 3) {
                 // Its client has left.
-                assertTrue(sent.request.claim());
+                assertTrue(sent.request().claim());
             }
             own.executor.release();
-            eventually(sent.attempt::isSettled, "settled");
+            eventually(sent.attempt()::isSettled, "settled");
             assertEquals(1, backend.requests.size(), "only the first may be sent");
             own.open.close();
             eventually(() -> own.buffers.available() == 16, "all its buffers are back");
             if (kind != 3) {
-                assertTrue(sent.request.claim());
+                assertTrue(sent.request().claim());
             }
         }
         eventually(() -> buffers.available() == 16, "all buffers are back");
@@ -495,24 +476,24 @@
     void attemptsThatWaitForAPermitHoldUpNothingBehindThem() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = backends.actor(backend, BackendActor.SETTLE_NANOS, 0);
-        List<Sent> waiting = new ArrayList<>();
+        List<BackendActors.Sent> waiting = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
-            waiting.add(attempt(actor, Long.MAX_VALUE));
+            waiting.add(backends.attempt(actor, Long.MAX_VALUE));
         }
         AtomicInteger settledBefore = new AtomicInteger();
         CountDownLatch processed = new CountDownLatch(1);
         actor.runAfterPending(
                 () -> {
                     waiting.forEach(
-                            sent -> settledBefore.addAndGet(sent.attempt.isSettled() ? 1 : 0));
+                            sent -> settledBefore.addAndGet(sent.attempt().isSettled() ? 1 : 0));
                     processed.countDown();
                 });
         backends.executor.release();
         assertTrue(processed.await(4, TimeUnit.SECONDS));
         assertTrue(settledBefore.get() < waiting.size(), "they were waited for in turn");
-        for (Sent sent : waiting) {
-            eventually(sent.attempt::isSettled, "given up");
-            assertTrue(sent.request.claim());
+        for (BackendActors.Sent sent : waiting) {
+            eventually(sent.attempt()::isSettled, "given up");
+            assertTrue(sent.request().claim());
         }
         assertEquals(0, backend.requests.size());
         backends.open.close();
@@ -529,13 +510,13 @@
             actor.closeIdleConnections();
             actor.addressChanged(BackendActors.address(i % 2 == 0 ? old : now));
         }
-        Sent sent = attempt(actor, Long.MAX_VALUE);
+        BackendActors.Sent sent = backends.attempt(actor, Long.MAX_VALUE);
         backends.executor.release();
-        eventually(sent.attempt::isSettled, "settled");
+        eventually(sent.attempt()::isSettled, "settled");
         assertEquals(1, now.requests.size());
         assertEquals(0, old.requests.size());
         backends.open.close();
-        assertTrue(sent.request.claim());
+        assertTrue(sent.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -545,34 +526,34 @@
     void anUnsolicitedResponseIsNotTakenForThatOfTheNextAttempt() throws Exception {
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = backends.actor(backend, BackendActor.SETTLE_NANOS);
-        Sent first = attempt(null, Long.MAX_VALUE);
+        BackendActors.Sent first = backends.attempt(null, Long.MAX_VALUE);
         BackendConnection connection =
                 new BackendConnection(
                         actor,
                         BackendActors.address(backend),
                         backends.resources(BackendActor.SETTLE_NANOS, 0),
-                        first.attempt);
+                        first.attempt());
         Thread thread = Sockets.thread("connection", connection);
         thread.start();
         eventually(
                 () ->
-                        first.attempt.isSettled()
+                        first.attempt().isSettled()
                                 && List.of(thread.getStackTrace())
                                         .toString()
                                         .matches(
                                                 "(?s).*NioSocketImpl.*HttpReader.awaitSingleByte.*"),
                 "the connection is idle");
-        Sent next = attempt(null, Long.MAX_VALUE);
+        BackendActors.Sent next = backends.attempt(null, Long.MAX_VALUE);
         synchronized (connection) {
             send(backend.sockets.get(0), STRAY);
             eventually(() -> isBlocked(thread), "read, and not yet checked");
-            assertTrue(next.attempt.attach(connection));
-            assertFalse(connection.send(next.attempt), "something lies there already");
+            assertTrue(next.attempt().attach(connection));
+            assertFalse(connection.send(next.attempt()), "something lies there already");
         }
         thread.join(4_000);
-        assertFalse(next.attempt.isSettled(), "it may be sent on another connection");
+        assertFalse(next.attempt().isSettled(), "it may be sent on another connection");
         assertEquals(1, backend.requests.size());
-        assertTrue(first.request.claim() && next.request.claim());
+        assertTrue(first.request().claim() && next.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
@@ -585,10 +566,10 @@
         StandIn backend = new StandIn(request -> FAILED);
         BackendActor actor = backends.actor(backend, 8_000_000_000L);
         backends.executor.release();
-        Sent first = attempt(actor, Long.MAX_VALUE);
+        BackendActors.Sent first = backends.attempt(actor, Long.MAX_VALUE);
         eventually(
                 () ->
-                        first.attempt.isSettled()
+                        first.attempt().isSettled()
                                 && Thread.getAllStackTraces().values().stream()
                                         .anyMatch(
                                                 t ->
@@ -599,16 +580,16 @@
                                                                             + "*HttpReader"
                                                                             + ".awaitSingleByte.*")),
                 "the connection is idle");
-        Sent next = attempt(actor, Long.MAX_VALUE);
+        BackendActors.Sent next = backends.attempt(actor, Long.MAX_VALUE);
         CountDownLatch queued = new CountDownLatch(1);
         actor.runAfterPending(queued::countDown);
         assertTrue(awaitLatch(queued), "the attempt has been processed");
         send(backend.sockets.get(0), STRAY);
-        eventually(next.attempt::isSettled, "sent, as no connection is settling any more");
+        eventually(next.attempt()::isSettled, "sent, as no connection is settling any more");
         assertEquals(2, backend.requests.size());
         assertEquals(2, backend.sockets.size(), "each on a connection of its own");
         backends.open.close();
-        assertTrue(first.request.claim() && next.request.claim());
+        assertTrue(first.request().claim() && next.request().claim());
         eventually(() -> buffers.available() == 16, "all buffers are back");
     }
 
