An actor whose executor failed is not forgotten by a slower success

What could be seen: nothing was; found by reading. Where the executor had no memory to take an actor's messages, a flag has the next message try again; a thread whose earlier call had succeeded could clear the flag late, and the actor would never run again. Change: only a failure writes the flag, and the next message clears it. Result: SerialMailboxTest passes; the race itself was not forced.

--- a/src/main/java/cottonlock/proxy/concurrent/SerialMailbox.java
+++ b/src/main/java/cottonlock/proxy/concurrent/SerialMailbox.java
@@ -86,8 +86,10 @@
             executor.execute(runner);
             taken = true;
         } finally {
-            // Without memory it may throw; the next message tries again then.
-            executorFailed.set(!taken);
+            if (!taken) {
+                // For want of memory; the next message tries again.
+                executorFailed.set(true);
+            }
         }
     }
 
