A complete list is seen as a whole by other threads

Change: a complete list replaces the set of ids; changes of single entries still cost only themselves.

--- a/src/main/java/cottonlock/proxy/BackendDirectory.java
+++ b/src/main/java/cottonlock/proxy/BackendDirectory.java
@@ -28,8 +28,8 @@
     /** The backends in the endpoint list as discovery reported them. */
     private final Map<String, Endpoint> listedEndpoints = new TreeMap<>();
 
-    /** The ids of these backends, for other threads. */
-    private final Set<String> listedIds = ConcurrentHashMap.newKeySet();
+    /** The ids of these backends, for other threads; replaced as a whole by a complete list. */
+    private volatile Set<String> listedIds = ConcurrentHashMap.newKeySet();
 
     /** The backends in the list that drain or were ejected; negative while it is not counted. */
     private int unavailableCount = NOT_COUNTED;
@@ -67,22 +67,35 @@
             }
         }
         if (list.complete()) {
-            listedIds.retainAll(listedEndpoints.keySet());
+            Set<String> ids = ConcurrentHashMap.newKeySet();
+            ids.addAll(listedEndpoints.keySet());
+            listedIds = ids;
+        } else {
+            updateListedIds(list);
         }
         unavailableCount = NOT_COUNTED;
         return endpoints;
     }
 
+    private void updateListedIds(EndpointList changes) {
+        for (EndpointList.Entry entry : changes.entries()) {
+            String id = entry.endpoint().id();
+            if (listedEndpoints.containsKey(id)) {
+                listedIds.add(id);
+            } else {
+                listedIds.remove(id);
+            }
+        }
+    }
+
     private void removeListed(String id) {
         listedEndpoints.remove(id);
-        listedIds.remove(id);
         unlistedIds.add(id);
     }
 
     private void updateListed(EndpointList.Entry entry) {
         String id = entry.endpoint().id();
         listedEndpoints.put(id, entry.endpoint());
-        listedIds.add(id);
         unlistedIds.remove(id);
         BackendActor actor = actors.get(id);
         if (actor == null && entry.address() != null) {
